--- /dev/null
+++ b/src/caperdyke/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: short functions over typed data, without sockets or clocks."""
--- /dev/null
+++ b/src/caperdyke/coordination/acceptance.py
@@ -0,0 +1,278 @@
+"""Checks a proposed change against the whole configuration and builds the next one."""
+
+import dataclasses
+
+from caperdyke import errors
+from caperdyke.coordination import allotment
+from caperdyke.state import configuration as configurations
+from caperdyke.state import contract as contracts
+from caperdyke.state import ids, places, timing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proposal:
+    """A document that an operator wants accepted.
+
+    :param base: revision of the document that the operator edited; 0 for a new one.
+    :param document: the parsed text.
+    """
+
+    change_id: ids.ChangeId
+    operator: ids.OperatorName
+    name: configurations.DocumentName
+    base: ids.Revision
+    text: str
+    document: places.Places | contracts.Contract
+
+
+def accept(
+    now: float, current: configurations.Configuration, proposal: Proposal
+) -> configurations.Configuration:
+    """Returns the configuration with the proposal in it.
+
+    :raises errors.ProposalError: with every reason why the proposal does not fit.
+    """
+    problems = _check_base(current, proposal) + _check_operator(current, proposal)
+    if problems:
+        raise errors.ProposalError(problems)
+    accepted_at = max(now, current.in_force_at - timing.IN_FORCE_DELAY_SECONDS)
+    changed = apply_document(
+        current,
+        proposal.change_id,
+        ids.Timestamp(accepted_at + timing.IN_FORCE_DELAY_SECONDS),
+        proposal.name,
+        proposal.text,
+        proposal.document,
+    )
+    problems = check_whole(changed) + _check_period(current, changed)
+    problems += check_standing_floors(now, changed)
+    if problems:
+        raise errors.ProposalError(problems)
+    return changed
+
+
+def apply_document(
+    current: configurations.Configuration,
+    change_id: ids.ChangeId,
+    in_force_at: ids.Timestamp,
+    name: configurations.DocumentName,
+    text: str,
+    document: places.Places | contracts.Contract,
+) -> configurations.Configuration:
+    """Returns the next revision; the same inputs give the same result on every instance."""
+    revision = ids.Revision(current.revision + 1)
+    new_places = dict(current.places)
+    new_contracts = dict(current.contracts)
+    match document:
+        case places.Places():
+            new_places[document.operator] = document
+        case contracts.Contract():
+            new_contracts[document.customer] = document
+    changed = configurations.Configuration(
+        revision,
+        change_id,
+        in_force_at,
+        new_places,
+        new_contracts,
+        texts={**current.texts, name: text},
+        text_revisions={**current.text_revisions, name: revision},
+    )
+    standing = _list_standing_floors(current, changed)
+    return dataclasses.replace(changed, standing_floors=standing)
+
+
+def check_whole(configuration: configurations.Configuration) -> list[str]:
+    """Returns every way in which contracts, places and loans do not fit together."""
+    problems = []
+    owners: dict[ids.DomainName, ids.OperatorName] = {}
+    for operator_places in configuration.places.values():
+        for domain in operator_places.domains:
+            other = owners.setdefault(domain.name, operator_places.operator)
+            if other != operator_places.operator:
+                problems.append(f"failure domain {domain.name} is claimed by {other} too")
+    for contract in configuration.contracts.values():
+        problems += _check_contract(configuration, contract)
+    problems += _check_capacity(configuration)
+    problems += _check_loans(configuration)
+    return problems
+
+
+def check_standing_floors(now: float, configuration: configurations.Configuration) -> list[str]:
+    """Returns the limits that are lower than a floor which may still be in use."""
+    problems = []
+    for standing in configuration.standing_floors:
+        part = _find_part(configuration, standing.customer, standing.domain, standing.slice_index)
+        if standing.until > now and (
+            part.share < standing.floor or part.shift < standing.shift_floor
+        ):
+            problems.append(
+                f"{standing.customer} in {standing.domain}: limit {part.share} (shift {part.shift})"
+                f" of slice {standing.slice_index} is below the floor {standing.floor}"
+                f" (shift {standing.shift_floor}) that instances cut off may use until"
+                f" {standing.until:.0f}; lower the floor first and the limit after that time"
+            )
+    return problems
+
+
+def _check_base(current: configurations.Configuration, proposal: Proposal) -> list[str]:
+    actual = current.text_revisions.get(proposal.name, ids.Revision(0))
+    if actual == proposal.base:
+        return []
+    return [
+        f"{proposal.name} was edited from revision {proposal.base} but revision {actual} is"
+        f" accepted; accepted text:\n{current.texts.get(proposal.name, '(none)')}\n"
+        f"proposed text:\n{proposal.text}"
+    ]
+
+
+def _check_operator(current: configurations.Configuration, proposal: Proposal) -> list[str]:
+    owner = proposal.document.operator
+    problems = []
+    if owner != proposal.operator:
+        problems.append(f"{proposal.name} belongs to {owner}, not to {proposal.operator}")
+    if isinstance(proposal.document, contracts.Contract):
+        before = current.contracts.get(proposal.document.customer)
+        if before is not None and before.operator != proposal.operator:
+            problems.append(f"customer {before.customer} belongs to {before.operator}")
+    return problems
+
+
+def _check_period(
+    current: configurations.Configuration, changed: configurations.Configuration
+) -> list[str]:
+    problems = []
+    for customer, contract in changed.contracts.items():
+        before = current.contracts.get(customer)
+        if before is not None and before.period_ms != contract.period_ms:
+            problems.append(
+                f"contract {customer}: period_ms is {contract.period_ms}, but it cannot change"
+                f" from {before.period_ms} while the customer exists"
+            )
+    return problems
+
+
+def _check_contract(
+    configuration: configurations.Configuration, contract: contracts.Contract
+) -> list[str]:
+    label = f"contract {contract.customer}"
+    problems = []
+    if contract.period_ms > timing.PERIOD_MAX_SECONDS * 1000:
+        problems.append(
+            f"{label}: period_ms is {contract.period_ms},"
+            f" expected at most {timing.PERIOD_MAX_SECONDS * 1000:.0f}"
+        )
+    shifted = sum(terms.shift for terms in contract.regions)
+    if shifted > contract.shift_cap:
+        problems.append(
+            f"{label}: the regions' shift adds up to {shifted},"
+            f" expected at most shift_cap {contract.shift_cap}"
+        )
+    for terms in contract.regions:
+        if configuration.find_owner(terms.region) is None:
+            problems.append(f"{label}: region {terms.region} is not in any operator's places")
+        if terms.floor > terms.share or terms.shift > terms.share:
+            problems.append(
+                f"{label}: region {terms.region} has floor {terms.floor} and shift {terms.shift},"
+                f" expected at most share {terms.share}"
+            )
+        known = {service.name for service in contract.services}
+        for unknown in sorted(terms.never - known):
+            problems.append(f"{label}: region {terms.region} names unknown service {unknown}")
+    return problems
+
+
+def _check_capacity(configuration: configurations.Configuration) -> list[str]:
+    claimed: dict[ids.RegionName, int] = {}
+    for contract in configuration.contracts.values():
+        for terms in contract.regions:
+            claimed[terms.region] = claimed.get(terms.region, 0) + terms.share
+    problems = []
+    for region, total in claimed.items():
+        owner = configuration.find_owner(region)
+        capacity = owner.sum_capacity(region) if owner else 0
+        if owner and total > capacity:
+            problems.append(
+                f"region {region}: shares of all contracts add up to {total},"
+                f" expected at most its capacity {capacity}"
+            )
+    return problems
+
+
+def _check_loans(configuration: configurations.Configuration) -> list[str]:
+    used: dict[tuple[ids.RegionName, ids.OperatorName], int] = {}
+    for contract in configuration.contracts.values():
+        for terms in contract.regions:
+            owner = configuration.find_owner(terms.region)
+            if owner and owner.operator != contract.operator:
+                key = (terms.region, contract.operator)
+                used[key] = used.get(key, 0) + terms.share
+    problems = []
+    for (region, borrower), total in used.items():
+        lent = _sum_loans(configuration, region, borrower)
+        if total > lent:
+            problems.append(
+                f"region {region}: contracts of {borrower} claim {total},"
+                f" expected at most the {lent} that its operator lends"
+            )
+    return problems
+
+
+def _sum_loans(
+    configuration: configurations.Configuration,
+    region: ids.RegionName,
+    borrower: ids.OperatorName,
+) -> int:
+    owner = configuration.find_owner(region)
+    loans = owner.loans if owner else ()
+    return sum(loan.amount for loan in loans if (loan.region, loan.borrower) == (region, borrower))
+
+
+def _find_part(
+    configuration: configurations.Configuration,
+    customer: ids.CustomerName,
+    domain_name: ids.DomainName,
+    slice_index: int,
+) -> allotment.Allotment:
+    contract = configuration.contracts.get(customer)
+    domain = configuration.find_domain(domain_name)
+    if contract is None or domain is None:
+        return allotment.NOTHING
+    return allotment.allot_slice(configuration, contract, domain, slice_index)
+
+
+def _list_standing_floors(
+    current: configurations.Configuration, changed: configurations.Configuration
+) -> tuple[configurations.StandingFloor, ...]:
+    """Returns the floors of earlier revisions that are above those of the changed one."""
+    kept = [item for item in current.standing_floors if item.until > changed.in_force_at]
+    until = ids.Timestamp(
+        changed.in_force_at
+        + timing.REST_LEASE_SECONDS
+        + timing.FLOOR_EXTRA_SECONDS
+        + timing.CLOCK_ERROR_SECONDS
+    )
+    for customer in current.contracts:
+        for operator_places in current.places.values():
+            for domain in operator_places.domains:
+                kept += _compare_domain(current, changed, customer, domain, until)
+    return tuple(kept)
+
+
+def _compare_domain(
+    current: configurations.Configuration,
+    changed: configurations.Configuration,
+    customer: ids.CustomerName,
+    domain: places.FailureDomain,
+    until: ids.Timestamp,
+) -> list[configurations.StandingFloor]:
+    lowered = []
+    for index in range(domain.slices):
+        before = _find_part(current, customer, domain.name, index)
+        after = _find_part(changed, customer, domain.name, index)
+        if after.floor < before.floor or after.shift_floor < before.shift_floor:
+            lowered.append(
+                configurations.StandingFloor(
+                    customer, domain.name, index, before.floor, before.shift_floor, until
+                )
+            )
+    return lowered
--- /dev/null
+++ b/src/caperdyke/coordination/allotment.py
@@ -0,0 +1,93 @@
+"""Divides a contract's limits among failure domains and their slices.
+
+The division is a function of the configuration alone, so every instance computes the same parts
+without a message, and the parts of all slices add up to exactly the limit of the contract.
+"""
+
+import dataclasses
+import zlib
+
+from caperdyke.state import configuration as configurations
+from caperdyke.state import contract as contracts
+from caperdyke.state import ids, places
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Allotment:
+    """Part of one customer's limits that belongs to one slice; counts per period.
+
+    The floor of each limit is contained in the limit.
+    """
+
+    share: int
+    floor: int
+    shift: int
+    shift_floor: int
+    step: int
+
+
+NOTHING = Allotment(0, 0, 0, 0, 0)
+
+
+def apportion(total: int, weights: list[int], seed: str) -> list[int]:
+    """Splits a whole number in proportion to weights; the parts add up to the total.
+
+    :param seed: text that decides which parts get the remainder, so that small limits spread out.
+    """
+    weight_sum = sum(weights)
+    if weight_sum == 0:
+        return [0] * len(weights)
+    parts = [total * weight // weight_sum for weight in weights]
+    remainder = total - sum(parts)
+    candidates = [index for index, weight in enumerate(weights) if weight > 0]
+    offset = zlib.crc32(seed.encode()) % len(candidates)
+    for position in range(remainder):
+        parts[candidates[(offset + position) % len(candidates)]] += 1
+    return parts
+
+
+def allot_slice(
+    configuration: configurations.Configuration,
+    contract: contracts.Contract,
+    domain: places.FailureDomain,
+    slice_index: int,
+) -> Allotment:
+    """Returns the part of a contract's limits that belongs to one slice of a domain."""
+    terms = contract.find_region(domain.region)
+    if terms is None or slice_index >= domain.slices:
+        return NOTHING
+    shift_floor = terms.shift * terms.floor // terms.share if terms.share else 0
+    step = _find_region_step(contract, domain.region)
+
+    def cut(total: int, name: str) -> int:
+        seed = f"{contract.customer}/{domain.region}/{name}"
+        return _cut_slice(configuration, domain, slice_index, total, seed)
+
+    floor = cut(terms.floor, "floor")
+    floor_shifted = min(floor, cut(shift_floor, "shift-floor"))
+    share = floor + cut(terms.share - terms.floor, "rest")
+    shift = floor_shifted + cut(terms.shift - shift_floor, "shift-rest")
+    return Allotment(share, floor, min(share, shift), floor_shifted, cut(step, "step"))
+
+
+def _find_region_step(contract: contracts.Contract, region: ids.RegionName) -> int:
+    weights = [terms.shift for terms in contract.regions]
+    steps = apportion(contract.shift_step, weights, f"{contract.customer}/step")
+    for terms, step in zip(contract.regions, steps, strict=True):
+        if terms.region == region:
+            return step
+    return 0
+
+
+def _cut_slice(
+    configuration: configurations.Configuration,
+    domain: places.FailureDomain,
+    slice_index: int,
+    total: int,
+    seed: str,
+) -> int:
+    domains = configuration.list_region(domain.region)
+    parts = apportion(total, [item.capacity for item in domains], seed)
+    position = [item.name for item in domains].index(domain.name)
+    slices = apportion(parts[position], [1] * domain.slices, f"{seed}/{domain.name}")
+    return slices[slice_index]
--- /dev/null
+++ b/src/caperdyke/coordination/backends.py
@@ -0,0 +1,242 @@
+"""Chooses backend servers and decides which of them get new work."""
+
+import dataclasses
+import enum
+import random
+
+import transitions
+
+from caperdyke.coordination import overlay
+from caperdyke.state import backend, ids, timing
+
+# Answers after which a cold backend server counts as warm.
+WARM_ANSWERS = 20
+# Consecutive failures after which a backend server is ejected, and for how long.
+EJECT_FAILURES = 4
+EJECT_SECONDS = 2.0
+# Largest part of a service's backend servers that may be ejected at the same time.
+EJECT_PART_MAX = 0.5
+# Weight of the newest observation in the latency estimate, and the estimate before any.
+LATENCY_WEIGHT = 0.2
+LATENCY_FIRST_SECONDS = 0.02
+
+
+class Policy(enum.Enum):
+    """How a backend server is chosen among those with a free slot."""
+
+    LEAST_WORK = "least-work"
+    ROUND_ROBIN = "round-robin"
+    RANDOM_TWO = "random-two"
+
+
+@dataclasses.dataclass(slots=True)
+class Figures:
+    """Observations of one backend server.
+
+    :param owned_slots: slots that this instance may fill.
+    :param latency: estimate of the time of one answer in seconds.
+    :param leaving_at: time of the first sign of leaving, seconds since 1970; 0 where there is none.
+    """
+
+    owned_slots: int
+    in_flight: int = 0
+    answers: int = 0
+    failures: int = 0
+    latency: float = LATENCY_FIRST_SECONDS
+    ejected_until: float = 0.0
+    leaving_at: float = 0.0
+    starts: int = 0
+
+
+class BackendRecord:
+    """One backend server and its state; the triggers are added by ``transitions``."""
+
+    def __init__(self, server: backend.BackendServer) -> None:
+        self.server = server
+        self.figures = Figures(server.slots)
+        MACHINE.add_model(self, initial=backend.BackendState.WARMING)
+
+    def count_free(self, policy: Policy) -> int:
+        """Returns the slots that this instance may fill now."""
+        allowed = self.figures.owned_slots
+        if policy is Policy.LEAST_WORK and self.state is backend.BackendState.WARMING:
+            warm = self.server.slots * self.figures.answers // WARM_ANSWERS
+            allowed = min(allowed, max(1, warm))
+        return allowed - self.figures.in_flight
+
+    def is_open(self) -> bool:
+        """Tells whether the state admits new work."""
+        return self.state in (backend.BackendState.WARMING, backend.BackendState.SERVING)
+
+
+_OPEN = [backend.BackendState.WARMING, backend.BackendState.SERVING]
+MACHINE = transitions.Machine(
+    model=None,
+    states=backend.BackendState,
+    initial=backend.BackendState.WARMING,
+    auto_transitions=False,
+    ignore_invalid_triggers=True,
+    transitions=[
+        ["warm", backend.BackendState.WARMING, backend.BackendState.SERVING],
+        ["eject", _OPEN, backend.BackendState.EJECTED],
+        ["restore", backend.BackendState.EJECTED, backend.BackendState.WARMING],
+        ["leave", [*_OPEN, backend.BackendState.EJECTED], backend.BackendState.LEAVING],
+        ["come_back", backend.BackendState.LEAVING, backend.BackendState.WARMING],
+        ["vanish", "*", backend.BackendState.GONE],
+    ],
+)
+
+
+class BackendTable:
+    """All backend servers of one failure domain, grouped by service."""
+
+    def __init__(self, policy: Policy, chooser: random.Random) -> None:
+        self.policy = policy
+        self._chooser = chooser
+        self._records: dict[ids.BackendId, BackendRecord] = {}
+        self._by_service: dict[ids.ServiceName, list[BackendRecord]] = {}
+        self._turns: dict[ids.ServiceName, int] = {}
+
+    def add(self, server: backend.BackendServer) -> BackendRecord:
+        """Adds a backend server or returns the record that is already known."""
+        record = self._records.get(server.backend)
+        if record is None:
+            record = BackendRecord(server)
+            self._records[server.backend] = record
+            self._by_service.setdefault(server.service, []).append(record)
+        return record
+
+    def find(self, name: str) -> BackendRecord | None:
+        """Returns the record of a backend server, or None."""
+        return self._records.get(ids.BackendId(name))
+
+    def list_records(self) -> list[BackendRecord]:
+        """Returns all records."""
+        return list(self._records.values())
+
+    def list_service(self, service: ids.ServiceName) -> list[BackendRecord]:
+        """Returns the records of one service."""
+        return self._by_service.get(service, [])
+
+    def deal_slots(self, own: ids.InstanceId, instances: list[ids.InstanceId]) -> None:
+        """Divides every backend server's slots among the instances of the domain."""
+        for record in self._records.values():
+            record.figures.owned_slots = count_owned_slots(record.server, own, instances)
+
+    def choose(self, now: float, service: ids.ServiceName) -> BackendRecord | None:
+        """Returns a backend server with a free slot, or None."""
+        candidates = []
+        for record in self.list_service(service):
+            self._restore_ejected(now, record)
+            if record.is_open() and record.count_free(self.policy) > 0:
+                candidates.append(record)
+        if not candidates:
+            return None
+        match self.policy:
+            case Policy.LEAST_WORK:
+                return min(candidates, key=_estimate_work)
+            case Policy.ROUND_ROBIN:
+                turn = self._turns.get(service, 0)
+                self._turns[service] = turn + 1
+                return candidates[turn % len(candidates)]
+            case Policy.RANDOM_TWO:
+                pair = self._chooser.choices(candidates, k=2)
+                return min(pair, key=lambda record: record.figures.in_flight)
+
+    def has_open(self, service: ids.ServiceName) -> bool:
+        """Tells whether any backend server of a service admits new work from this instance."""
+        return any(
+            record.is_open() and record.figures.owned_slots > 0
+            for record in self.list_service(service)
+        )
+
+    def start(self, record: BackendRecord) -> None:
+        """Counts a request that is about to be sent."""
+        record.figures.in_flight += 1
+        record.figures.starts += 1
+
+    def finish_answer(self, record: BackendRecord, latency: float) -> None:
+        """Counts an answer and learns from its latency in seconds."""
+        figures = record.figures
+        figures.in_flight -= 1
+        figures.answers += 1
+        figures.failures = 0
+        figures.latency += LATENCY_WEIGHT * (latency - figures.latency)
+        if figures.answers >= WARM_ANSWERS:
+            record.warm()
+
+    def finish_failure(self, now: float, record: BackendRecord) -> None:
+        """Counts a failure, and ejects a backend server that fails again and again."""
+        figures = record.figures
+        figures.in_flight -= 1
+        figures.failures += 1
+        if figures.failures >= EJECT_FAILURES and self._may_eject(record):
+            figures.ejected_until = now + EJECT_SECONDS
+            record.eject()
+
+    def finish_refusal(self, record: BackendRecord) -> None:
+        """Counts a request that the backend server did not run."""
+        record.figures.in_flight -= 1
+
+    def mark_leaving(self, now: float, record: BackendRecord) -> None:
+        """Stops new work for a backend server at the first sign that it is leaving."""
+        if record.leave():
+            record.figures.leaving_at = now
+
+    def mark_back(self, record: BackendRecord) -> None:
+        """Lets a backend server that left start again, cold."""
+        if record.come_back():
+            record.figures.leaving_at = 0.0
+            record.figures.answers = 0
+            record.figures.failures = 0
+
+    def estimate_wait(self, service: ids.ServiceName, queued: int) -> float:
+        """Returns the expected wait in seconds behind a number of queued requests."""
+        records = [record for record in self.list_service(service) if record.is_open()]
+        slots = sum(record.figures.owned_slots for record in records)
+        if slots == 0:
+            return timing.PERIOD_MAX_SECONDS
+        latency = sum(record.figures.latency for record in records) / len(records)
+        return (queued + 1) * latency / slots
+
+    def measure_busy(self) -> float:
+        """Returns the part of this instance's slots that is in use, from 0 to 1."""
+        slots = sum(item.figures.owned_slots for item in self._records.values() if item.is_open())
+        if slots == 0:
+            return 1.0
+        in_flight = sum(item.figures.in_flight for item in self._records.values())
+        return min(1.0, in_flight / slots)
+
+    def _restore_ejected(self, now: float, record: BackendRecord) -> None:
+        if record.state is backend.BackendState.EJECTED and now >= record.figures.ejected_until:
+            record.restore()
+            record.figures.answers = 0
+            # One more failure ejects it again.
+            record.figures.failures = EJECT_FAILURES - 1
+
+    def _may_eject(self, record: BackendRecord) -> bool:
+        if self.policy is not Policy.LEAST_WORK:
+            return False
+        records = self.list_service(record.server.service)
+        ejected = sum(1 for item in records if item.state is backend.BackendState.EJECTED)
+        return ejected + 1 <= len(records) * EJECT_PART_MAX
+
+
+def _estimate_work(record: BackendRecord) -> float:
+    figures = record.figures
+    return figures.latency * (figures.in_flight + 1) / max(1, record.server.slots)
+
+
+def count_owned_slots(
+    server: backend.BackendServer, own: ids.InstanceId, instances: list[ids.InstanceId]
+) -> int:
+    """Returns how many of a backend server's slots an instance may fill.
+
+    Slots go round the instances in an order of the backend server's own, so the numbers of two
+    instances differ by at most one and every slot has exactly one owner.
+    """
+    if own not in instances:
+        return 0
+    order = overlay.rank_instances(server.backend, instances)
+    position = order.index(own)
+    return len(range(position, server.slots, len(order)))
--- /dev/null
+++ b/src/caperdyke/coordination/drains.py
@@ -0,0 +1,36 @@
+"""Merges announcements of planned drains."""
+
+from caperdyke.state import backend
+
+
+class DrainTable:
+    """The newest announcement for each subject; merging is idempotent and order does not matter."""
+
+    def __init__(self) -> None:
+        self._marks: dict[str, backend.DrainMark] = {}
+
+    def merge(self, mark: backend.DrainMark) -> bool:
+        """Takes over an announcement; tells whether it was news."""
+        known = self._marks.get(mark.subject)
+        if known is not None and _rank(mark) <= _rank(known):
+            return False
+        self._marks[mark.subject] = mark
+        return True
+
+    def list_marks(self) -> tuple[backend.DrainMark, ...]:
+        """Returns every announcement, ordered by subject."""
+        return tuple(self._marks[subject] for subject in sorted(self._marks))
+
+    def list_active(self) -> frozenset[str]:
+        """Returns the subjects that are to get no new work."""
+        return frozenset(mark.subject for mark in self._marks.values() if mark.active)
+
+    def find_next_version(self, subject: str, now: float) -> int:
+        """Returns a version for a new announcement that is above the one that is known."""
+        known = self._marks.get(subject)
+        return max(int(now * 1000), known.version + 1 if known else 0)
+
+
+def _rank(mark: backend.DrainMark) -> tuple[int, bool]:
+    # Of two announcements with the same version the one that stops work wins.
+    return (mark.version, mark.active)
--- /dev/null
+++ b/src/caperdyke/coordination/lookup.py
@@ -0,0 +1,82 @@
+"""Decides which entry instances a caller is told to use."""
+
+import dataclasses
+
+from caperdyke.coordination import membership
+from caperdyke.state import configuration as configurations
+from caperdyke.state import contract as contracts
+from caperdyke.state import ids, timing
+
+ENTRIES_MAX = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LookupAnswer:
+    """Entry instances to try in this order.
+
+    :param home: failure domain that is the caller's home.
+    :param valid_until: time until which the answer may be used, seconds since 1970.
+    """
+
+    entries: tuple[ids.Address, ...]
+    home: ids.DomainName
+    valid_until: ids.Timestamp
+
+
+def choose_entries(
+    now: float,
+    configuration: configurations.Configuration,
+    contract: contracts.Contract,
+    home: ids.DomainName,
+    members: membership.MemberTable,
+    draining: frozenset[str],
+    turn: int,
+) -> LookupAnswer:
+    """Returns the entry instances for one caller.
+
+    :param turn: running number that spreads callers over the instances of a domain.
+    """
+    entries: list[ids.Address] = []
+    for domain in _order_domains(configuration, contract, home):
+        if domain in draining:
+            continue
+        usable = members.list_usable(now, domain)
+        for position in range(len(usable)):
+            entries.append(usable[(turn + position) % len(usable)].caller_address)
+        if len(entries) >= ENTRIES_MAX:
+            break
+    valid_until = ids.Timestamp(now + timing.LOOKUP_SECONDS)
+    return LookupAnswer(tuple(entries[:ENTRIES_MAX]), home, valid_until)
+
+
+def _order_domains(
+    configuration: configurations.Configuration,
+    contract: contracts.Contract,
+    home: ids.DomainName,
+) -> list[ids.DomainName]:
+    home_domain = configuration.find_domain(home)
+    home_region = home_domain.region if home_domain else None
+    ranked = []
+    for terms in contract.regions:
+        for domain in configuration.list_region(terms.region):
+            rank = (domain.name != home, domain.region != home_region, domain.name)
+            ranked.append((rank, domain.name))
+    return [name for _, name in sorted(ranked)]
+
+
+def choose_home(
+    contract: contracts.Contract,
+    configuration: configurations.Configuration,
+    mapped: ids.DomainName | None,
+    own_domain: ids.DomainName,
+) -> ids.DomainName:
+    """Returns the home of a caller: its mapped failure domain where the contract allows it."""
+    for candidate in (mapped, own_domain):
+        domain = configuration.find_domain(candidate) if candidate else None
+        if domain is not None and contract.find_region(domain.region) is not None:
+            return domain.name
+    for terms in contract.regions:
+        domains = configuration.list_region(terms.region)
+        if domains:
+            return domains[0].name
+    return own_domain
--- /dev/null
+++ b/src/caperdyke/coordination/overlay.py
@@ -0,0 +1,59 @@
+"""Chooses which instances keep a control link, so that the number per instance stays small."""
+
+import zlib
+
+from caperdyke.state import ids, member
+
+# Distances on the ring of a failure domain's instances at which control links are kept.
+RING_DISTANCES = (1, 4, 16, 64)
+# Links kept between each ordered pair of failure domains.
+CROSS_LINKS = 2
+
+
+def choose_links(own: member.Member, members: list[member.Member]) -> list[ids.InstanceId]:
+    """Returns the instances to which this one opens control links.
+
+    :param members: instances that are not gone, this one included.
+    """
+    by_domain: dict[ids.DomainName, list[member.Member]] = {}
+    for record in sorted(members, key=lambda item: item.instance):
+        by_domain.setdefault(record.domain, []).append(record)
+    ring = by_domain.get(own.domain, [])
+    chosen = _choose_ring(own, ring)
+    for domain, others in by_domain.items():
+        if domain != own.domain:
+            chosen += _choose_cross(own, ring, domain, others)
+    return list(dict.fromkeys(chosen))
+
+
+def _choose_ring(own: member.Member, ring: list[member.Member]) -> list[ids.InstanceId]:
+    names = [record.instance for record in ring]
+    if own.instance not in names:
+        return []
+    position = names.index(own.instance)
+    chosen = []
+    for distance in RING_DISTANCES:
+        if distance < len(names):
+            chosen.append(names[(position + distance) % len(names)])
+    return chosen
+
+
+def _choose_cross(
+    own: member.Member,
+    ring: list[member.Member],
+    domain: ids.DomainName,
+    others: list[member.Member],
+) -> list[ids.InstanceId]:
+    senders = rank_instances(f"{own.domain}>{domain}", [record.instance for record in ring])
+    if own.instance not in senders[:CROSS_LINKS]:
+        return []
+    receivers = rank_instances(f"{domain}<{own.domain}", [record.instance for record in others])
+    return [receivers[senders.index(own.instance) % len(receivers)]]
+
+
+def rank_instances(subject: str, instances: list[ids.InstanceId]) -> list[ids.InstanceId]:
+    """Orders instances by rendezvous hash, so that one that goes moves only its own subjects."""
+    return sorted(
+        instances,
+        key=lambda instance: (zlib.crc32(f"{subject}/{instance}".encode()), instance),
+    )
--- /dev/null
+++ b/src/caperdyke/coordination/ownership.py
@@ -0,0 +1,113 @@
+"""Decides what to do with a request that must run at most once."""
+
+import dataclasses
+
+from caperdyke.coordination import membership
+from caperdyke.state import ids, keys, lease, member, outcome, timing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunHere:
+    """The key was never used; this instance runs the request."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replay:
+    """The key was answered; the answer is given again."""
+
+    record: keys.KeyRecord
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Join:
+    """The request of the key is running; this caller waits for the same answer."""
+
+    record: keys.KeyRecord
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delegate:
+    """Another instance owns the key."""
+
+    instance: ids.InstanceId
+    incarnation: ids.Incarnation
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decline:
+    """The request is not run; the refusal says what is known of earlier tries."""
+
+    refusal: outcome.Refusal
+
+
+Decision = RunHere | Replay | Join | Delegate | Decline
+
+
+def decide_key(
+    now: float,
+    key: keys.RequestKey,
+    fingerprint: bytes,
+    memory: keys.KeyMemory,
+    members: membership.MemberTable,
+) -> Decision:
+    """Returns what this instance does with a request that carries a key."""
+    own = members.own
+    if key.owner == own.holder or memory.has_adopted(key.owner):
+        return _decide_owned(now, key, fingerprint, memory)
+    return _decide_foreign(now, key.owner, members)
+
+
+def _decide_owned(
+    now: float,
+    key: keys.RequestKey,
+    fingerprint: bytes,
+    memory: keys.KeyMemory,
+) -> Decision:
+    record = memory.find(key)
+    if record is not None:
+        return _decide_used(record, fingerprint)
+    if now * 1000 >= key.expires_at:
+        # The record of a used key may have been forgotten since.
+        return Decline(outcome.report_unknown(outcome.Reason.KEY_EXPIRED))
+    if memory.is_sealed:
+        return Decline(outcome.refuse(outcome.Reason.INSTANCE_LEAVING, now + 1.0))
+    return RunHere()
+
+
+def _decide_used(record: keys.KeyRecord, fingerprint: bytes) -> Decision:
+    if record.fingerprint != fingerprint:
+        detail = "the key was used for a different request"
+        return Decline(outcome.refuse(outcome.Reason.KEY_MISMATCH, detail=detail))
+    match record.state:
+        case keys.KeyState.RUNNING:
+            return Join(record)
+        case keys.KeyState.ANSWERED if record.body is not None:
+            return Replay(record)
+        case _:
+            return Decline(outcome.report_unknown(outcome.Reason.KEY_OUTCOME_LOST))
+
+
+def _decide_foreign(now: float, owner: lease.Holder, members: membership.MemberTable) -> Decision:
+    visited = set()
+    while True:
+        record = members.find(owner.instance)
+        if record is None or record.incarnation != owner.incarnation or owner in visited:
+            break
+        visited.add(owner)
+        if record.state is not member.MemberState.GONE:
+            if members.is_lost(now, owner.instance):
+                break
+            return Delegate(record.instance, record.incarnation)
+        successor = members.find(record.successor)
+        if successor is None:
+            break
+        owner = successor.holder
+        if owner == members.own.holder:
+            break
+    return Decline(outcome.report_unknown(outcome.Reason.KEY_OWNER_GONE))
+
+
+def compute_forget_time(key: keys.RequestKey, now: float, deadline: float) -> ids.Timestamp:
+    """Returns when the record of a key may go: well after the last time it could be used."""
+    last_use = max(now, deadline, key.expires_at / 1000)
+    return ids.Timestamp(last_use + timing.KEY_MEMORY_SECONDS)
--- /dev/null
+++ b/src/caperdyke/coordination/shares.py
@@ -0,0 +1,149 @@
+"""Spends an instance's part of the contract limits, one request start at a time."""
+
+import dataclasses
+
+from caperdyke.coordination import adoption, allotment, leases
+from caperdyke.state import configuration as configurations
+from caperdyke.state import ids, lease, outcome, window
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """What an instance may start of one customer's requests in one period."""
+
+    share: int
+    shift: int
+    step: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Usage:
+    starts: window.SlidingWindow
+    shifted: window.SlidingWindow
+
+
+class ShareBook:
+    """Counts request starts of one instance against the slices that it holds.
+
+    :param holder: this process.
+    :param domain: failure domain of this process.
+    """
+
+    def __init__(self, holder: lease.Holder, domain: ids.DomainName) -> None:
+        self._holder = holder
+        self._domain = domain
+        self._usages: dict[ids.CustomerName, _Usage] = {}
+        self.row = lease.make_empty(domain, 0)
+        self._given_up: set[int] = set()
+
+    def give_up(self, slice_index: int) -> None:
+        """Stops spending a slice at once, until a newer row tells who holds it."""
+        self._given_up.add(slice_index)
+
+    def learn_row(self, row: lease.DomainLease) -> bool:
+        """Takes over a newer lease row; tells whether it was newer."""
+        if row.domain != self._domain or row.version <= self.row.version:
+            return False
+        self.row = row
+        self._given_up.clear()
+        return True
+
+    def learn_renewal(self, version: int, previous_version: int, rest_until: float) -> bool:
+        """Extends the deadline of the row that is known; tells whether that row was the base."""
+        if version <= self.row.version:
+            return True
+        if previous_version != self.row.version:
+            return False
+        self.row = dataclasses.replace(
+            self.row, version=version, rest_until=ids.Timestamp(rest_until)
+        )
+        return True
+
+    def list_holdings(self, now: float, book: adoption.ConfigurationBook) -> list[leases.Holding]:
+        """Returns the parts of slices that may be spent now."""
+        holdings = leases.list_holdings(now, self.row, self._holder, book.is_current(now))
+        return [item for item in holdings if item.slice_index not in self._given_up]
+
+    def find_limits(
+        self, now: float, book: adoption.ConfigurationBook, customer: ids.CustomerName
+    ) -> Limits:
+        """Returns the strictest limits of all configurations that bind now."""
+        holdings = self.list_holdings(now, book)
+        limits = [
+            _sum_holdings(configuration, customer, self._domain, holdings)
+            for configuration in book.list_binding(now)
+        ]
+        if not limits:
+            return Limits(0, 0, 0)
+        return Limits(
+            min(item.share for item in limits),
+            min(item.shift for item in limits),
+            min(item.step for item in limits),
+        )
+
+    def spend(
+        self,
+        now: float,
+        book: adoption.ConfigurationBook,
+        customer: ids.CustomerName,
+        is_shifted: bool,
+    ) -> outcome.Refusal | None:
+        """Counts one start, or returns the refusal when no part is left.
+
+        The caller must send the request without waiting for anything in between.
+        """
+        limits = self.find_limits(now, book, customer)
+        usage = self._find_usage(book, customer)
+        if usage.starts.count(now) >= limits.share:
+            retry_at = usage.starts.find_free_time(now, limits.share)
+            return outcome.refuse(outcome.Reason.SHARE_SPENT, retry_at)
+        if is_shifted:
+            ramp = usage.shifted.count_previous(now) + limits.step
+            allowed = min(limits.shift, ramp)
+            if usage.shifted.count(now) >= allowed:
+                retry_at = usage.shifted.find_free_time(now, allowed)
+                return outcome.refuse(outcome.Reason.SHIFT_SPENT, retry_at)
+            usage.shifted.add(now)
+        usage.starts.add(now)
+        return None
+
+    def count(self, now: float, customer: ids.CustomerName) -> int:
+        """Returns the starts of a customer in the period that ends now."""
+        usage = self._usages.get(customer)
+        return usage.starts.count(now) if usage else 0
+
+    def _find_usage(self, book: adoption.ConfigurationBook, customer: ids.CustomerName) -> _Usage:
+        usage = self._usages.get(customer)
+        if usage is None:
+            contract = book.newest.contracts[customer]
+            period = contract.period_ms / 1000
+            usage = _Usage(window.SlidingWindow(period), window.SlidingWindow(period))
+            self._usages[customer] = usage
+        return usage
+
+
+def _sum_holdings(
+    configuration: configurations.Configuration,
+    customer: ids.CustomerName,
+    domain_name: ids.DomainName,
+    holdings: list[leases.Holding],
+) -> Limits:
+    contract = configuration.contracts.get(customer)
+    domain = configuration.find_domain(domain_name)
+    if contract is None or domain is None:
+        return Limits(0, 0, 0)
+    share = shift = step = 0
+    for holding in holdings:
+        part = allotment.allot_slice(configuration, contract, domain, holding.slice_index)
+        share += _add_parts(part.share, part.floor, holding)
+        shift += _add_parts(part.shift, part.shift_floor, holding)
+        step += part.step if holding.rest else min(part.step, part.shift_floor)
+    return Limits(share, shift, step)
+
+
+def _add_parts(total: int, floor: int, holding: leases.Holding) -> int:
+    if holding.floor and holding.rest:
+        return total
+    if holding.rest:
+        return total - floor
+    return floor
--- /dev/null
+++ b/src/caperdyke/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line programs."""
--- /dev/null
+++ b/src/caperdyke/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, INI documents and table records, and how each is encoded and checked."""
--- /dev/null
+++ b/src/caperdyke/state/ids.py
@@ -0,0 +1,19 @@
+"""Identifiers, each a distinct type for the reader and the type checker."""
+
+import typing
+
+InstanceId = typing.NewType("InstanceId", str)
+DomainName = typing.NewType("DomainName", str)
+RegionName = typing.NewType("RegionName", str)
+OperatorName = typing.NewType("OperatorName", str)
+CustomerName = typing.NewType("CustomerName", str)
+ServiceName = typing.NewType("ServiceName", str)
+BackendId = typing.NewType("BackendId", str)
+RequestId = typing.NewType("RequestId", int)
+Revision = typing.NewType("Revision", int)
+ChangeId = typing.NewType("ChangeId", str)
+Address = typing.NewType("Address", str)
+# Start time of a process in milliseconds since 1970; grows with every restart.
+Incarnation = typing.NewType("Incarnation", int)
+# Seconds since 1970 on the wall clock.
+Timestamp = typing.NewType("Timestamp", float)
--- /dev/null
+++ b/src/caperdyke/state/keys.py
@@ -0,0 +1,100 @@
+"""Request keys and the memory of what became of them."""
+
+import dataclasses
+import enum
+
+from caperdyke.state import ids, lease, outcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestKey:
+    """Right to run one request at most once, tied to one incarnation of one instance.
+
+    :param sequence: number of the key within its incarnation.
+    :param home: failure domain of the caller's home.
+    :param expires_at: time after which the key starts nothing, in milliseconds since 1970.
+    """
+
+    owner: lease.Holder
+    sequence: int
+    home: ids.DomainName
+    expires_at: int
+
+
+class KeyState(enum.Enum):
+    """How far the request of a key has come."""
+
+    RUNNING = "running"
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(slots=True)
+class KeyRecord:
+    """What the owner remembers of a key that was used.
+
+    :param fingerprint: digest of the request that the key was used for.
+    :param head: status and headers of the answer, once answered.
+    :param body: the answer's body, or None where it was too large to keep.
+    :param forget_at: time after which the record may go, seconds since 1970.
+    """
+
+    key: RequestKey
+    fingerprint: bytes
+    state: KeyState
+    forget_at: ids.Timestamp
+    head: outcome.AnswerHead | None = None
+    body: bytes | None = None
+
+
+class KeyMemory:
+    """Records of used keys of this incarnation and of those it took over."""
+
+    def __init__(self) -> None:
+        self._records: dict[RequestKey, KeyRecord] = {}
+        self._adopted: set[lease.Holder] = set()
+        self.is_sealed = False
+
+    def seal(self) -> None:
+        """Lets no further key start; from now on an unlisted key has provably not run."""
+        self.is_sealed = True
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def find(self, key: RequestKey) -> KeyRecord | None:
+        """Returns the record of a key, or None if it was never used here."""
+        return self._records.get(key)
+
+    def put(self, record: KeyRecord) -> None:
+        """Stores a record under its key."""
+        self._records[record.key] = record
+
+    def remove(self, key: RequestKey) -> None:
+        """Forgets a key whose request provably did not run."""
+        self._records.pop(key, None)
+
+    def adopt(self, owner: lease.Holder, records: list[KeyRecord]) -> None:
+        """Takes over the complete memory of an incarnation that has stopped running requests."""
+        for record in records:
+            self._records.setdefault(record.key, record)
+        self._adopted.add(owner)
+
+    def has_adopted(self, owner: lease.Holder) -> bool:
+        """Tells whether the memory of an incarnation was taken over."""
+        return owner in self._adopted
+
+    def list_adopted(self) -> tuple[lease.Holder, ...]:
+        """Returns the incarnations whose memory was taken over."""
+        return tuple(self._adopted)
+
+    def list_records(self) -> list[KeyRecord]:
+        """Returns all records."""
+        return list(self._records.values())
+
+    def forget_expired(self, now: float) -> int:
+        """Drops records past their time and returns how many."""
+        expired = [key for key, record in self._records.items() if record.forget_at <= now]
+        for key in expired:
+            del self._records[key]
+        return len(expired)
--- /dev/null
+++ b/src/caperdyke/state/lease.py
@@ -0,0 +1,61 @@
+"""Who holds which slice of a failure domain's limits, and until when."""
+
+import dataclasses
+
+from caperdyke.state import ids, timing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holder:
+    """One process of an instance.
+
+    A replaced or restarted instance has a new incarnation and is a new holder.
+    """
+
+    instance: ids.InstanceId
+    incarnation: ids.Incarnation
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Slice:
+    """One slice of every limit of a failure domain; times are seconds since 1970.
+
+    The floor part and the rest of a slice have separate holders, since the floor of a holder that
+    fell silent is reassigned much later than the rest.
+
+    :param epoch: grows whenever either holder changes.
+    :param rest_from: earliest time at which the rest's holder may spend.
+    :param floor_from: earliest time at which the floor's holder may spend.
+    :param floor_until: deadline of the floor for a holder that no longer renews; 0 while it does.
+    """
+
+    epoch: int
+    rest_holder: Holder | None
+    rest_from: ids.Timestamp
+    floor_holder: Holder | None
+    floor_from: ids.Timestamp
+    floor_until: ids.Timestamp
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DomainLease:
+    """The lease row of one failure domain.
+
+    :param version: version of the row in the table; 0 before the first write.
+    :param rest_until: deadline of the rest of every slice, seconds since 1970.
+    """
+
+    domain: ids.DomainName
+    version: int
+    rest_until: ids.Timestamp
+    slices: tuple[Slice, ...]
+
+    def find_floor_deadline(self, part: Slice) -> float:
+        """Returns the deadline of a slice's floor, seconds since 1970."""
+        return part.floor_until or self.rest_until + timing.FLOOR_EXTRA_SECONDS
+
+
+def make_empty(domain: ids.DomainName, slice_count: int) -> DomainLease:
+    """Returns a lease in which nobody holds a slice."""
+    nobody = Slice(0, None, ids.Timestamp(0), None, ids.Timestamp(0), ids.Timestamp(0))
+    return DomainLease(domain, 0, ids.Timestamp(0), (nobody,) * slice_count)
--- /dev/null
+++ b/src/caperdyke/state/settings.py
@@ -0,0 +1,86 @@
+"""Settings of the programs, after checking."""
+
+import dataclasses
+import enum
+
+from caperdyke.state import backend, ids
+
+
+class LogFormat(enum.Enum):
+    """How log events are printed."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogSettings:
+    """What is logged and how."""
+
+    level: str
+    format: LogFormat
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Settings of one entry instance.
+
+    :param seeds: peer addresses that are tried while the platform's list is not known.
+    :param body_max: largest request body in bytes.
+    :param stop_seconds: longest time that a planned stop may take.
+    :param policy: name of the way in which backend servers are chosen.
+    """
+
+    instance: ids.InstanceId
+    domain: ids.DomainName
+    caller_address: ids.Address
+    peer_address: ids.Address
+    platform_address: ids.Address
+    seeds: tuple[ids.Address, ...]
+    backends: tuple[backend.BackendServer, ...]
+    body_max: int
+    stop_seconds: int
+    policy: str
+    logs: LogSettings
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """Settings of the stand-in for the platform.
+
+    :param list_lag_ms: age of the instance list that is handed out.
+    """
+
+    address: ids.Address
+    list_lag_ms: int
+    logs: LogSettings
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SimulatedBackend:
+    """One backend server that the stand-in plays.
+
+    :param service_ms: time that one request takes when warm.
+    :param cold_requests: requests after which the server is warm.
+    :param cold_factor: factor on the service time of the first request.
+    :param download_bytes: size of the answer to a download.
+    :param download_ms: time over which a download is spread.
+    """
+
+    backend: ids.BackendId
+    service: ids.ServiceName
+    address: ids.Address
+    slots: int
+    service_ms: int
+    cold_requests: int
+    cold_factor: int
+    download_bytes: int
+    download_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendSettings:
+    """Settings of the stand-in for backend servers."""
+
+    backends: tuple[SimulatedBackend, ...]
+    logs: LogSettings
--- /dev/null
+++ b/src/caperdyke/state/timing.py
@@ -0,0 +1,26 @@
+"""Named times that several modules must agree on, all in seconds."""
+
+# Largest difference between the wall clock of an instance and true time.
+CLOCK_ERROR_SECONDS = 0.25
+# Longest period that a contract may set.
+PERIOD_MAX_SECONDS = 1.0
+# Interval between two heartbeats on a link, and the silence after which the peer counts as lost.
+HEARTBEAT_SECONDS = 0.5
+HEARTBEAT_TIMEOUT_SECONDS = 1.6
+# Interval between two reads of the configuration's head, and the age of the latest confirmation
+# beyond which an instance falls back to floors.
+POLL_SECONDS = 0.4
+CURRENT_SECONDS = 2.4
+# Time from acceptance of a change until it alone binds.
+IN_FORCE_DELAY_SECONDS = 3.0
+# Interval between two renewals of a lease, its length, and how much longer its floors last.
+RENEW_SECONDS = 3.0
+REST_LEASE_SECONDS = 12.0
+FLOOR_EXTRA_SECONDS = 1800.0
+# Longest time from the first sign that a backend server is leaving to the last new work for it.
+LEAVING_SECONDS = 3.0
+# How long a look-up answer may be used, and how long a request key may start a request.
+LOOKUP_SECONDS = 5.0
+KEY_SECONDS = 60.0
+# How long the outcome of a key is remembered after the key has expired.
+KEY_MEMORY_SECONDS = 120.0
--- /dev/null
+++ b/src/caperdyke/transport/answers.py
@@ -0,0 +1,102 @@
+"""Requests and answers inside one instance, whatever carries them."""
+
+import collections.abc
+import dataclasses
+import hashlib
+
+from caperdyke.state import contract as contracts
+from caperdyke.state import ids, keys, outcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IncomingRequest:
+    """A checked request.
+
+    :param label: identifier for logs and ``caperdyke explain``.
+    :param deadline: the caller's deadline, seconds since 1970.
+    """
+
+    label: str
+    contract: contracts.Contract
+    service: contracts.Service
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    key: keys.RequestKey | None
+    home: ids.DomainName
+    deadline: float
+
+    def compute_fingerprint(self) -> bytes:
+        """Returns a digest that tells different requests with the same key apart."""
+        parts = (self.contract.customer, self.service.name, self.method, self.target)
+        digest = hashlib.sha256("\n".join(parts).encode())
+        digest.update(b"\n")
+        digest.update(self.body)
+        return digest.digest()
+
+
+Abandon = collections.abc.Callable[[], collections.abc.Awaitable[None]]
+
+
+class Answer:
+    """An answer whose body may still be arriving.
+
+    :param chunks: parts of the body; ends without an error only where the body is whole.
+    :param abandon: gives back what the answer holds where its body was never iterated.
+    """
+
+    def __init__(
+        self,
+        head: outcome.AnswerHead,
+        chunks: collections.abc.AsyncGenerator[bytes, None],
+        abandon: Abandon,
+    ) -> None:
+        self.head = head
+        self._chunks = chunks
+        self._abandon = abandon
+        self._is_started = False
+
+    async def iterate(self) -> collections.abc.AsyncGenerator[bytes, None]:
+        """Yields the parts of the body.
+
+        :raises errors.LinkClosedError: where the peer cannot complete the body.
+        :raises errors.BackendFailedError: where the backend server cannot complete it.
+        """
+        self._is_started = True
+        async for chunk in self._chunks:
+            yield chunk
+
+    async def close(self) -> None:
+        """Ends the answer, whether or not its body was iterated; safe to call again."""
+        if not self._is_started:
+            self._is_started = True
+            await self._abandon()
+        await self._chunks.aclose()
+
+    async def read_all(self, limit: int) -> bytes | None:
+        """Returns the whole body, or None where it is larger than a limit in bytes."""
+        parts = []
+        size = 0
+        try:
+            async for chunk in self.iterate():
+                size += len(chunk)
+                if size <= limit:
+                    parts.append(chunk)
+        finally:
+            await self.close()
+        return b"".join(parts) if size <= limit else None
+
+
+def make_whole(head: outcome.AnswerHead, body: bytes) -> Answer:
+    """Returns an answer whose body is already complete."""
+    return Answer(head, _yield_body(body), _do_nothing)
+
+
+async def _yield_body(body: bytes) -> collections.abc.AsyncGenerator[bytes, None]:
+    if body:
+        yield body
+
+
+async def _do_nothing() -> None:
+    return
--- /dev/null
+++ b/src/caperdyke/transport/change_writer.py
@@ -0,0 +1,172 @@
+"""Gets a proposed change accepted in the platform's table, exactly once."""
+
+import asyncio
+import collections.abc
+import dataclasses
+
+from caperdyke import errors
+from caperdyke.coordination import acceptance
+from caperdyke.protocol import documents, frames, records
+from caperdyke.state import configuration as configurations
+from caperdyke.state import ids, timing
+from caperdyke.transport import platform_client
+
+RETRY_SECONDS = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """A change that is accepted.
+
+    :param in_force_by: time by which every instance that can be reached applies it.
+    """
+
+    revision: ids.Revision
+    in_force_by: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Draft:
+    """A document that is to be accepted.
+
+    :param base: revision of the document that was edited, or None for the accepted one.
+    """
+
+    change_id: ids.ChangeId
+    operator: ids.OperatorName
+    file: str
+    text: str
+    base: ids.Revision | None
+
+
+class ChangeWriter:
+    """Writes changes; repeating a change with the same id never accepts it twice."""
+
+    def __init__(
+        self,
+        platform: platform_client.PlatformClient,
+        clock: collections.abc.Callable[[], float],
+    ) -> None:
+        self._platform = platform
+        self._clock = clock
+
+    async def read_current(self) -> tuple[configurations.Configuration, dict[str, int]]:
+        """Returns the accepted configuration and the versions of its rows."""
+        rows = await self._platform.read([records.HEAD_KEY, records.SNAPSHOT_KEY])
+        versions = {key: row.version for key, row in rows.items()}
+        data = rows[records.SNAPSHOT_KEY].value
+        if not data:
+            return configurations.EMPTY, versions
+        snapshot = frames.decode_record(records.Snapshot, data)
+        return records.open_snapshot(snapshot), versions
+
+    async def read_history(self, count: int) -> list[records.Change]:
+        """Returns the newest accepted changes, the newest first."""
+        current, _ = await self.read_current()
+        first = max(1, current.revision - count + 1)
+        wanted = [
+            records.make_change_key(ids.Revision(number))
+            for number in range(current.revision, first - 1, -1)
+        ]
+        if not wanted:
+            return []
+        rows = await self._platform.read(wanted)
+        return [frames.decode_record(records.Change, rows[key].value) for key in wanted]
+
+    async def apply(self, draft: Draft, deadline: float) -> Accepted:
+        """Gets a change accepted.
+
+        :param deadline: time at which to give up, seconds since 1970.
+        :raises errors.ProposalError: where it does not fit; nothing changed.
+        :raises errors.OutcomeUnknownError: where it may or may not be accepted.
+        :raises errors.PlatformUnavailableError: where it is not accepted.
+        """
+        is_unknown = False
+        base = draft.base
+        while True:
+            try:
+                accepted = await self._find_accepted(draft.change_id)
+                if accepted is not None:
+                    return accepted
+                current, versions = await self.read_current()
+                if base is None:
+                    base = self._find_base(draft, current)
+                return await self._write(draft, base, current, versions)
+            except errors.VersionConflictError:
+                # Somebody else's change came first; this one is checked against it again.
+                continue
+            except errors.OutcomeUnknownError as error:
+                is_unknown = True
+                failure: errors.PlatformError = error
+            except errors.PlatformUnavailableError as error:
+                failure = error
+            if self._clock() >= deadline:
+                raise _make_final(draft, is_unknown, failure) from failure
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def _find_accepted(self, change_id: ids.ChangeId) -> Accepted | None:
+        key = records.make_change_id_key(change_id)
+        row = (await self._platform.read([key]))[key]
+        if row.version == 0:
+            return None
+        change_key = records.make_change_key(ids.Revision(int(row.value)))
+        data = (await self._platform.read([change_key]))[change_key].value
+        change = frames.decode_record(records.Change, data)
+        return self._make_accepted(change.revision, change.in_force_at)
+
+    def _find_base(self, draft: Draft, current: configurations.Configuration) -> ids.Revision:
+        name, _ = documents.parse_document(draft.file, draft.text)
+        return current.text_revisions.get(name, ids.Revision(0))
+
+    async def _write(
+        self,
+        draft: Draft,
+        base: ids.Revision,
+        current: configurations.Configuration,
+        versions: dict[str, int],
+    ) -> Accepted:
+        name, document = documents.parse_document(draft.file, draft.text)
+        now = self._clock()
+        proposal = acceptance.Proposal(
+            draft.change_id, draft.operator, name, base, draft.text, document
+        )
+        changed = acceptance.accept(now, current, proposal)
+        change = records.Change(
+            changed.revision,
+            draft.change_id,
+            draft.operator,
+            ids.Timestamp(now),
+            changed.in_force_at,
+            name.kind,
+            name.subject,
+            draft.text,
+        )
+        change_key = records.make_change_key(changed.revision)
+        id_key = records.make_change_id_key(draft.change_id)
+        head = records.Head(changed.revision, draft.change_id)
+        await self._platform.transact(
+            {**versions, change_key: 0, id_key: 0},
+            {
+                records.HEAD_KEY: frames.encode_record(head),
+                records.SNAPSHOT_KEY: frames.encode_record(records.make_snapshot(changed)),
+                change_key: frames.encode_record(change),
+                id_key: str(changed.revision).encode(),
+            },
+        )
+        return self._make_accepted(changed.revision, changed.in_force_at)
+
+    def _make_accepted(self, revision: ids.Revision, in_force_at: float) -> Accepted:
+        # An instance that does not hear of the change in time falls back to floors by then.
+        heard_by = self._clock() + timing.CURRENT_SECONDS + 2 * timing.CLOCK_ERROR_SECONDS
+        return Accepted(revision, max(in_force_at, heard_by))
+
+
+def _make_final(
+    draft: Draft, is_unknown: bool, failure: errors.PlatformError
+) -> errors.PlatformError:
+    if not is_unknown:
+        return errors.PlatformUnavailableError(f"not accepted: {failure}")
+    return errors.OutcomeUnknownError(
+        f"the change may or may not be accepted ({failure});"
+        f" repeat it with --change-id {draft.change_id}, it is never accepted twice"
+    )
--- /dev/null
+++ b/src/caperdyke/transport/config_sync.py
@@ -0,0 +1,174 @@
+"""Keeps this instance on the newest accepted configuration."""
+
+import asyncio
+
+from caperdyke import errors
+from caperdyke.coordination import overlay
+from caperdyke.protocol import frames, messages, records
+from caperdyke.state import blockmap, ids, timing
+from caperdyke.state import configuration as configurations
+from caperdyke.transport import context, events, links, peerlink
+
+# Instances of a failure domain that read the platform while all is well.
+POLLERS = 2
+# Silence after which any instance reads the platform itself.
+SILENCE_SECONDS = 1.2
+# Accepted changes that are kept for peers that lag behind.
+CHANGES_MAX = 1000
+# Missed changes up to which single rows are read instead of the snapshot.
+CATCH_UP_MAX = 20
+
+
+class ConfigSync:
+    """Reads the configuration from the platform or from peers, whichever has it first."""
+
+    def __init__(self, node: context.NodeContext, link_set: links.LinkSet) -> None:
+        self._node = node
+        self._links = link_set
+        self._changes: list[records.Change] = []
+        self._was_current = False
+
+    async def poll(self) -> None:
+        """Reads the head of the configuration again and again."""
+        while True:
+            if self._is_poller() or self._is_silent():
+                await self._poll_once()
+            self._report_currency()
+            await asyncio.sleep(timing.POLL_SECONDS)
+
+    def learn_heartbeat(self, link: peerlink.PeerLink, beat: messages.Heartbeat) -> None:
+        """Takes over what a peer knows, asking for changes that are missing here."""
+        book = self._node.book
+        if beat.revision > book.revision:
+            link.send(messages.ChangesRequest(book.revision))
+        else:
+            book.confirm(beat.revision, beat.confirmed_at)
+
+    def answer_request(self, link: peerlink.PeerLink, request: messages.ChangesRequest) -> None:
+        """Sends a peer the changes that it lacks."""
+        book = self._node.book
+        if book.revision <= request.after:
+            return
+        missing = [change for change in self._changes if change.revision > request.after]
+        if missing and missing[0].revision == request.after + 1:
+            encoded = tuple(frames.encode_record(change) for change in missing)
+            link.send(messages.ChangesReply(encoded, b"", book.confirmed_at))
+            return
+        snapshot = frames.encode_record(records.make_snapshot(book.newest))
+        link.send(messages.ChangesReply((), snapshot, book.confirmed_at))
+
+    def learn_reply(self, reply: messages.ChangesReply) -> None:
+        """Takes over changes or a snapshot that a peer sent."""
+        try:
+            if reply.snapshot:
+                snapshot = frames.decode_record(records.Snapshot, reply.snapshot)
+                self._adopt(records.open_snapshot(snapshot))
+            for data in reply.changes:
+                self._apply(frames.decode_record(records.Change, data))
+        except errors.CaperdykeError as error:
+            events.log(events.Event.CONFIGURATION_BROKEN, error=error)
+            return
+        self._node.book.confirm(self._node.book.revision, reply.confirmed_at)
+
+    def _is_poller(self) -> bool:
+        node = self._node
+        usable = node.members.list_usable(node.clock(), node.own.domain)
+        names = [record.instance for record in usable]
+        ranked = overlay.rank_instances(f"poll/{node.own.domain}", names)
+        return node.own.instance in ranked[:POLLERS]
+
+    def _is_silent(self) -> bool:
+        return self._node.clock() - self._node.book.confirmed_at > SILENCE_SECONDS
+
+    async def _poll_once(self) -> None:
+        node = self._node
+        asked_at = node.clock()
+        try:
+            rows = await node.platform.read([records.HEAD_KEY])
+            head = _open_head(rows[records.HEAD_KEY].value)
+            if head is not None and head.revision > node.book.revision:
+                await self._catch_up(head.revision)
+        except errors.PlatformError as error:
+            self._note_platform(False, error)
+            return
+        except errors.CaperdykeError as error:
+            events.log(events.Event.CONFIGURATION_BROKEN, error=error)
+            return
+        self._note_platform(True, None)
+        if head is not None:
+            node.book.confirm(head.revision, asked_at)
+
+    async def _catch_up(self, revision: ids.Revision) -> None:
+        node = self._node
+        first = node.book.revision + 1
+        if node.book.revision == 0 or revision - first >= CATCH_UP_MAX:
+            rows = await node.platform.read([records.SNAPSHOT_KEY])
+            data = rows[records.SNAPSHOT_KEY].value
+            self._adopt(records.open_snapshot(frames.decode_record(records.Snapshot, data)))
+            return
+        wanted = [
+            records.make_change_key(ids.Revision(number)) for number in range(first, revision + 1)
+        ]
+        rows = await node.platform.read(wanted)
+        for key in wanted:
+            self._apply(frames.decode_record(records.Change, rows[key].value))
+
+    def _apply(self, change: records.Change) -> None:
+        book = self._node.book
+        if change.revision <= book.revision:
+            return
+        if self._adopt(records.apply_change(book.newest, change)):
+            self._changes.append(change)
+            del self._changes[:-CHANGES_MAX]
+
+    def _adopt(self, configuration: configurations.Configuration) -> bool:
+        node = self._node
+        if not node.book.adopt(node.clock(), configuration):
+            return False
+        if self._changes and self._changes[-1].revision + 1 != configuration.revision:
+            self._changes.clear()
+        self._load_blocks(configuration)
+        events.log(
+            events.Event.CONFIGURATION_ADOPTED,
+            revision=configuration.revision,
+            in_force_at=configuration.in_force_at,
+        )
+        # Peers without this revision ask for it at once.
+        self._links.send_heartbeats()
+        return True
+
+    def _load_blocks(self, configuration: configurations.Configuration) -> None:
+        blocks = []
+        for operator_places in configuration.places.values():
+            for domain in operator_places.domains:
+                for text in domain.blocks:
+                    first, last = blockmap.parse_block(text)
+                    blocks.append((first, last, domain.name))
+        try:
+            self._node.blocks.load(blocks)
+        except ValueError as error:
+            events.log(events.Event.CONFIGURATION_BROKEN, error=error)
+
+    def _note_platform(self, answers: bool, error: Exception | None) -> None:
+        node = self._node
+        was_away = node.platform_away
+        node.platform_away = not answers
+        if answers:
+            node.platform_heard_at = node.clock()
+            if was_away:
+                events.log(events.Event.PLATFORM_BACK)
+        elif not was_away:
+            events.log(events.Event.PLATFORM_AWAY, error=error)
+
+    def _report_currency(self) -> None:
+        book = self._node.book
+        is_current = book.is_current(self._node.clock())
+        if is_current and not self._was_current:
+            events.log(events.Event.CONFIGURATION_CURRENT, revision=book.revision)
+        if self._was_current and not is_current:
+            events.log(events.Event.CONFIGURATION_STALE)
+        self._was_current = is_current
+
+
+def _open_head(data: bytes) -> records.Head | None:
+    return frames.decode_record(records.Head, data) if data else None
--- /dev/null
+++ b/src/caperdyke/transport/context.py
@@ -0,0 +1,115 @@
+"""What the tasks of one entry instance share."""
+
+import collections
+import dataclasses
+import itertools
+import random
+import time
+
+from caperdyke.coordination import adoption, backends, drains, membership, retries, shares
+from caperdyke.state import backend, blockmap, ids, keys, member, outcome, settings
+from caperdyke.transport import backend_client, metrics, platform_client, slot_queue
+
+EXPLAINED_MAX = 4000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Explanation:
+    """What became of one request, for ``caperdyke explain``."""
+
+    request: str
+    customer: str
+    service: str
+    at: float
+    steps: tuple[str, ...]
+
+
+class NodeContext:
+    """State of one entry instance; every task gets it."""
+
+    def __init__(self, node_settings: settings.EntrySettings, metric_set: metrics.Metrics) -> None:
+        now = time.time()
+        self.settings = node_settings
+        self.metrics = metric_set
+        self.clock = time.time
+        own = member.Member(
+            node_settings.instance,
+            ids.Incarnation(int(now * 1000)),
+            node_settings.domain,
+            node_settings.peer_address,
+            node_settings.caller_address,
+            member.MemberState.LIVE,
+        )
+        self.members = membership.MemberTable(own)
+        self.book = adoption.ConfigurationBook()
+        self.shares = shares.ShareBook(own.holder, own.domain)
+        self.memory = keys.KeyMemory()
+        self.drains = drains.DrainTable()
+        self.retries = retries.RetryBudget()
+        policy = backends.Policy(node_settings.policy)
+        self.backends = backends.BackendTable(policy, random.Random(int(now)))
+        self.blocks = blockmap.BlockMap()
+        self.platform = platform_client.PlatformClient(node_settings.platform_address)
+        self.client = backend_client.BackendClient()
+        self.busy_by_instance: dict[ids.InstanceId, float] = {}
+        self.active_requests = 0
+        self.is_ready = False
+        # Time of the latest row or configuration that the platform gave, seconds since 1970.
+        self.platform_heard_at = 0.0
+        self.platform_away = False
+        self._queues: dict[ids.ServiceName, slot_queue.SlotQueue] = {}
+        self._labels = itertools.count(1)
+        self._key_numbers = itertools.count(1)
+        self._explanations: collections.OrderedDict[str, Explanation] = collections.OrderedDict()
+        for server in node_settings.backends:
+            self.backends.add(server)
+
+    @property
+    def own(self) -> member.Member:
+        """Record of this instance."""
+        return self.members.own
+
+    def find_queue(self, service: ids.ServiceName) -> slot_queue.SlotQueue:
+        """Returns the queue of a service."""
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = slot_queue.SlotQueue(service, self.backends)
+            self._queues[service] = queue
+        return queue
+
+    def serve_queues(self) -> None:
+        """Gives free slots to waiting requests of every service."""
+        now = self.clock()
+        for queue in self._queues.values():
+            queue.serve_waiting(now)
+
+    def make_label(self) -> str:
+        """Returns a new request identifier."""
+        return f"{self.settings.instance}-{self.own.incarnation:x}-{next(self._labels)}"
+
+    def make_key(self, home: ids.DomainName, expires_at: float) -> keys.RequestKey:
+        """Returns a new request key of this incarnation."""
+        return keys.RequestKey(
+            self.own.holder, next(self._key_numbers), home, int(expires_at * 1000)
+        )
+
+    def explain(self, label: str, customer: str, service: str, steps: list[str]) -> None:
+        """Remembers what became of a request."""
+        entry = Explanation(label, customer, service, self.clock(), tuple(steps))
+        self._explanations[label] = entry
+        while len(self._explanations) > EXPLAINED_MAX:
+            self._explanations.popitem(last=False)
+
+    def find_explanation(self, label: str) -> Explanation | None:
+        """Returns what became of a request, or None where it is not known any more."""
+        return self._explanations.get(label)
+
+
+def describe_refusal(refusal: outcome.Refusal) -> str:
+    """Returns a refusal as one line for operators."""
+    return f"{refusal.outcome.value}: {refusal.reason.value} {refusal.detail}".strip()
+
+
+def is_leaving(record: backends.BackendRecord) -> bool:
+    """Tells whether a backend server gets no new work because it leaves."""
+    return record.state is backend.BackendState.LEAVING
--- /dev/null
+++ b/src/caperdyke/transport/events.py
@@ -0,0 +1,76 @@
+"""Numbered log events; docs/EVENTS.md is the catalogue."""
+
+import enum
+import json
+import sys
+
+import loguru
+
+from caperdyke.state import settings
+
+
+class Event(enum.Enum):
+    """Number, level and text of each event."""
+
+    STARTED = (1001, "INFO", "{program} started at {address}")
+    READY = (1002, "INFO", "instance is ready with revision {revision}")
+    STOPPING = (1003, "INFO", "planned stop began; deadline {deadline}")
+    STOPPED = (1004, "INFO", "stopped; {unfinished} requests were unfinished")
+    TASK_FAILED = (1005, "ERROR", "task {task} failed and is restarted: {error}")
+    LINK_OPENED = (2001, "INFO", "link to {peer} opened")
+    LINK_CLOSED = (2002, "INFO", "link to {peer} closed: {cause}")
+    FRAME_REJECTED = (2003, "WARNING", "bad frame from {peer}; link closed: {error}")
+    PEER_LOST = (2004, "WARNING", "peer {peer} is silent; no new work is sent to it")
+    HANDOVER_DONE = (2005, "INFO", "{count} key records handed over to {successor}")
+    HANDOVER_FAILED = (2006, "ERROR", "key records could not be handed over: {error}")
+    ADOPTED_KEYS = (2007, "INFO", "took over {count} key records of {owner}")
+    CONFIGURATION_ADOPTED = (3001, "INFO", "adopted revision {revision}, in force at {in_force_at}")
+    CONFIGURATION_STALE = (3002, "WARNING", "revision not confirmed; limits fall to floors")
+    CONFIGURATION_CURRENT = (3003, "INFO", "revision {revision} confirmed; full limits apply")
+    CONFIGURATION_BROKEN = (3004, "ERROR", "revision could not be read: {error}")
+    LEASE_CHANGED = (3101, "INFO", "lease row {version}: this instance holds {slices} slices")
+    LEASE_WRITE_LOST = (3102, "WARNING", "lease row not written: {error}")
+    PLATFORM_AWAY = (3201, "WARNING", "platform does not answer: {error}")
+    PLATFORM_BACK = (3202, "INFO", "platform answers again")
+    BACKEND_LEAVING = (4001, "INFO", "backend server {backend} is leaving; sign: {sign}")
+    BACKEND_BACK = (4002, "INFO", "backend server {backend} may get work again")
+    BACKEND_EJECTED = (4003, "WARNING", "backend server {backend} ejected after failures")
+    DRAIN_ANNOUNCED = (4004, "INFO", "drain of {subject}: active {active}, version {version}")
+    REQUEST_REFUSED = (5001, "DEBUG", "request {request}: {outcome}, {reason} {detail}")
+    REQUEST_FAILED = (5002, "ERROR", "request {request} failed inside: {error}")
+    ANSWER_CUT = (5003, "WARNING", "answer of request {request} ended early: {error}")
+
+    @property
+    def number(self) -> int:
+        """Number in the catalogue."""
+        return self.value[0]
+
+
+def configure(log_settings: settings.LogSettings) -> None:
+    """Sends log events to standard error in the chosen form."""
+    loguru.logger.remove()
+    if log_settings.format is settings.LogFormat.JSON:
+        loguru.logger.add(_write_json, level=log_settings.level)
+        return
+    form = "{time:YYYY-MM-DDTHH:mm:ss.SSS!UTC}Z {level} {extra[event]} {message}"
+    loguru.logger.add(sys.stderr, level=log_settings.level, format=form)
+
+
+def log(event: Event, **fields) -> None:
+    """Writes one event with its fields."""
+    number, level, text = event.value
+    bound = loguru.logger.bind(event=number, name=event.name, fields=fields)
+    bound.log(level, text.format(**fields).replace("{", "{{").replace("}", "}}"))
+
+
+def _write_json(message) -> None:
+    record = message.record
+    line = {
+        "time": record["time"].isoformat(),
+        "level": record["level"].name,
+        "event": record["extra"].get("event"),
+        "name": record["extra"].get("name"),
+        "message": record["message"],
+        "fields": record["extra"].get("fields", {}),
+    }
+    sys.stderr.write(json.dumps(line, default=str) + "\n")
--- /dev/null
+++ b/src/caperdyke/transport/exchange.py
@@ -0,0 +1,132 @@
+"""The receiving side of one forwarded request."""
+
+import asyncio
+import collections.abc
+
+from caperdyke import errors
+from caperdyke.protocol import messages
+from caperdyke.state import ids, outcome
+
+# Bytes of an answer's body that may be on their way or waiting for a slow reader.
+WINDOW_BYTES = 256 * 1024
+
+
+class Exchange:
+    """Collects the answer to one forwarded request in order.
+
+    :param send: sends a message on the link.
+    """
+
+    def __init__(
+        self,
+        request: ids.RequestId,
+        send: collections.abc.Callable[[messages.Message], None],
+        close: collections.abc.Callable[[ids.RequestId], None],
+    ) -> None:
+        self.request = request
+        self._send = send
+        self._close = close
+        self._arrived: asyncio.Queue[messages.Message | errors.LinkClosedError] = asyncio.Queue()
+        self._sequence = 0
+        self._is_done = False
+
+    def accept(self, message: messages.Message | errors.LinkClosedError) -> None:
+        """Takes a message of this exchange from the link."""
+        self._arrived.put_nowait(message)
+
+    async def read_head(self) -> outcome.AnswerHead:
+        """Returns status and headers.
+
+        :raises errors.RefusalError: where the request was refused.
+        :raises errors.LinkClosedError: where the link ended first.
+        """
+        message = await self._arrived.get()
+        match message:
+            case messages.AnswerStart():
+                return outcome.AnswerHead(message.status, message.headers)
+            case messages.AnswerRefused():
+                self._finish()
+                raise errors.RefusalError(open_refusal(message))
+            case errors.LinkClosedError():
+                self._finish()
+                raise message
+            case _:
+                self._abandon()
+                raise errors.LinkClosedError(f"unexpected {type(message).__name__} before the head")
+
+    async def iterate_body(self) -> collections.abc.AsyncGenerator[bytes, None]:
+        """Yields the parts of the body; ends only where the body is complete.
+
+        :raises errors.LinkClosedError: where the rest will not arrive.
+        """
+        try:
+            while True:
+                message = await self._arrived.get()
+                match message:
+                    case messages.AnswerChunk() if message.sequence == self._sequence:
+                        self._sequence += 1
+                        self._send(messages.Credit(self.request, len(message.data)))
+                        yield message.data
+                    case messages.AnswerEnd() if message.chunks == self._sequence:
+                        self._finish()
+                        return
+                    case errors.LinkClosedError():
+                        self._finish()
+                        raise message
+                    case messages.AnswerRefused():
+                        self._finish()
+                        raise errors.LinkClosedError(f"the answer broke off: {message.reason}")
+                    case _:
+                        raise errors.LinkClosedError("parts of the answer are missing")
+        finally:
+            self._abandon()
+
+    def _finish(self) -> None:
+        self._is_done = True
+        self._close(self.request)
+
+    def _abandon(self) -> None:
+        if not self._is_done:
+            self._finish()
+            self._send(messages.Cancel(self.request))
+
+    def cancel(self) -> None:
+        """Gives the request up."""
+        self._abandon()
+
+    async def abandon(self) -> None:
+        """Gives up an answer whose body was never read."""
+        self._abandon()
+
+
+def open_refusal(message: messages.AnswerRefused) -> outcome.Refusal:
+    """Returns the refusal in a message; one that cannot be understood counts as unknown."""
+    try:
+        return outcome.Refusal(
+            outcome.Outcome(message.outcome),
+            outcome.Reason(message.reason),
+            ids.Timestamp(message.retry_at),
+            message.detail,
+        )
+    except ValueError:
+        return outcome.report_unknown(outcome.Reason.PEER_LOST, message.detail)
+
+
+class CreditGate:
+    """Holds back the sender of an answer while its reader is slow."""
+
+    def __init__(self) -> None:
+        self._credit = WINDOW_BYTES
+        self._changed = asyncio.Event()
+
+    def add(self, amount: int) -> None:
+        """Lets more bytes pass."""
+        self._credit += amount
+        self._changed.set()
+
+    async def pass_bytes(self, amount: int) -> None:
+        """Waits until the bytes may be sent."""
+        while self._credit <= 0:
+            self._changed.clear()
+            await self._changed.wait()
+        self._credit -= amount
--- /dev/null
+++ b/src/caperdyke/transport/handover.py
@@ -0,0 +1,91 @@
+"""Hands the key memory of an instance in a planned stop to a peer."""
+
+import asyncio
+
+from caperdyke.protocol import messages
+from caperdyke.state import ids, keys, member
+from caperdyke.transport import context, events, links, peerlink
+
+ACK_TIMEOUT_SECONDS = 1.5
+RECORDS_PER_MESSAGE = 20
+CANDIDATES_MAX = 4
+
+
+class Handover:
+    """Sends the key memory to a successor, and takes over that of others."""
+
+    def __init__(self, node: context.NodeContext, link_set: links.LinkSet) -> None:
+        self._node = node
+        self._links = link_set
+        self._arriving: dict[ids.InstanceId, list[keys.KeyRecord]] = {}
+        self._acks: dict[ids.InstanceId, asyncio.Future] = {}
+
+    async def send(self) -> ids.InstanceId:
+        """Sends the sealed memory to the first peer that takes it; returns its name, or empty."""
+        node = self._node
+        for candidate in self._list_candidates():
+            link = await self._links.reach(candidate)
+            if link is not None and await self._send_to(link):
+                events.log(
+                    events.Event.HANDOVER_DONE,
+                    count=len(node.memory),
+                    successor=candidate.instance,
+                )
+                return candidate.instance
+        events.log(events.Event.HANDOVER_FAILED, error="no peer took them over")
+        return ids.InstanceId("")
+
+    def learn(self, link: peerlink.PeerLink, message: messages.Handover) -> None:
+        """Collects a peer's key memory and confirms it once it is complete."""
+        node = self._node
+        arrived = self._arriving.setdefault(link.peer.instance, [])
+        arrived.extend(message.records)
+        if not message.is_last:
+            return
+        del self._arriving[link.peer.instance]
+        if node.memory.is_sealed:
+            link.send(messages.HandoverAck(ids.InstanceId("")))
+            return
+        for owner in message.owners:
+            node.memory.adopt(owner, [record for record in arrived if record.key.owner == owner])
+            events.log(events.Event.ADOPTED_KEYS, count=len(arrived), owner=f"{owner.instance}")
+        link.send(messages.HandoverAck(node.own.instance))
+
+    def learn_ack(self, link: peerlink.PeerLink, ack: messages.HandoverAck) -> None:
+        """Completes the hand-over that waits for this confirmation."""
+        waiting = self._acks.get(link.peer.instance)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(bool(ack.successor))
+
+    def _list_candidates(self) -> list[member.Member]:
+        node = self._node
+        now = node.clock()
+        usable = [
+            record
+            for record in node.members.list_all()
+            if record.instance != node.own.instance and node.members.is_usable(now, record)
+        ]
+        usable.sort(key=lambda record: record.domain != node.own.domain)
+        return usable[:CANDIDATES_MAX]
+
+    async def _send_to(self, link: peerlink.PeerLink) -> bool:
+        node = self._node
+        owners = (node.own.holder, *node.memory.list_adopted())
+        listed = node.memory.list_records()
+        waiting = asyncio.get_running_loop().create_future()
+        self._acks[link.peer.instance] = waiting
+        for start in range(0, len(listed) + 1, RECORDS_PER_MESSAGE):
+            part = tuple(listed[start : start + RECORDS_PER_MESSAGE])
+            is_last = start + RECORDS_PER_MESSAGE > len(listed)
+            link.send(messages.Handover(owners, part, is_last))
+            try:
+                await link.drain()
+            except OSError:
+                return False
+        try:
+            async with asyncio.timeout(ACK_TIMEOUT_SECONDS):
+                return await waiting
+        except TimeoutError:
+            return False
+        finally:
+            del self._acks[link.peer.instance]
--- /dev/null
+++ b/src/caperdyke/transport/http_server.py
@@ -0,0 +1,36 @@
+"""Runs an HTTP application on uvicorn inside a program that handles signals itself."""
+
+import contextlib
+
+import uvicorn
+
+
+class Server(uvicorn.Server):
+    """A uvicorn server that leaves signals to the program."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        """Keeps the program's own signal handlers."""
+        yield
+
+
+def make_server(app, address: str) -> Server:
+    """Returns a server for an application at ``host:port``."""
+    host, _, port = address.rpartition(":")
+    config = uvicorn.Config(
+        app,
+        host=host,
+        port=int(port),
+        loop="asyncio",
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        date_header=False,
+        timeout_keep_alive=30,
+        timeout_graceful_shutdown=5,
+        backlog=4096,
+    )
+    return Server(config)
--- /dev/null
+++ b/src/caperdyke/transport/lease_keeper.py
@@ -0,0 +1,192 @@
+"""Keeps this failure domain's lease row renewed and known to its instances."""
+
+import asyncio
+
+from caperdyke import errors
+from caperdyke.coordination import leases, overlay
+from caperdyke.protocol import frames, messages, records
+from caperdyke.state import lease, member, timing
+from caperdyke.transport import context, events, links, peerlink
+
+# Silence after which a holder's slices are given to others.
+DROP_SECONDS = 3 * timing.RENEW_SECONDS
+
+
+class LeaseKeeper:
+    """Renews the lease: one instance writes for the whole domain, any other can take its place."""
+
+    def __init__(self, node: context.NodeContext, link_set: links.LinkSet) -> None:
+        self._node = node
+        self._links = link_set
+        self._asked_at: dict[lease.Holder, float] = {}
+        self._written_version = 0
+        self._foreign_write_at = 0.0
+        self._heard_at = 0.0
+
+    async def renew(self) -> None:
+        """Asks for renewal, or writes the row itself, again and again."""
+        while True:
+            await self.renew_once()
+            interval = timing.RENEW_SECONDS if self._node.shares.row.version else 0.5
+            await asyncio.sleep(interval)
+
+    async def renew_once(self) -> None:
+        """Renews once."""
+        node = self._node
+        if node.memory.is_sealed or node.book.revision == 0:
+            return
+        await self._balance()
+        writer = self._find_writer()
+        is_silent = node.clock() - self._heard_at > 2 * timing.RENEW_SECONDS
+        if writer.instance == node.own.instance or is_silent:
+            await self._write()
+            return
+        link = await self._links.reach(writer)
+        if link is not None:
+            link.send(messages.RenewRequest(node.own.holder))
+
+    async def _balance(self) -> None:
+        """Gives up one slice where another instance of the domain holds far fewer."""
+        node = self._node
+        usable = node.members.list_usable(node.clock(), node.own.domain)
+        others = [item.holder for item in usable if item.instance != node.own.instance]
+        surplus = leases.find_surplus(node.shares.row, node.own.holder, others)
+        if surplus is None:
+            return
+        row = node.shares.row
+        # Spending stops before the write, which may take effect although its answer is lost.
+        node.shares.give_up(surplus)
+        planned = leases.plan_slice_release(node.clock(), row, node.own.holder, surplus)
+        try:
+            await self._store(row, planned)
+        except errors.PlatformError as error:
+            events.log(events.Event.LEASE_WRITE_LOST, error=error)
+
+    async def release(self) -> None:
+        """Gives up every slice of this instance; it must have stopped spending."""
+        node = self._node
+        for _ in range(3):
+            try:
+                row = await self._read()
+                released = leases.plan_release(node.clock(), row, node.own.holder)
+                if released is None:
+                    return
+                await self._store(row, released)
+                return
+            except errors.PlatformError as error:
+                events.log(events.Event.LEASE_WRITE_LOST, error=error)
+
+    def learn_request(self, link: peerlink.PeerLink, request: messages.RenewRequest) -> None:
+        """Records that a holder wants its lease renewed."""
+        self._asked_at[request.holder] = self._node.clock()
+        if self._node.shares.row.version:
+            link.send(messages.LeaseNews(self._node.shares.row))
+
+    def learn_renewal(self, link: peerlink.PeerLink, renewed: messages.LeaseRenewed) -> None:
+        """Extends the deadline of the row that is known, or asks for the whole row."""
+        if renewed.domain != self._node.own.domain:
+            return
+        self._heard_at = self._node.clock()
+        known = self._node.shares.learn_renewal(
+            renewed.version, renewed.previous_version, renewed.rest_until
+        )
+        if not known:
+            link.send(messages.RowRequest(renewed.domain))
+
+    def learn_row(self, row: lease.DomainLease) -> None:
+        """Takes over a row that a peer sent."""
+        self._take_over(row)
+
+    def answer_row_request(self, link: peerlink.PeerLink, request: messages.RowRequest) -> None:
+        """Sends the row that is known here."""
+        row = self._node.shares.row
+        if request.domain == row.domain and row.version:
+            link.send(messages.LeaseNews(row))
+
+    def _find_writer(self) -> member.Member:
+        node = self._node
+        usable = {
+            record.instance: record
+            for record in node.members.list_usable(node.clock(), node.own.domain)
+        }
+        ranked = overlay.rank_instances(f"lease/{node.own.domain}", list(usable))
+        return usable[ranked[0]] if ranked else node.own
+
+    async def _write(self) -> None:
+        node = self._node
+        domain = node.book.newest.find_domain(node.own.domain)
+        if domain is None:
+            return
+        try:
+            row = await self._read()
+            planned = leases.plan_renewal(node.clock(), row, self._list_live(row), domain.slices)
+            await self._store(row, planned)
+        except errors.VersionConflictError:
+            # Another instance wrote first; its row is read before the next try.
+            return
+        except errors.PlatformError as error:
+            events.log(events.Event.LEASE_WRITE_LOST, error=error)
+
+    async def _read(self) -> lease.DomainLease:
+        node = self._node
+        key = records.make_lease_key(node.own.domain)
+        found = (await node.platform.read([key]))[key]
+        if found.version == 0:
+            return lease.make_empty(node.own.domain, 0)
+        row = records.decode_lease(found.value, found.version)
+        self._take_over(row)
+        return row
+
+    async def _store(self, row: lease.DomainLease, planned: lease.DomainLease) -> None:
+        node = self._node
+        key = records.make_lease_key(node.own.domain)
+        data = frames.encode_record(planned)
+        versions = await node.platform.transact({key: row.version}, {key: data})
+        stored = records.decode_lease(data, versions[key])
+        self._written_version = stored.version
+        self._take_over(stored)
+        self._publish(row, stored)
+
+    def _publish(self, row: lease.DomainLease, stored: lease.DomainLease) -> None:
+        if stored.slices == row.slices:
+            message = messages.LeaseRenewed(
+                stored.domain, stored.version, row.version, stored.rest_until
+            )
+        else:
+            message = messages.LeaseNews(stored)
+        for link in self._links.list_open():
+            if link.peer.domain == stored.domain:
+                link.send(message)
+
+    def _take_over(self, row: lease.DomainLease) -> None:
+        node = self._node
+        before = node.shares.row
+        if row.domain == node.own.domain:
+            self._heard_at = node.clock()
+        if not node.shares.learn_row(row):
+            return
+        if row.version != self._written_version:
+            self._foreign_write_at = node.clock()
+        if row.slices != before.slices:
+            holder = node.own.holder
+            held = sum(1 for part in row.slices if holder in (part.rest_holder, part.floor_holder))
+            events.log(events.Event.LEASE_CHANGED, version=row.version, slices=held)
+
+    def _list_live(self, row: lease.DomainLease) -> list[lease.Holder]:
+        node = self._node
+        now = node.clock()
+        live = {node.own.holder}
+        live |= {holder for holder, at in self._asked_at.items() if now - at < DROP_SECONDS}
+        if now - self._foreign_write_at < DROP_SECONDS:
+            # Another writer is active and may hear holders that are silent here.
+            live |= {part.rest_holder for part in row.slices if part.rest_holder is not None}
+        live = {holder for holder in live if not self._has_left(holder)}
+        self._asked_at = {holder: at for holder, at in self._asked_at.items() if holder in live}
+        return sorted(live, key=lambda holder: holder.instance)
+
+    def _has_left(self, holder: lease.Holder) -> bool:
+        record = self._node.members.find(holder.instance)
+        if record is None:
+            return False
+        is_newer = record.incarnation > holder.incarnation
+        return is_newer or record.state is not member.MemberState.LIVE
--- /dev/null
+++ b/src/caperdyke/transport/links.py
@@ -0,0 +1,224 @@
+"""Opens, keeps and ends the links of one instance to its peers."""
+
+import asyncio
+import collections.abc
+
+from caperdyke import errors
+from caperdyke.coordination import overlay
+from caperdyke.protocol import keytext, messages
+from caperdyke.state import ids, member, outcome, timing
+from caperdyke.transport import answers, context, events, peerlink
+
+DIAL_TIMEOUT_SECONDS = 1.0
+# Seconds between two tries to reach a peer that could not be reached.
+REDIAL_SECONDS = 1.0
+
+OpenHandler = collections.abc.Callable[[peerlink.PeerLink], None]
+
+
+class LinkSet:
+    """All links of one instance.
+
+    :param handle: called with each control message and each forwarded request.
+    :param on_open: called with each link that opens.
+    """
+
+    def __init__(
+        self, node: context.NodeContext, handle: peerlink.Handler, on_open: OpenHandler
+    ) -> None:
+        self._node = node
+        self._handle = handle
+        self._on_open = on_open
+        self._links: dict[ids.InstanceId, peerlink.PeerLink] = {}
+        self._dialling: dict[ids.Address, asyncio.Task[peerlink.PeerLink | None]] = {}
+        self._redial_at: dict[ids.Address, float] = {}
+        self._readers: set[asyncio.Task] = set()
+
+    async def listen(self, host: str, port: int) -> asyncio.Server:
+        """Accepts links from peers."""
+        return await asyncio.start_server(self._accept, host, port)
+
+    def list_open(self) -> list[peerlink.PeerLink]:
+        """Returns the open links."""
+        return [link for link in self._links.values() if link.is_open]
+
+    def find(self, instance: ids.InstanceId) -> peerlink.PeerLink | None:
+        """Returns the open link to an instance, or None."""
+        link = self._links.get(instance)
+        return link if link is not None and link.is_open else None
+
+    def broadcast(
+        self, message: messages.Message, excluded: peerlink.PeerLink | None = None
+    ) -> None:
+        """Sends a message on every open link but one."""
+        for link in self.list_open():
+            if link is not excluded:
+                link.send(message)
+
+    async def reach(self, record: member.Member) -> peerlink.PeerLink | None:
+        """Returns an open link to an instance, or None where it cannot be reached."""
+        link = self.find(record.instance)
+        if link is not None:
+            return link
+        return await self._dial_once(record.peer_address, record.instance)
+
+    async def keep_links(self) -> None:
+        """Opens missing control links, sends heartbeats and ends silent links, for ever."""
+        while True:
+            self._end_silent()
+            self._open_missing()
+            self.send_heartbeats()
+            await asyncio.sleep(timing.HEARTBEAT_SECONDS)
+
+    def send_heartbeats(self) -> None:
+        """Tells every linked peer what this instance knows."""
+        node = self._node
+        beat = messages.Heartbeat(
+            node.book.revision, node.book.confirmed_at, node.backends.measure_busy()
+        )
+        self.broadcast(beat)
+
+    async def forward(
+        self, request: answers.IncomingRequest, target: member.Member, role: messages.Role
+    ) -> answers.Answer:
+        """Returns the answer that another instance gives to a request.
+
+        :raises errors.RefusalError: where there is none.
+        """
+        link = await self.reach(target)
+        now = self._node.clock()
+        if link is None:
+            refusal = outcome.refuse(outcome.Reason.PEER_LOST, now, f"{target.instance}")
+            raise errors.RefusalError(refusal)
+        forward = make_forward(request, link.make_request_number(), role)
+        opened = link.open_exchange(forward)
+        try:
+            async with asyncio.timeout(max(0.0, request.deadline - now)):
+                head = await opened.read_head()
+        except errors.LinkClosedError as error:
+            refusal = outcome.report_unknown(outcome.Reason.PEER_LOST, str(error))
+            raise errors.RefusalError(refusal) from error
+        except TimeoutError as error:
+            opened.cancel()
+            refusal = outcome.report_unknown(outcome.Reason.DEADLINE_PASSED, f"{target.instance}")
+            raise errors.RefusalError(refusal) from error
+        except asyncio.CancelledError:
+            opened.cancel()
+            raise
+        return answers.Answer(head, opened.iterate_body(), opened.abandon)
+
+    def close(self) -> None:
+        """Ends every link."""
+        for link in self.list_open():
+            link.close()
+        for task in self._dialling.values():
+            task.cancel()
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        link = await self._greet(reader, writer)
+        if link is not None:
+            await self._run(link)
+
+    async def _greet(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> peerlink.PeerLink | None:
+        try:
+            peer = await peerlink.greet(reader, writer, self._node.own)
+        except (errors.ProtocolError, OSError, EOFError) as error:
+            address = writer.get_extra_info("peername")
+            events.log(events.Event.FRAME_REJECTED, peer=address, error=repr(error))
+            writer.close()
+            return None
+        link = peerlink.PeerLink(reader, writer, peer, self._handle)
+        self._links[peer.instance] = link
+        self._node.members.hear(self._node.clock(), peer.instance)
+        events.log(events.Event.LINK_OPENED, peer=peer.instance)
+        self._on_open(link)
+        return link
+
+    async def _run(self, link: peerlink.PeerLink) -> None:
+        cause = await link.run()
+        events.log(events.Event.LINK_CLOSED, peer=link.peer.instance, cause=cause)
+        if self._links.get(link.peer.instance) is link:
+            del self._links[link.peer.instance]
+            self._node.members.fail(self._node.clock(), link.peer.instance)
+
+    async def _dial_once(
+        self, address: ids.Address, instance: ids.InstanceId | None
+    ) -> peerlink.PeerLink | None:
+        """Shares one try among all who want the same address at the same time."""
+        task = self._dialling.get(address)
+        if task is None:
+            task = asyncio.create_task(self._dial(address, instance))
+            self._dialling[address] = task
+            task.add_done_callback(lambda _: self._dialling.pop(address, None))
+        return await asyncio.shield(task)
+
+    async def _dial(
+        self, address: ids.Address, instance: ids.InstanceId | None
+    ) -> peerlink.PeerLink | None:
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(DIAL_TIMEOUT_SECONDS):
+                reader, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            self._redial_at[address] = self._node.clock() + REDIAL_SECONDS
+            if instance is not None:
+                self._node.members.fail(self._node.clock(), instance)
+            return None
+        link = await self._greet(reader, writer)
+        if link is None:
+            return None
+        task = asyncio.create_task(self._run(link))
+        self._readers.add(task)
+        task.add_done_callback(self._readers.discard)
+        return link
+
+    def _open_missing(self) -> None:
+        node = self._node
+        now = node.clock()
+        records = [
+            record
+            for record in node.members.list_all()
+            if record.state is not member.MemberState.GONE
+        ]
+        wanted = {
+            record.peer_address
+            for record in records
+            if record.instance in overlay.choose_links(node.own, records)
+            and self.find(record.instance) is None
+        }
+        known = {record.peer_address for record in records}
+        wanted |= {seed for seed in node.settings.seeds if seed not in known}
+        for address in wanted:
+            if now >= self._redial_at.get(address, 0.0) and address not in self._dialling:
+                task = asyncio.create_task(self._dial_once(address, None))
+                self._readers.add(task)
+                task.add_done_callback(self._readers.discard)
+
+    def _end_silent(self) -> None:
+        node = self._node
+        now = node.clock()
+        for link in self.list_open():
+            if node.members.is_lost(now, link.peer.instance):
+                events.log(events.Event.PEER_LOST, peer=link.peer.instance)
+                link.close()
+
+
+def make_forward(
+    request: answers.IncomingRequest, number: ids.RequestId, role: messages.Role
+) -> messages.Forward:
+    """Returns the message that carries a request to another instance."""
+    return messages.Forward(
+        number,
+        role,
+        request.contract.customer,
+        request.service.name,
+        request.method,
+        request.target,
+        request.headers,
+        request.body,
+        keytext.format_key(request.key) if request.key else "",
+        request.home,
+        request.deadline,
+    )
--- /dev/null
+++ b/src/caperdyke/transport/local_service.py
@@ -0,0 +1,144 @@
+"""Serves a request from the backend servers of this instance's own failure domain."""
+
+import collections.abc
+
+from caperdyke import errors
+from caperdyke.coordination import backends
+from caperdyke.state import ids, outcome
+from caperdyke.transport import answers, context, events
+
+
+class LocalService:
+    """Admits requests under the contract's limits and sends them to backend servers."""
+
+    def __init__(self, node: context.NodeContext) -> None:
+        self._node = node
+
+    async def serve(self, request: answers.IncomingRequest, steps: list[str]) -> answers.Answer:
+        """Returns the answer of a backend server.
+
+        :param steps: gets a line for each decision, for ``caperdyke explain``.
+        :raises errors.RefusalError: where no backend server gives a whole head.
+        """
+        self._check_terms(request)
+        node = self._node
+        queue = node.find_queue(request.service.name)
+        record = await queue.acquire(node.clock(), request.contract.customer, request.deadline)
+        refusal = self._spend(request)
+        if refusal is not None:
+            node.backends.finish_refusal(record)
+            queue.serve_waiting(node.clock())
+            raise errors.RefusalError(refusal)
+        steps.append(f"sent to {record.server.backend}")
+        return await self._send(request, record)
+
+    def _check_terms(self, request: answers.IncomingRequest) -> None:
+        node = self._node
+        now = node.clock()
+        if now >= request.deadline:
+            raise errors.RefusalError(outcome.refuse(outcome.Reason.DEADLINE_PASSED))
+        if node.own.domain in node.drains.list_active():
+            refusal = outcome.refuse(outcome.Reason.NO_BACKEND, now + 1.0, "the domain is draining")
+            raise errors.RefusalError(refusal)
+        for configuration in node.book.list_binding(now):
+            contract = configuration.contracts.get(request.contract.customer)
+            domain = configuration.find_domain(node.own.domain)
+            if (
+                contract is None
+                or domain is None
+                or not contract.allows(domain.region, request.service.name)
+            ):
+                raise errors.RefusalError(outcome.refuse(outcome.Reason.REGION_FORBIDDEN))
+
+    def _spend(self, request: answers.IncomingRequest) -> outcome.Refusal | None:
+        """Checks deadline and limits in the moment in which the request starts."""
+        node = self._node
+        now = node.clock()
+        if now >= request.deadline:
+            return outcome.refuse(outcome.Reason.DEADLINE_PASSED)
+        is_shifted = self._is_shifted(request)
+        return node.shares.spend(now, node.book, request.contract.customer, is_shifted)
+
+    def _is_shifted(self, request: answers.IncomingRequest) -> bool:
+        configuration = self._node.book.newest
+        home = configuration.find_domain(request.home)
+        own = configuration.find_domain(self._node.own.domain)
+        return home is None or own is None or home.region != own.region
+
+    async def _send(
+        self, request: answers.IncomingRequest, record: backends.BackendRecord
+    ) -> answers.Answer:
+        node = self._node
+        started_at = node.clock()
+        try:
+            answer = await node.client.send(record.server, request)
+        except errors.RefusalError as error:
+            node.backends.finish_refusal(record)
+            self._note_leaving(record, error.refusal)
+            self._free_slot(request.service.name)
+            raise
+        except errors.BackendFailedError as error:
+            self._note_failure(record)
+            self._free_slot(request.service.name)
+            raise errors.RefusalError(_make_failure(error)) from error
+        except BaseException:
+            node.backends.finish_refusal(record)
+            self._free_slot(request.service.name)
+            raise
+        chunks = self._count_body(request, record, answer, node.clock() - started_at)
+
+        async def abandon() -> None:
+            node.backends.finish_refusal(record)
+            self._free_slot(request.service.name)
+            await answer.close()
+
+        return answers.Answer(answer.head, chunks, abandon)
+
+    async def _count_body(
+        self,
+        request: answers.IncomingRequest,
+        record: backends.BackendRecord,
+        answer: answers.Answer,
+        latency: float,
+    ) -> collections.abc.AsyncGenerator[bytes, None]:
+        """Yields the body and frees the slot at its end, whatever the end is."""
+        is_failed = answer.head.status >= 500
+        is_whole = False
+        try:
+            async for chunk in answer.iterate():
+                yield chunk
+            is_whole = True
+        except errors.BackendFailedError:
+            is_failed = True
+            raise
+        finally:
+            if is_failed:
+                self._note_failure(record)
+            elif is_whole:
+                self._node.backends.finish_answer(record, latency)
+            else:
+                self._node.backends.finish_refusal(record)
+            self._free_slot(request.service.name)
+            await answer.close()
+
+    def _free_slot(self, service: ids.ServiceName) -> None:
+        self._node.find_queue(service).serve_waiting(self._node.clock())
+
+    def _note_failure(self, record: backends.BackendRecord) -> None:
+        was_open = record.is_open()
+        self._node.backends.finish_failure(self._node.clock(), record)
+        if was_open and not record.is_open():
+            events.log(events.Event.BACKEND_EJECTED, backend=record.server.backend)
+
+    def _note_leaving(self, record: backends.BackendRecord, refusal: outcome.Refusal) -> None:
+        if refusal.detail == "leaving" and record.is_open():
+            self._node.backends.mark_leaving(self._node.clock(), record)
+            events.log(
+                events.Event.BACKEND_LEAVING, backend=record.server.backend, sign="own answer"
+            )
+
+
+def _make_failure(error: errors.BackendFailedError) -> outcome.Refusal:
+    if error.sent:
+        return outcome.report_unknown(outcome.Reason.BACKEND_FAILED, str(error))
+    return outcome.refuse(outcome.Reason.BACKEND_FAILED, detail=str(error))
--- /dev/null
+++ b/src/caperdyke/transport/metrics.py
@@ -0,0 +1,48 @@
+"""OpenTelemetry metrics, readable by Prometheus."""
+
+import prometheus_client
+from opentelemetry.exporter import prometheus as otel_prometheus
+from opentelemetry.sdk import metrics as otel_metrics
+from opentelemetry.sdk.metrics import view as otel_view
+
+LATENCY_BOUNDS_MS = (1, 2, 3, 5, 8, 12, 20, 30, 50, 80, 120, 200, 350, 600, 1000, 2000, 5000)
+
+
+class Metrics:
+    """Instruments of one entry instance."""
+
+    def __init__(self) -> None:
+        reader = otel_prometheus.PrometheusMetricReader()
+        view = otel_view.View(
+            instrument_name="request_latency",
+            aggregation=otel_view.ExplicitBucketHistogramAggregation(LATENCY_BOUNDS_MS),
+        )
+        provider = otel_metrics.MeterProvider(metric_readers=[reader], views=[view])
+        meter = provider.get_meter("caperdyke")
+        self._latency = meter.create_histogram("request_latency", unit="ms")
+        self._refusals = meter.create_counter("request_refusals")
+        self._lookups = meter.create_counter("lookups")
+        self._retries = meter.create_counter("retries")
+
+    def count_answer(self, customer: str, service: str, kind: str, latency: float) -> None:
+        """Records the latency in seconds of an answered request."""
+        labels = {"customer": customer, "service": service, "class": kind}
+        self._latency.record(latency * 1000, labels)
+
+    def count_refusal(self, customer: str, service: str, outcome: str, reason: str) -> None:
+        """Counts a refused request."""
+        labels = {"customer": customer, "service": service, "outcome": outcome, "reason": reason}
+        self._refusals.add(1, labels)
+
+    def count_lookup(self, customer: str) -> None:
+        """Counts an answered look-up."""
+        self._lookups.add(1, {"customer": customer})
+
+    def count_retry(self, customer: str, service: str) -> None:
+        """Counts a further try of a request."""
+        self._retries.add(1, {"customer": customer, "service": service})
+
+
+def render() -> bytes:
+    """Returns all metrics in the text format of Prometheus."""
+    return prometheus_client.generate_latest()
--- /dev/null
+++ b/src/caperdyke/transport/node.py
@@ -0,0 +1,191 @@
+"""One entry instance: its parts, its tasks and its planned stop."""
+
+import asyncio
+import collections.abc
+
+import starlette.applications
+
+from caperdyke.coordination import membership
+from caperdyke.protocol import messages
+from caperdyke.state import settings, timing
+from caperdyke.transport import (
+    caller_app,
+    claims,
+    config_sync,
+    context,
+    events,
+    forwarded,
+    handover,
+    http_server,
+    key_runs,
+    lease_keeper,
+    links,
+    local_service,
+    metrics,
+    operator_app,
+    peerlink,
+    platform_watch,
+    steering,
+)
+
+RESTART_SECONDS = 0.5
+WAIT_STEP_SECONDS = 0.05
+DEAL_SECONDS = 0.5
+
+
+class EntryNode:
+    """Wires the parts of an entry instance together and runs them."""
+
+    def __init__(self, node_settings: settings.EntrySettings) -> None:
+        self.node = context.NodeContext(node_settings, metrics.Metrics())
+        self.links = links.LinkSet(self.node, self._handle, self._greet)
+        self.local = local_service.LocalService(self.node)
+        self.steering = steering.Steering(self.node, self.links, self.local)
+        self.runs = key_runs.KeyRuns(self.node, self.links, self.steering)
+        self.forwarded = forwarded.ForwardedRequests(self.node, self.local, self.runs)
+        self.sync = config_sync.ConfigSync(self.node, self.links)
+        self.keeper = lease_keeper.LeaseKeeper(self.node, self.links)
+        self.watch = platform_watch.PlatformWatch(self.node, self.links)
+        self.handover = handover.Handover(self.node, self.links)
+        self._tasks: list[asyncio.Task] = []
+
+    def make_app(self) -> starlette.applications.Starlette:
+        """Returns the HTTP application."""
+        callers = caller_app.CallerApp(
+            self.node, self.steering, self.runs, claims.ClaimBook(self.node)
+        )
+        operators = operator_app.OperatorApp(self.node, self.watch)
+        return starlette.applications.Starlette(
+            routes=callers.list_routes() + operators.list_routes()
+        )
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Runs until a planned stop is asked for and done."""
+        node_settings = self.node.settings
+        host, _, port = node_settings.peer_address.rpartition(":")
+        listener = await self.links.listen(host, int(port))
+        server = http_server.make_server(self.make_app(), node_settings.caller_address)
+        serving = asyncio.create_task(server.serve())
+        self._start_tasks()
+        events.log(
+            events.Event.STARTED, program="caperdyke-entry", address=node_settings.caller_address
+        )
+        await stop.wait()
+        await self._stop()
+        server.should_exit = True
+        await serving
+        listener.close()
+        self.links.close()
+        for task in self._tasks:
+            task.cancel()
+        events.log(events.Event.STOPPED, unfinished=self.node.active_requests)
+
+    def _start_tasks(self) -> None:
+        loops = {
+            "links": self.links.keep_links,
+            "configuration": self.sync.poll,
+            "lease": self.keeper.renew,
+            "platform": self.watch.watch,
+            "slots": self._deal_slots,
+        }
+        for name, loop in loops.items():
+            self._tasks.append(asyncio.create_task(_run_forever(name, loop)))
+
+    async def _deal_slots(self) -> None:
+        """Keeps slots, queues and readiness in step with what is known."""
+        node = self.node
+        while True:
+            usable = node.members.list_usable(node.clock(), node.own.domain)
+            names = [record.instance for record in usable]
+            if node.own.instance not in names:
+                names.append(node.own.instance)
+            node.backends.deal_slots(node.own.instance, names)
+            node.serve_queues()
+            if not node.is_ready and node.book.revision > 0:
+                node.is_ready = True
+                events.log(events.Event.READY, revision=node.book.revision)
+            await asyncio.sleep(DEAL_SECONDS if node.is_ready else WAIT_STEP_SECONDS)
+
+    def _greet(self, link: peerlink.PeerLink) -> None:
+        node = self.node
+        node.members.merge(link.peer)
+        link.send(messages.MemberNews(tuple(node.members.list_all())))
+        marks = node.drains.list_marks()
+        if marks:
+            link.send(messages.DrainNews(marks))
+        self.links.send_heartbeats()
+
+    def _handle(self, link: peerlink.PeerLink, message: messages.Message) -> None:
+        """Passes a message of a peer to the part that it concerns."""
+        node = self.node
+        node.members.hear(node.clock(), link.peer.instance)
+        match message:
+            case messages.Forward():
+                self.forwarded.start(link, message)
+            case messages.Heartbeat():
+                node.busy_by_instance[link.peer.instance] = message.busy
+                self.sync.learn_heartbeat(link, message)
+            case messages.MemberNews():
+                self._learn_members(link, message)
+            case messages.DrainNews():
+                self.watch.learn(message.marks, link)
+            case messages.ChangesRequest():
+                self.sync.answer_request(link, message)
+            case messages.ChangesReply():
+                self.sync.learn_reply(message)
+            case messages.RenewRequest():
+                self.keeper.learn_request(link, message)
+            case messages.LeaseRenewed():
+                self.keeper.learn_renewal(link, message)
+            case messages.LeaseNews():
+                self.keeper.learn_row(message.row)
+            case messages.RowRequest():
+                self.keeper.answer_row_request(link, message)
+            case messages.Handover():
+                self.handover.learn(link, message)
+            case messages.HandoverAck():
+                self.handover.learn_ack(link, message)
+
+    def _learn_members(self, link: peerlink.PeerLink, message: messages.MemberNews) -> None:
+        news = tuple(record for record in message.members if self.node.members.merge(record))
+        if news:
+            self.links.broadcast(messages.MemberNews(news), link)
+
+    async def _stop(self) -> None:
+        """Leaves without cutting off a request."""
+        node = self.node
+        deadline = node.clock() + node.settings.stop_seconds
+        events.log(events.Event.STOPPING, deadline=deadline)
+        node.members.merge(membership.mark_leaving(node.own))
+        self.links.broadcast(messages.MemberNews((node.own,)))
+        # Look-up answers that name this instance run out before it refuses new requests.
+        await self._wait_until(lambda: False, min(deadline, node.clock() + timing.LOOKUP_SECONDS))
+        node.memory.seal()
+        await self._wait_until(self._is_idle, deadline)
+        await self.keeper.release()
+        successor = await self.handover.send()
+        node.members.merge(membership.mark_gone(node.own, successor))
+        self.links.broadcast(messages.MemberNews((node.own,)))
+        for link in self.links.list_open():
+            await link.drain()
+
+    def _is_idle(self) -> bool:
+        return self.node.active_requests == 0 and self.runs.count_running() == 0
+
+    async def _wait_until(
+        self, is_done: collections.abc.Callable[[], bool], deadline: float
+    ) -> None:
+        while not is_done() and self.node.clock() < deadline:
+            await asyncio.sleep(WAIT_STEP_SECONDS)
+
+
+async def _run_forever(
+    name: str, loop: collections.abc.Callable[[], collections.abc.Awaitable[None]]
+) -> None:
+    """Runs a task again after a failure, so that one fault does not stop the instance."""
+    while True:
+        try:
+            await loop()
+        except Exception as error:
+            events.log(events.Event.TASK_FAILED, task=name, error=repr(error))
+        await asyncio.sleep(RESTART_SECONDS)
--- /dev/null
+++ b/src/caperdyke/transport/peerlink.py
@@ -0,0 +1,151 @@
+"""A link to another instance: framed messages on one TCP stream, many requests at a time."""
+
+import asyncio
+import collections.abc
+import itertools
+
+from caperdyke import errors
+from caperdyke.protocol import frames, messages
+from caperdyke.state import ids, member
+from caperdyke.transport import events, exchange
+
+HELLO_TIMEOUT_SECONDS = 1.5
+# Unsent bytes beyond which a peer that does not read is given up.
+BUFFER_MAX_BYTES = 32 * 1024 * 1024
+
+Handler = collections.abc.Callable[["PeerLink", messages.Message], None]
+
+
+class PeerLink:
+    """One open link.
+
+    :param peer: record that the other side sent in its greeting.
+    :param handle: called with each message that does not belong to an open exchange.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        peer: member.Member,
+        handle: Handler,
+    ) -> None:
+        self.peer = peer
+        self._reader = reader
+        self._writer = writer
+        self._handle = handle
+        self._numbers = itertools.count(1)
+        self._exchanges: dict[ids.RequestId, exchange.Exchange] = {}
+        self.gates: dict[ids.RequestId, exchange.CreditGate] = {}
+        self.serving: dict[ids.RequestId, asyncio.Task] = {}
+        self.is_open = True
+
+    def send(self, message: messages.Message) -> None:
+        """Queues a message; does nothing on a closed link."""
+        if not self.is_open:
+            return
+        self._writer.write(frames.encode_frame(message))
+        if self._writer.transport.get_write_buffer_size() > BUFFER_MAX_BYTES:
+            self.close()
+
+    async def drain(self) -> None:
+        """Waits until the stream takes more data."""
+        if self.is_open:
+            await self._writer.drain()
+
+    def open_exchange(self, forward: messages.Forward) -> exchange.Exchange:
+        """Sends a request and returns the exchange that collects its answer.
+
+        :param forward: the request; its number is replaced by one of this link.
+        """
+        opened = exchange.Exchange(forward.request, self.send, self._forget_exchange)
+        self._exchanges[forward.request] = opened
+        self.send(forward)
+        return opened
+
+    def make_request_number(self) -> ids.RequestId:
+        """Returns a number that this link has not used for a request."""
+        return ids.RequestId(next(self._numbers))
+
+    async def run(self) -> str:
+        """Reads messages until the link ends; returns the cause."""
+        cause = "closed by the peer"
+        try:
+            while True:
+                message = await read_message(self._reader)
+                self._dispatch(message)
+        except errors.ProtocolError as error:
+            cause = str(error)
+            events.log(events.Event.FRAME_REJECTED, peer=self.peer.instance, error=error)
+        except (EOFError, OSError) as error:
+            cause = type(error).__name__
+        finally:
+            self.close()
+        return cause
+
+    def close(self) -> None:
+        """Ends the link; open exchanges fail and requests served for the peer are cancelled."""
+        if not self.is_open:
+            return
+        self.is_open = False
+        self._writer.close()
+        failure = errors.LinkClosedError(f"link to {self.peer.instance} ended")
+        for opened in list(self._exchanges.values()):
+            opened.accept(failure)
+        for task in list(self.serving.values()):
+            task.cancel()
+
+    def _dispatch(self, message: messages.Message) -> None:
+        match message:
+            case (
+                messages.AnswerStart()
+                | messages.AnswerChunk()
+                | messages.AnswerEnd()
+                | messages.AnswerRefused()
+            ):
+                # An answer that nobody waits for any more is dropped.
+                opened = self._exchanges.get(message.request)
+                if opened is not None:
+                    opened.accept(message)
+            case messages.Credit():
+                gate = self.gates.get(message.request)
+                if gate is not None:
+                    gate.add(message.amount)
+            case messages.Cancel():
+                task = self.serving.get(message.request)
+                if task is not None:
+                    task.cancel()
+            case _:
+                self._handle(self, message)
+
+    def _forget_exchange(self, request: ids.RequestId) -> None:
+        self._exchanges.pop(request, None)
+
+
+async def read_message(reader: asyncio.StreamReader) -> messages.Message:
+    """Returns the next message of a stream.
+
+    :raises EOFError: where the stream ended.
+    :raises errors.ProtocolError: where the bytes are not a message.
+    """
+    length = frames.decode_length(await reader.readexactly(frames.LENGTH_BYTES))
+    return frames.decode_payload(await reader.readexactly(length))
+
+
+async def greet(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, own: member.Member
+) -> member.Member:
+    """Exchanges greetings and returns the peer's record.
+
+    :raises errors.ProtocolError: where the peer speaks another version.
+    """
+    writer.write(frames.encode_frame(messages.Hello(messages.PROTOCOL_VERSION, own)))
+    async with asyncio.timeout(HELLO_TIMEOUT_SECONDS):
+        message = await read_message(reader)
+    if not isinstance(message, messages.Hello):
+        raise errors.ProtocolError(f"got {type(message).__name__}, expected Hello")
+    if message.version != messages.PROTOCOL_VERSION:
+        raise errors.ProtocolError(
+            f"got protocol version {message.version}, expected {messages.PROTOCOL_VERSION}"
+        )
+    return message.sender
--- /dev/null
+++ b/src/caperdyke/transport/platform_client.py
@@ -0,0 +1,129 @@
+"""Client of the platform: table, object store and instance list over HTTP."""
+
+import asyncio
+import base64
+import dataclasses
+import json
+
+import aiosonic
+import aiosonic.exceptions
+
+from caperdyke import errors
+from caperdyke.state import ids
+
+CALL_TIMEOUT_SECONDS = 1.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """One row of the table.
+
+    :param version: grows with every write; 0 where the row does not exist.
+    """
+
+    version: int
+    value: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedInstance:
+    """An entry of the platform's lagging instance list.
+
+    :param kind: ``entry`` or ``backend``.
+    :param state: ``live`` or ``leaving``.
+    """
+
+    name: str
+    kind: str
+    state: str
+    domain: str
+    address: str
+    service: str = ""
+    slots: int = 0
+
+
+class PlatformClient:
+    """Calls the platform and tells failures apart by what they say about a write."""
+
+    def __init__(self, address: ids.Address, timeout: float = CALL_TIMEOUT_SECONDS) -> None:
+        self._base = f"http://{address}"
+        self._timeout = timeout
+        self._client = aiosonic.HTTPClient()
+
+    async def read(self, keys: list[str]) -> dict[str, Row]:
+        """Returns rows of the table; a row that does not exist has version 0.
+
+        :raises errors.PlatformUnavailableError: where no answer came.
+        """
+        try:
+            body = await self._call("POST", "/table/read", json.dumps({"keys": keys}).encode())
+        except errors.OutcomeUnknownError as error:
+            raise errors.PlatformUnavailableError(str(error)) from error
+        rows = json.loads(body)["rows"]
+        return {
+            key: Row(row["version"], base64.b64decode(row["value"])) for key, row in rows.items()
+        }
+
+    async def transact(self, expected: dict[str, int], values: dict[str, bytes]) -> dict[str, int]:
+        """Writes rows if every expected version holds; returns the new versions.
+
+        :raises errors.VersionConflictError: where a version differs; nothing was written.
+        :raises errors.PlatformUnavailableError: where nothing was written.
+        :raises errors.OutcomeUnknownError: where the answer was lost.
+        """
+        encoded = {key: base64.b64encode(value).decode() for key, value in values.items()}
+        request = json.dumps({"expect": expected, "put": encoded}).encode()
+        return json.loads(await self._call("POST", "/table/transact", request))["versions"]
+
+    async def list_instances(self) -> list[ListedInstance]:
+        """Returns the lagging list of live and leaving instances."""
+        try:
+            body = await self._call("GET", "/instances", b"")
+        except errors.OutcomeUnknownError as error:
+            raise errors.PlatformUnavailableError(str(error)) from error
+        return [ListedInstance(**item) for item in json.loads(body)["instances"]]
+
+    async def get_object(self, name: str) -> bytes | None:
+        """Returns an object of the object store, or None."""
+        try:
+            return await self._call("GET", f"/objects/{name}", b"")
+        except errors.OutcomeUnknownError as error:
+            raise errors.PlatformUnavailableError(str(error)) from error
+
+    async def put_object(self, name: str, data: bytes) -> None:
+        """Stores an object; repeating it is safe."""
+        await self._call("PUT", f"/objects/{name}", data)
+
+    async def close(self) -> None:
+        """Closes the kept connections."""
+        await self._client.aclose()
+
+    async def _call(self, method: str, path: str, body: bytes) -> bytes | None:
+        try:
+            async with asyncio.timeout(self._timeout):
+                response = await self._client.request(
+                    self._base + path,
+                    method,
+                    data=body,
+                    headers={"Content-Type": "application/json"},
+                )
+                content = await response.content()
+        except ConnectionRefusedError as error:
+            raise errors.PlatformUnavailableError(f"{method} {path}: refused") from error
+        except (TimeoutError, OSError, EOFError, aiosonic.exceptions.BaseTimeout) as error:
+            raise errors.OutcomeUnknownError(f"{method} {path}: {error!r}") from error
+        except aiosonic.exceptions.AiosonicError as error:
+            raise errors.OutcomeUnknownError(f"{method} {path}: {error!r}") from error
+        return self._check(method, path, response.status_code, content)
+
+    def _check(self, method: str, path: str, status: int, content: bytes) -> bytes | None:
+        if status == 409:
+            conflict = json.loads(content)
+            raise errors.VersionConflictError(
+                conflict["key"], conflict["actual"], conflict["expected"]
+            )
+        if status == 404:
+            return None
+        if status != 200:
+            raise errors.PlatformUnavailableError(f"{method} {path}: status {status}")
+        return content
--- /dev/null
+++ b/src/caperdyke/transport/steering.py
@@ -0,0 +1,133 @@
+"""Steers a request to a failure domain that may and can serve it."""
+
+import collections.abc
+
+from caperdyke import errors
+from caperdyke.coordination import retries, routing
+from caperdyke.protocol import messages
+from caperdyke.state import ids, member, outcome
+from caperdyke.transport import answers, context, links, local_service
+
+
+class Steering:
+    """Tries destinations in order until one answers or the request is given up."""
+
+    def __init__(
+        self,
+        node: context.NodeContext,
+        link_set: links.LinkSet,
+        local: local_service.LocalService,
+    ) -> None:
+        self._node = node
+        self._links = link_set
+        self._local = local
+        self._turn = 0
+
+    async def serve(self, request: answers.IncomingRequest, steps: list[str]) -> answers.Answer:
+        """Returns the answer to a request.
+
+        :raises errors.RefusalError: with the final answer where it is given up.
+        """
+        node = self._node
+        customer = request.contract.customer
+        node.retries.count_request(node.clock(), customer, request.service.name)
+        refusals = []
+        for attempt, target in enumerate(self._list_targets(request), start=1):
+            if attempt > 1 and not self._may_retry(request, refusals[-1], attempt - 1):
+                break
+            try:
+                return await self._try_target(request, target, steps)
+            except errors.RefusalError as error:
+                refusals.append(error.refusal)
+                steps.append(f"{target.instance}: {context.describe_refusal(error.refusal)}")
+        raise errors.RefusalError(_choose_final(node.clock(), refusals))
+
+    def measure_loads(self) -> dict[ids.DomainName, routing.DomainLoad]:
+        """Returns the latest known load of every failure domain."""
+        node = self._node
+        now = node.clock()
+        loads = {}
+        for operator_places in node.book.newest.places.values():
+            for domain in operator_places.domains:
+                usable = node.members.list_usable(now, domain.name)
+                known = [
+                    node.busy_by_instance[record.instance]
+                    for record in usable
+                    if record.instance in node.busy_by_instance
+                ]
+                busy = sum(known) / len(known) if known else routing.UNKNOWN_LOAD.busy
+                loads[domain.name] = routing.DomainLoad(busy, bool(usable))
+        return loads
+
+    def _list_targets(
+        self, request: answers.IncomingRequest
+    ) -> collections.abc.Iterator[member.Member]:
+        """Yields an instance of each destination in turn, then a second one of each."""
+        node = self._node
+        configuration = node.book.newest
+        home = configuration.find_domain(request.home)
+        destinations = routing.list_destinations(
+            configuration,
+            request.contract,
+            request.service.name,
+            home.region if home else ids.RegionName(""),
+            node.own.domain,
+            self.measure_loads(),
+            node.drains.list_active(),
+        )
+        self._turn += 1
+        for round_number in range(2):
+            for domain in destinations:
+                target = self._pick_instance(domain, round_number)
+                if target is not None:
+                    yield target
+
+    def _pick_instance(self, domain: ids.DomainName, round_number: int) -> member.Member | None:
+        node = self._node
+        usable = node.members.list_usable(node.clock(), domain)
+        if round_number >= len(usable):
+            return None
+        if domain == node.own.domain:
+            # This instance first, so that a request in its own domain takes no further step.
+            usable.sort(key=lambda record: record.instance != node.own.instance)
+            return usable[round_number]
+        return usable[(self._turn + round_number) % len(usable)]
+
+    def _may_retry(
+        self, request: answers.IncomingRequest, refusal: outcome.Refusal, attempt: int
+    ) -> bool:
+        node = self._node
+        now = node.clock()
+        repeatable = request.service.repeatable
+        if not retries.may_retry(now, refusal, repeatable, attempt, request.deadline):
+            return False
+        customer = request.contract.customer
+        percent = request.contract.retry_percent
+        if refusal.outcome is outcome.Outcome.NOT_RUN:
+            # Nothing reached a backend server, so the try costs no capacity.
+            return True
+        node.metrics.count_retry(customer, request.service.name)
+        return node.retries.spend(now, customer, request.service.name, percent)
+
+    async def _try_target(
+        self, request: answers.IncomingRequest, target: member.Member, steps: list[str]
+    ) -> answers.Answer:
+        if target.instance == self._node.own.instance:
+            return await self._local.serve(request, steps)
+        steps.append(f"forwarded to {target.instance} in {target.domain}")
+        return await self._links.forward(request, target, messages.Role.DESTINATION)
+
+
+def _choose_final(now: float, refusals: list[outcome.Refusal]) -> outcome.Refusal:
+    """Returns the refusal that tells the caller most.
+
+    Where any try may have run the request, the outcome is unknown; otherwise the earliest time to
+    come back counts.
+    """
+    if not refusals:
+        return outcome.refuse(outcome.Reason.NO_BACKEND, now + 1.0, "no destination is reachable")
+    unknown = [item for item in refusals if item.outcome is outcome.Outcome.UNKNOWN]
+    if unknown:
+        return unknown[-1]
+    timed = [item for item in refusals if item.retry_at > 0]
+    return min(timed, key=lambda item: item.retry_at) if timed else refusals[-1]
--- /dev/null
+++ b/testing/test_layers.py
@@ -0,0 +1,43 @@
+"""Layers import downward only, and modules are imported rather than names."""
+
+import ast
+import pathlib
+
+import testtools
+
+SOURCE = pathlib.Path(__file__).resolve().parent.parent / "src" / "caperdyke"
+# Each layer may import itself and those after it.
+LAYERS = ("programs", "loading", "standins", "transport", "protocol", "coordination", "state")
+
+
+def list_imports(path: pathlib.Path) -> list[str]:
+    """Returns the project modules that a file imports, as dotted names."""
+    names = []
+    for item in ast.walk(ast.parse(path.read_text())):
+        if isinstance(item, ast.ImportFrom) and (item.module or "").startswith("caperdyke"):
+            names += [f"{item.module}.{alias.name}" for alias in item.names]
+        elif isinstance(item, ast.Import):
+            names += [alias.name for alias in item.names if alias.name.startswith("caperdyke")]
+    return names
+
+
+class LayersTest(testtools.TestCase):
+    """The source tree keeps its layers."""
+
+    def test_imports_point_downward(self) -> None:
+        for position, layer in enumerate(LAYERS):
+            for path in (SOURCE / layer).glob("*.py"):
+                for name in list_imports(path):
+                    parts = name.split(".")
+                    if len(parts) > 1 and parts[1] in LAYERS:
+                        self.assertGreaterEqual(
+                            LAYERS.index(parts[1]), position, f"{path.name} imports {name}"
+                        )
+
+    def test_modules_are_imported_not_names(self) -> None:
+        for path in SOURCE.rglob("*.py"):
+            for name in list_imports(path):
+                relative = pathlib.Path(*name.split(".")[1:])
+                is_module = (SOURCE / relative).with_suffix(".py").exists()
+                is_package = (SOURCE / relative).is_dir()
+                self.assertTrue(is_module or is_package, f"{path.name} imports the name {name}")
