--- /dev/null
+++ b/bench/faults.py
@@ -0,0 +1,515 @@
+"""Runs real processes under kills, freezes, cuts and outages, and checks the promises.
+
+Usage: ``faults.py [NAME ...]``; without a name every case runs. Exit status 1 where one failed.
+"""
+
+import asyncio
+import concurrent.futures
+import contextlib
+import json
+import pathlib
+import signal
+import sys
+import tempfile
+import time
+
+import fleet
+import limits_check
+
+from caperdyke.loading import results
+from caperdyke.transport import http_client
+
+PERIOD = 1.0
+SHARE = 60
+FLOOR = 30
+SHIFT = 20
+STEP = 8
+PLACES = """
+[places]
+operator = tala
+[domain pasig-hall]
+region = luzon
+capacity = 200
+slices = 2
+blocks = 10.1.0.0/17
+[domain quezon-hall]
+region = luzon
+capacity = 200
+slices = 2
+blocks = 10.1.128.0/17
+[domain cebu-hall]
+region = visayas
+capacity = 200
+slices = 2
+blocks = 10.2.0.0/17
+[domain iloilo-hall]
+region = visayas
+capacity = 200
+slices = 2
+blocks = 10.2.128.0/17
+"""
+SERVICES = (
+    fleet.ServicePlan("gallery-reader", 3, 3, 8),
+    fleet.ServicePlan("checkout", 2, 3, 15),
+    fleet.ServicePlan("bundle-depot", 1, 6, 5, 4 << 20, 4000),
+)
+REGIONS = {
+    "pasig-hall": "luzon",
+    "quezon-hall": "luzon",
+    "cebu-hall": "visayas",
+    "iloilo-hall": "visayas",
+}
+
+
+def make_contract(share: int = SHARE, floor: int = FLOOR, shift: int = SHIFT) -> str:
+    """Returns the contract of the cases."""
+    regions = "".join(
+        f"[region {region}]\nshare = {share}\nfloor = {floor}\nshift = {shift}\n"
+        for region in ("luzon", "visayas")
+    )
+    return (
+        "[contract]\ncustomer = tala-gallery\noperator = tala\nweight = latency\n"
+        f"period_ms = 1000\nshift_cap = {2 * shift}\nshift_step = {2 * STEP}\n"
+        "retry_percent = 20\n"
+        "[service gallery-reader]\nkind = cheap\nrepeatable = yes\ndeadline_ms = 2000\n"
+        "[service checkout]\nkind = cheap\nrepeatable = no\ndeadline_ms = 4000\n"
+        "[service bundle-depot]\nkind = download\nrepeatable = yes\ndeadline_ms = 60000\n"
+        f"{regions}"
+    )
+
+
+class Case:
+    """One running fleet and what was found wrong."""
+
+    def __init__(self, running: fleet.Fleet) -> None:
+        self.fleet = running
+        self.problems: list[str] = []
+        self.figures: dict[str, object] = {}
+
+    def expect(self, is_true: bool, text: str) -> None:
+        """Records a problem where a condition does not hold."""
+        if not is_true:
+            self.problems.append(text)
+
+    def write(self, name: str, text: str) -> str:
+        """Writes a document and returns its path."""
+        path = self.fleet.folder / name
+        path.write_text(text)
+        return str(path)
+
+    def apply(self, name: str, text: str) -> dict:
+        """Gets a document accepted."""
+        path = self.write(name, text)
+        return self.fleet.run_operator(
+            "apply", path, "--operator", "tala", "--platform", self.fleet.platform
+        )
+
+    def read_status(self, entry: fleet.Entry) -> dict:
+        """Returns the status of an entry instance."""
+        return self.fleet.call(entry.caller_address, "GET", "/status")
+
+    def start_load(self, seconds: int, *streams: str, name: str = "load"):
+        """Starts a load of streams, each ``name service rate client [method path]``."""
+        alive = " ".join(entry.caller_address for entry in self.fleet.entries)
+        text = f"[run]\nseconds = {seconds}\nseed = 7\nentries = {alive}\n"
+        for stream in streams:
+            label, service, rate, client, method, path = stream.split()
+            text += (
+                f"[stream {label}]\ncustomer = tala-gallery\nservice = {service}\nrate = {rate}\n"
+                f"client = {client}\nmethod = {method}\npath = {path}\nbody_size = 100\n"
+                f"timeout_ms = {40_000 if 'download' in path else 4000}\n"
+            )
+        return self.fleet.start_load(text, name)
+
+    def check_limits(self, since: float = 0.0, share: int = SHARE, shift: int = SHIFT) -> None:
+        """Checks share, shift and step of both regions at the backend servers."""
+        by_region: dict[str, list[float]] = {}
+        shifted: dict[str, list[float]] = {}
+        for at, domain, token in self.fleet.read_starts():
+            if not token:
+                continue
+            region = REGIONS[domain]
+            if at >= since:
+                by_region.setdefault(region, []).append(at)
+            home = "visayas" if "visayas" in token else "luzon"
+            if home != region:
+                shifted.setdefault(region, []).append(at)
+        for region, times in by_region.items():
+            peak = limits_check.find_peak(times, PERIOD)
+            self.figures[f"peak {region}"] = peak
+            self.expect(peak <= share, f"{region}: {peak} starts in a period, limit {share}")
+        for region, times in shifted.items():
+            peak = limits_check.find_peak(times, PERIOD)
+            step = limits_check.find_steepest_step(times, PERIOD)
+            self.figures[f"shift {region}"] = f"peak {peak}, step {step}"
+            self.expect(peak <= shift, f"{region}: {peak} shifted in a period, limit {shift}")
+            self.expect(step <= STEP, f"{region}: shift grew by {step}, limit {STEP}")
+
+    def check_outcomes(self, report: list[dict]) -> None:
+        """Checks that no answer was wrong and that what was refused as not run did not run."""
+        runs = self.fleet.read_runs()
+        for item in report:
+            self.expect(item["wrong"] == 0, f"{item['stream']}: {item['wrong']} wrong answers")
+            ran = [token for token in item["not_run_tokens"] if runs.get(token)]
+            self.expect(not ran, f"{item['stream']}: reported not run but ran: {ran[:3]}")
+        once = [token for token, count in runs.items() if "-once" in token and count > 1]
+        self.expect(not once, f"ran more than once: {once[:3]}")
+
+
+def configuration_accepted_once(case: Case) -> None:
+    """A write whose answer is lost, and a store that is down and slow, accept a change once."""
+    case.fleet.set_platform_faults(lose_answers=1)
+    accepted_at = time.time()
+    done = case.apply("contract.ini", make_contract(share=58))
+    case.figures["revision"] = done["revision"]
+    _wait_in_force(case, done["revision"], 4.0)
+    case.figures["in force after lost answer s"] = round(time.time() - accepted_at, 2)
+    case.fleet.set_platform_faults(delay_ms=400)
+    second = case.apply("contract.ini", make_contract(share=56))
+    case.expect(second["revision"] == done["revision"] + 1, f"revision {second['revision']}")
+    started_at = time.time()
+    _wait_in_force(case, second["revision"], 4.0)
+    case.figures["in force on slow store s"] = round(time.time() - started_at, 2)
+
+
+def operators_race(case: Case) -> None:
+    """Of two changes made from the same base one is accepted; the other sees both texts."""
+    base = case.fleet.run_operator("history", "--platform", case.fleet.platform)
+    edited = max(c["revision"] for c in base["changes"] if c["document"].startswith("contract"))
+    paths = [case.write(f"race{n}.ini", make_contract(share=50 + n)) for n in range(2)]
+    arguments = ("--operator", "tala", "--platform", case.fleet.platform, "--base", str(edited))
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        done = list(pool.map(lambda p: case.fleet.try_operator("apply", p, *arguments), paths))
+    statuses = sorted(item.returncode for item in done)
+    case.expect(statuses == [0, 3], f"exit statuses {statuses}, expected [0, 3]")
+    refused = next(item for item in done if item.returncode == 3)
+    case.expect("proposed text" in refused.stderr, "the refusal does not show both texts")
+
+
+def domain_cut_off(case: Case) -> None:
+    """A domain cut off falls to floors while a limit is lowered, and catches up when it is back."""
+    load = case.start_load(
+        22, "browse gallery-reader 90 10.1.0.9 GET /b", "visayas gallery-reader 40 10.2.0.9 GET /b"
+    )
+    time.sleep(4)
+    case.fleet.isolate("pasig-hall")
+    cut_at = time.time()
+    lowered = case.apply("contract.ini", make_contract(share=40))
+    time.sleep(max(0.0, lowered["in_force_by"] - time.time()))
+    lowered_at = time.time()
+    status = case.read_status(case.fleet.find_entries("pasig-hall")[0])
+    case.expect(not status["is_current"], "the cut domain believes that it is current")
+    time.sleep(4)
+    cut_end = time.time()
+    served = [s for s in case.fleet.read_starts() if s[0] > lowered_at and s[1] == "pasig-hall"]
+    case.figures["served per second while cut"] = round(len(served) / (cut_end - lowered_at), 1)
+    case.expect(len(served) > 0, "the cut domain served nothing")
+    case.fleet.cut([])
+    _wait_in_force(case, lowered["revision"], 4.0)
+    case.figures["caught up after s"] = round(time.time() - cut_end, 2)
+    load.wait(timeout=90)
+    case.figures["cut for s"] = round(cut_end - cut_at, 1)
+    case.check_limits(since=lowered_at, share=40)
+    case.check_outcomes(case.fleet.read_report())
+
+
+def holder_frozen(case: Case) -> None:
+    """A holder frozen past its lease does not spend what others took over."""
+    load = case.start_load(
+        40, "browse gallery-reader 120 10.1.0.9 GET /b", "visayas gallery-reader 60 10.2.0.9 GET /b"
+    )
+    time.sleep(3)
+    victim = case.fleet.find_entries("pasig-hall")[0]
+    case.fleet.signal_entry(victim, signal.SIGSTOP)
+    time.sleep(26)
+    case.fleet.signal_entry(victim, signal.SIGCONT)
+    load.wait(timeout=90)
+    report = case.fleet.read_report()
+    case.figures["answered"] = [item["answered"] for item in report]
+    case.check_limits()
+    case.check_outcomes(report)
+
+
+def region_lost(case: Case) -> None:
+    """All entries of a region die; the shift stays under its cap and step and is used."""
+    load = case.start_load(
+        16, "browse gallery-reader 60 10.1.0.9 GET /b", "visayas gallery-reader 20 10.2.0.9 GET /b"
+    )
+    time.sleep(4)
+    lost_at = time.time()
+    for entry in case.fleet.entries:
+        if REGIONS[entry.domain] == "luzon":
+            case.fleet.signal_entry(entry, signal.SIGKILL)
+    load.wait(timeout=90)
+    report = case.fleet.read_report()
+    shifted = [s for s in case.fleet.read_starts() if s[0] > lost_at + 3 and "browse" in s[2]]
+    rate = len(shifted) / (shifted[-1][0] - lost_at - 3) if shifted else 0
+    case.figures["shifted per second"] = round(rate, 1)
+    case.expect(rate >= SHIFT / 2, f"only {rate:.1f} shifted per second of {SHIFT} allowed")
+    case.check_limits()
+    case.check_outcomes(report)
+
+
+def platform_away(case: Case) -> None:
+    """With the platform away every domain goes on with its floors."""
+    load = case.start_load(
+        26, "browse gallery-reader 90 10.1.0.9 GET /b", "visayas gallery-reader 90 10.2.0.9 GET /b"
+    )
+    time.sleep(4)
+    case.fleet.set_platform_faults(down=True)
+    away_at = time.time()
+    time.sleep(18)
+    back_at = time.time()
+    case.fleet.set_platform_faults(down=False)
+    load.wait(timeout=90)
+    starts = [s for s in case.fleet.read_starts() if away_at + 4 < s[0] < back_at]
+    rate = len(starts) / (back_at - away_at - 4)
+    case.figures["served per second of floors"] = f"{rate:.1f} of {2 * FLOOR}"
+    case.expect(rate >= 0.8 * 2 * FLOOR, f"{rate:.1f} per second of the floors {2 * FLOOR}")
+    after = [s for s in case.fleet.read_starts() if s[0] > back_at + 2]
+    case.figures["served after"] = len(after)
+    case.check_limits()
+    case.check_outcomes(case.fleet.read_report())
+
+
+def once_under_kills(case: Case) -> None:
+    """Purchases sent twice through two entries, with kills, freezes and lost answers."""
+    report = asyncio.run(_send_duplicates(case))
+    runs = case.fleet.read_runs()
+    many = [token for token, count in runs.items() if "dup-once" in token and count > 1]
+    case.expect(not many, f"ran more than once: {many[:3]}")
+    false_claims = [token for token in report["not_run"] if runs.get(token)]
+    case.expect(not false_claims, f"reported not run but ran: {false_claims[:3]}")
+    wrong = report["wrong"]
+    case.expect(not wrong, f"answers of other requests: {wrong[:3]}")
+    case.figures |= {name: len(value) for name, value in report.items()}
+    case.expect(len(report["answered"]) > 100, "too few were answered")
+
+
+async def _send_duplicates(case: Case) -> dict[str, list[str]]:
+    client = http_client.HttpClient(2000, 2.0)
+    outcomes: dict[str, list[str]] = {"answered": [], "not_run": [], "unknown": [], "wrong": []}
+    entries = [entry.caller_address for entry in case.fleet.entries]
+    tasks = []
+    for number in range(400):
+        if number == 100:
+            case.fleet.set_backend_faults("pasig-hall-checkout-1", lose_answers=5)
+        if number == 150:
+            case.fleet.signal_entry(case.fleet.entries[0], signal.SIGKILL)
+        if number == 250:
+            case.fleet.signal_entry(case.fleet.entries[2], signal.SIGSTOP)
+        if number == 350:
+            case.fleet.signal_entry(case.fleet.entries[2], signal.SIGCONT)
+        tasks.append(asyncio.create_task(_send_pair(client, entries, number, outcomes)))
+        await asyncio.sleep(0.03)
+    await asyncio.gather(*tasks)
+    await client.close()
+    return outcomes
+
+
+async def _send_pair(client, entries: list[str], number: int, outcomes: dict) -> None:
+    token = f"dup-once-{number}"
+    key = None
+    for offset in range(len(entries)):
+        with contextlib.suppress(*http_client.FAILURES):
+            address = entries[(number + offset) % len(entries)]
+            url = f"http://{address}/lookup?customer=tala-gallery"
+            exchange = http_client.Exchange()
+            _, found = await client.fetch(exchange, "GET", url, [], None, 1.0)
+            key = json.loads(found)["key"]
+            break
+    if key is None:
+        return
+    first = _send_once(client, entries[number % len(entries)], token, key, outcomes)
+    second = _send_once(client, entries[(number + 3) % len(entries)], token, key, outcomes)
+    await asyncio.gather(first, second)
+
+
+async def _send_once(client, address: str, token: str, key: str, outcomes: dict) -> None:
+    headers = [("caperdyke-key", key), ("test-token", token)]
+    url = f"http://{address}/serve/tala-gallery/checkout/buy"
+    exchange = http_client.Exchange()
+    try:
+        _, content = await client.fetch(exchange, "POST", url, headers, b"x" * 50, 8.0)
+        body = json.loads(content)
+    except http_client.FAILURES:
+        return
+    if "outcome" in body:
+        name = "not_run" if body["outcome"] == "not-run" else "unknown"
+    else:
+        name = "answered" if body["token"] == token else "wrong"
+    outcomes[name].append(token)
+
+
+def whole_answers(case: Case) -> None:
+    """Backend servers break off answers; nobody gets a part or another's answer."""
+    for name in case.fleet.backends:
+        case.fleet.set_backend_faults(name, cut_answers=3)
+    load = case.start_load(
+        8,
+        "browse gallery-reader 30 10.1.0.9 GET /b",
+        "visayas-bundle bundle-depot 1 10.2.0.9 GET /download/1",
+        "once checkout 10 10.1.0.9 POST /buy",
+    )
+    load.wait(timeout=90)
+    report = case.fleet.read_report()
+    for item in report:
+        case.figures[item["stream"]] = (
+            f"{item['answered']}/{item['sent']} answered, {item['failed']} failed,"
+            f" {item['unknown']} unknown"
+        )
+    case.check_outcomes(report)
+
+
+def backend_server_leaves(case: Case) -> None:
+    """A leaving backend server gets no work 3 s after the first sign, whichever sign it is."""
+    load = case.start_load(22, "browse gallery-reader 55 10.1.0.9 GET /b")
+    time.sleep(2)
+    signs = {}
+    listed = "pasig-hall-gallery-reader-1"
+    _list_backend(case, listed, "leaving")
+    signs[listed] = time.time()
+    time.sleep(5)
+    case.fleet.set_platform_faults(down=True)
+    announced = "pasig-hall-gallery-reader-2"
+    entry = case.fleet.find_entries("quezon-hall")[0].caller_address
+    other = case.fleet.find_entries("pasig-hall")[1].caller_address
+    case.fleet.run_operator("drain", "announce", announced, "--entry", other)
+    signs[announced] = time.time()
+    time.sleep(5)
+    case.fleet.set_platform_faults(down=False)
+    own = "quezon-hall-gallery-reader-1"
+    case.fleet.set_backend_faults(own, leaving=True)
+    signs[own] = time.time()
+    time.sleep(5)
+    for name, sign_at in signs.items():
+        state = case.fleet.call(case.fleet.backends[name], "GET", "/standin/runs")
+        late = state["last_start"] - sign_at
+        case.figures[name] = f"last new work {late:.2f} s after the sign"
+        case.expect(late <= 3.0, f"{name} got work {late:.1f} s after the sign")
+    case.fleet.run_operator("drain", "show", "--entry", entry)
+    load.wait(timeout=60)
+    report = case.fleet.read_report()
+    case.figures["answered"] = f"{report[0]['answered']} of {report[0]['sent']}"
+    case.check_outcomes(report)
+
+
+def _list_backend(case: Case, name: str, state: str) -> None:
+    domain, service = name.split("-gallery")[0], "gallery-reader"
+    item = {"name": name, "kind": "backend", "state": state, "domain": domain}
+    item |= {"address": case.fleet.backends[name], "service": service, "slots": 3}
+    case.fleet.call(case.fleet.platform, "PUT", "/standin/instances", {"instances": [item]})
+
+
+def planned_stops(case: Case) -> None:
+    """Two entries of one domain stop at the same time under load; nothing is cut off."""
+    load = case.start_load(
+        20,
+        "browse gallery-reader 8 10.1.0.9 GET /b",
+        "bundle bundle-depot 1 10.1.0.9 GET /download/1",
+        "once checkout 4 10.1.0.9 POST /buy",
+    )
+    time.sleep(4)
+    for entry in case.fleet.find_entries("pasig-hall"):
+        case.fleet.signal_entry(entry, signal.SIGTERM)
+    stopped_at = time.time()
+    for entry in case.fleet.find_entries("pasig-hall"):
+        entry.process.wait(timeout=35)
+    case.figures["stopped after s"] = round(time.time() - stopped_at, 1)
+    load.wait(timeout=90)
+    report = case.fleet.read_report()
+    for item in report:
+        lost = item["sent"] - item["answered"]
+        case.figures[item["stream"]] = f"{item['answered']}/{item['sent']} {item['reasons']}"
+        case.expect(lost == 0, f"{item['stream']}: {lost} lost {item['reasons']}")
+        case.expect(item["failed"] == 0, f"{item['stream']}: {item['failed']} cut off")
+    case.check_outcomes(report)
+
+
+def late_starter(case: Case) -> None:
+    """An instance started while the platform is away gets its configuration from peers."""
+    victim = case.fleet.entries[0]
+    case.fleet.signal_entry(victim, signal.SIGKILL)
+    victim.process.wait(timeout=5)
+    case.fleet.set_platform_faults(down=True)
+    started_at = time.time()
+    case.fleet.start_entry(victim)
+    fleet.wait_for(lambda: _is_ready(case, victim), victim.name)
+    case.figures["ready from peers after s"] = round(time.time() - started_at, 2)
+    others = [case.read_status(entry)["revision"] for entry in case.fleet.entries]
+    case.expect(len(set(others)) == 1, f"revisions differ: {others}")
+
+
+def _is_ready(case: Case, entry: fleet.Entry) -> bool:
+    try:
+        return bool(case.fleet.call(entry.caller_address, "GET", "/readyz")["is_ready"])
+    except (OSError, ValueError):
+        return False
+
+
+def _wait_in_force(case: Case, revision: int, limit: float) -> None:
+    deadline = time.time() + limit
+    while True:
+        found = [case.read_status(entry)["in_force_revision"] for entry in case.fleet.entries]
+        if all(item >= revision for item in found):
+            return
+        if time.time() > deadline:
+            case.expect(False, f"revision {revision} not in force after {limit} s: {found}")
+            return
+        time.sleep(0.05)
+
+
+CASES = (
+    configuration_accepted_once,
+    operators_race,
+    domain_cut_off,
+    holder_frozen,
+    region_lost,
+    platform_away,
+    once_under_kills,
+    whole_answers,
+    backend_server_leaves,
+    planned_stops,
+    late_starter,
+)
+
+
+def run_case(function) -> bool:
+    """Runs one case on a fleet of its own; tells whether it passed."""
+    domains = tuple(fleet.DomainPlan(name, 2, SERVICES, region) for name, region in REGIONS.items())
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="caperdyke-faults-"))
+    documents = []
+    for name, text in (("places.ini", PLACES), ("contract.ini", make_contract())):
+        (folder / name).write_text(text)
+        documents.append((str(folder / name), "tala"))
+    with fleet.Fleet(domains, delays_us=(1500, 20000)) as running:
+        case = Case(running)
+        try:
+            running.start(documents)
+            function(case)
+        except Exception as error:
+            case.problems.append(f"the case itself failed: {error!r}")
+        print(f"{'passed' if not case.problems else 'FAILED'}  {function.__name__}")
+        for name, value in case.figures.items():
+            print(f"    {name}: {value}")
+        for problem in case.problems:
+            print(f"    problem: {problem}")
+        if case.problems:
+            print(f"    logs: {running.folder}")
+        if (running.folder / "load" / "results.json").exists():
+            table = results.format_table(running.read_report())
+            print("    " + table.replace("\n", "\n    "))
+        sys.stdout.flush()
+    return not case.problems
+
+
+def main(names: list[str]) -> int:
+    """Runs the named cases, or all."""
+    chosen = [case for case in CASES if not names or case.__name__ in names]
+    passed = [run_case(case) for case in chosen]
+    print(f"{sum(passed)} passed, {len(passed) - sum(passed)} failed")
+    return 0 if all(passed) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -37,6 +37,7 @@
     name: str
     entries: int
     services: tuple[ServicePlan, ...]
+    region: str = ""
 
 
 @dataclasses.dataclass
@@ -47,16 +48,30 @@
     domain: str
     caller_address: str
     peer_address: str
+    advertised_address: str
+    platform_address: str
     process: subprocess.Popen | None = None
 
 
 class Fleet:
     """Processes of one run; leaving the context ends exactly those that it started."""
 
-    def __init__(self, domains: tuple[DomainPlan, ...], extra: str = "", list_lag_ms: int = 0):
+    def __init__(
+        self,
+        domains: tuple[DomainPlan, ...],
+        extra: str = "",
+        list_lag_ms: int = 0,
+        delays_us: tuple[int, int] | None = None,
+    ):
+        """Plans a fleet.
+
+        :param delays_us: one-way delays within and between regions; puts relays between domains.
+        """
         self.domains = domains
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="caperdyke-"))
         self.platform = ""
+        self.network = ""
+        self._delays_us = delays_us
         self.entries: list[Entry] = []
         self.backends: dict[str, str] = {}
         self._extra = extra
@@ -84,7 +99,7 @@
         self.platform = self._take_address()
         text = f"[platform]\naddress = {self.platform}\nlist_lag_ms = {self._list_lag_ms}\n"
         self._spawn("platform", text, "caperdyke.programs.platform")
-        _wait_for(lambda: _can_connect(self.platform), "platform")
+        wait_for(lambda: _can_connect(self.platform), "platform")
 
     def start_backends(self) -> None:
         """Starts one process for the backend servers of each failure domain."""
@@ -94,27 +109,75 @@
                 f"backends-{domain.name}", "\n".join(sections), "caperdyke.programs.backend"
             )
         for name, address in self.backends.items():
-            _wait_for(lambda address=address: _can_connect(address), name)
+            wait_for(lambda address=address: _can_connect(address), name)
 
     def start_entries(self) -> None:
         """Starts all entry instances."""
-        for domain in self.domains:
+        for position, domain in enumerate(self.domains):
+            platform = self.platform
+            if self._delays_us is not None:
+                platform = self._take_address()
             for number in range(domain.entries):
+                host = f"127.0.{position + 1}.1" if self._delays_us else "127.0.0.1"
+                peer = self._take_address(host)
+                advertised = self._take_address() if self._delays_us else peer
                 name = f"{domain.name}-{number + 1}"
                 self.entries.append(
-                    Entry(name, domain.name, self._take_address(), self._take_address())
+                    Entry(name, domain.name, self._take_address(), peer, advertised, platform)
                 )
+        if self._delays_us is not None:
+            self._start_network()
         for entry in self.entries:
             self.start_entry(entry)
 
+    def cut(self, pairs: list[tuple[str, str]]) -> None:
+        """Replaces the cut pairs of places; ``platform`` is a place too."""
+        named = [
+            ("", f"platform-{second}") if first == "platform" else (first, second)
+            for first, second in pairs
+        ]
+        call(self.network, "PUT", "/cuts", {"pairs": named})
+
+    def isolate(self, domain: str) -> None:
+        """Cuts a failure domain off from the platform and from all others."""
+        others = [item.name for item in self.domains if item.name != domain]
+        self.cut([("platform", domain), *((domain, other) for other in others)])
+
+    def _start_network(self) -> None:
+        self.network = self._take_address()
+        sections = [f"[network]\ncontrol = {self.network}\n"]
+        within, between = self._delays_us
+        platforms = {}
+        for position, domain in enumerate(self.domains):
+            sections.append(f"[place {domain.name}]\nhost = 127.0.{position + 1}.1\n")
+            for other in self.domains[position + 1 :]:
+                delay = within if other.region == domain.region else between
+                sections.append(f"[delay {domain.name} {other.name}]\none_way_us = {delay}\n")
+        for entry in self.entries:
+            sections.append(
+                f"[route {entry.name}]\nplace = {entry.domain}\n"
+                f"listen = {entry.advertised_address}\ntarget = {entry.peer_address}\n"
+            )
+            platforms[entry.domain] = entry.platform_address
+        for domain, address in platforms.items():
+            # The source of these connections is not known, so the place names the pair.
+            sections.append(
+                f"[route platform-{domain}]\nplace = platform-{domain}\n"
+                f"listen = {address}\ntarget = {self.platform}\n"
+            )
+        self._spawn("network", "\n".join(sections), "caperdyke.programs.network")
+        wait_for(lambda: _can_connect(self.network), "network")
+
     def start_entry(self, entry: Entry) -> None:
         """Starts one entry instance, again after it ended."""
         domain = next(item for item in self.domains if item.name == entry.domain)
-        seeds = " ".join(other.peer_address for other in self.entries if other is not entry)
+        others = [other for other in self.entries if other is not entry]
+        seeds = " ".join(other.advertised_address for other in others)
         sections = [
             f"[instance]\nname = {entry.name}\nfailure_domain = {entry.domain}",
             f"caller_address = {entry.caller_address}\npeer_address = {entry.peer_address}",
-            f"[platform]\naddress = {self.platform}\n[peers]\nseeds = {seeds}",
+            f"advertised_peer_address = {entry.advertised_address}",
+            f"[platform]\naddress = {entry.platform_address}\n[peers]\nseeds = {seeds}",
         ]
         for plan, number in _list_plans(domain):
             name = _name_backend(domain, plan, number)
@@ -129,7 +192,7 @@
     def wait_ready(self) -> None:
         """Waits until every entry instance is ready, linked and holds a slice."""
         for entry in self.entries:
-            _wait_for(lambda entry=entry: self._is_settled(entry), entry.name)
+            wait_for(lambda entry=entry: self._is_settled(entry), entry.name)
 
     def run_operator(self, *arguments: str) -> dict:
         """Runs the operators' command line and returns what it reports."""
@@ -179,6 +242,23 @@
                 totals[token] = totals.get(token, 0) + count
         return totals
 
+    def read_starts(self) -> list[tuple[float, str, str]]:
+        """Returns time, failure domain and token of every request start, in order of time."""
+        starts = []
+        for name, address in self.backends.items():
+            domain = next(item.name for item in self.domains if name.startswith(item.name))
+            for at, token in call(address, "GET", "/standin/runs")["starts"]:
+                starts.append((at, domain, token))
+        return sorted(starts)
+
+    def set_backend_faults(self, name: str, **faults) -> None:
+        """Switches faults of one backend server."""
+        call(self.backends[name], "PUT", "/standin/faults", faults)
+
+    def set_platform_faults(self, **faults) -> None:
+        """Switches faults of the platform."""
+        call(self.platform, "PUT", "/standin/faults", faults)
+
     def measure_memory(self, entry: Entry) -> float:
         """Returns the resident memory of an entry instance in MB."""
         status = pathlib.Path(f"/proc/{entry.process.pid}/status").read_text()
@@ -220,8 +300,8 @@
             f"cold_requests = {plan.cold_requests}\ncold_factor = {plan.cold_factor}\n"
         )
 
-    def _take_address(self) -> str:
-        return f"127.0.0.1:{self._ports.pop()}"
+    def _take_address(self, host: str = "127.0.0.1") -> str:
+        return f"{host}:{self._ports.pop()}"
 
     def _is_settled(self, entry: Entry) -> bool:
         try:
@@ -268,7 +348,8 @@
     return True
 
 
-def _wait_for(check, name: str) -> None:
+def wait_for(check, name: str) -> None:
+    """Waits until a check holds, or raises RuntimeError."""
     deadline = time.monotonic() + START_SECONDS
     while not check():
         if time.monotonic() > deadline:
--- a/src/caperdyke/coordination/allotment.py
+++ b/src/caperdyke/coordination/allotment.py
@@ -24,9 +24,10 @@
     shift: int
     shift_floor: int
     step: int
+    step_floor: int
 
 
-NOTHING = Allotment(0, 0, 0, 0, 0)
+NOTHING = Allotment(0, 0, 0, 0, 0, 0)
 
 
 def apportion(total: int, weights: list[int], seed: str) -> list[int]:
@@ -67,7 +68,9 @@
     floor_shifted = min(floor, cut(shift_floor, "shift-floor"))
     share = floor + cut(terms.share - terms.floor, "rest")
     shift = floor_shifted + cut(terms.shift - shift_floor, "shift-rest")
-    return Allotment(share, floor, min(share, shift), floor_shifted, cut(step, "step"))
+    step_part = cut(step, "step")
+    step_floor = step_part * floor_shifted // shift if shift else 0
+    return Allotment(share, floor, min(share, shift), floor_shifted, step_part, step_floor)
 
 
 def _find_region_step(contract: contracts.Contract, region: ids.RegionName) -> int:
--- a/src/caperdyke/coordination/lookup.py
+++ b/src/caperdyke/coordination/lookup.py
@@ -7,7 +7,9 @@
 from caperdyke.state import contract as contracts
 from caperdyke.state import ids, timing
 
-ENTRIES_MAX = 4
+ENTRIES_MAX = 6
+# Entries of one failure domain, so that the answer names other domains too.
+ENTRIES_PER_DOMAIN = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,7 +43,7 @@
         if domain in draining:
             continue
         usable = members.list_usable(now, domain)
-        for position in range(len(usable)):
+        for position in range(min(ENTRIES_PER_DOMAIN, len(usable))):
             entries.append(usable[(turn + position) % len(usable)].caller_address)
         if len(entries) >= ENTRIES_MAX:
             break
--- a/src/caperdyke/coordination/membership.py
+++ b/src/caperdyke/coordination/membership.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from caperdyke.state import ids, member, timing
+from caperdyke.state import ids, lease, member, timing
 
 
 class MemberTable:
@@ -17,6 +17,8 @@
         # Time after which a silent peer counts as lost, per instance with a link.
         self._trusted_until: dict[ids.InstanceId, float] = {}
         self._failed_until: dict[ids.InstanceId, float] = {}
+        # Deadline of other instances' reports that an instance does not answer.
+        self._reported_until: dict[ids.InstanceId, float] = {}
 
     def merge(self, record: member.Member) -> bool:
         """Takes over a record; tells whether it was news."""
@@ -25,6 +27,9 @@
         known = self._members.get(record.instance)
         if known is not None and record.rank <= known.rank:
             return False
+        if known is None or record.incarnation != known.incarnation:
+            self._reported_until.pop(record.instance, None)
+            self._failed_until.pop(record.instance, None)
         self._members[record.instance] = record
         if record.instance == self.own.instance:
             self.own = record
@@ -34,6 +39,36 @@
         """Records evidence that an instance is alive."""
         self._trusted_until[instance] = now + timing.HEARTBEAT_TIMEOUT_SECONDS
         self._failed_until.pop(instance, None)
+        self._reported_until.pop(instance, None)
+
+    def learn_report(
+        self, now: float, holder: lease.Holder, reporter_domain: ids.DomainName, until: float
+    ) -> bool:
+        """Takes over a report that an instance does not answer; tells whether it was news.
+
+        Own evidence goes first. Otherwise a report counts where the reporter shares this
+        instance's failure domain, and with it its view of the network, or that of the subject.
+        """
+        record = self._members.get(holder.instance)
+        if record is None or record.holder != holder or holder == self.own.holder:
+            return False
+        if reporter_domain not in (self.own.domain, record.domain):
+            return False
+        if now < self._trusted_until.get(holder.instance, 0.0):
+            return False
+        known = self._reported_until.get(holder.instance, 0.0)
+        if until < known + timing.REPORT_AGAIN_SECONDS / 2 and now < known:
+            return False
+        self._reported_until[holder.instance] = until
+        return True
+
+    def needs_report(self, now: float, instance: ids.InstanceId) -> bool:
+        """Tells whether a failed instance should be reported (again)."""
+        record = self._members.get(instance)
+        if record is None or record.state is member.MemberState.GONE:
+            return False
+        known = self._reported_until.get(instance, 0.0)
+        return known - now < timing.REPORT_SECONDS - timing.REPORT_AGAIN_SECONDS
 
     def fail(self, now: float, instance: ids.InstanceId) -> None:
         """Records that a link to an instance ended or could not be opened."""
@@ -57,7 +92,7 @@
         trusted_until = self._trusted_until.get(record.instance)
         if trusted_until is not None:
             return now < trusted_until
-        return now >= self._failed_until.get(record.instance, 0.0)
+        return now >= self._find_doubt_deadline(record.instance)
 
     def is_lost(self, now: float, instance: ids.InstanceId) -> bool:
         """Tells whether there is evidence that an instance does not answer."""
@@ -67,7 +102,11 @@
         trusted_until = self._trusted_until.get(instance)
         if trusted_until is not None:
             return now >= trusted_until
-        return now < self._failed_until.get(instance, 0.0)
+        return now < self._find_doubt_deadline(instance)
+
+    def _find_doubt_deadline(self, instance: ids.InstanceId) -> float:
+        failed_until = self._failed_until.get(instance, 0.0)
+        return max(failed_until, self._reported_until.get(instance, 0.0))
 
     def list_usable(self, now: float, domain: ids.DomainName) -> list[member.Member]:
         """Returns the usable instances of a failure domain, ordered by instance."""
@@ -92,6 +131,11 @@
     return dataclasses.replace(record, state=member.MemberState.LEAVING)
 
 
-def mark_gone(record: member.Member, successor: ids.InstanceId) -> member.Member:
-    """Returns the record of an instance that has ended, with the holder of its request keys."""
-    return dataclasses.replace(record, state=member.MemberState.GONE, successor=successor)
+def mark_successor(record: member.Member, successor: ids.InstanceId) -> member.Member:
+    """Returns the record of an instance whose request keys another one has taken over."""
+    return dataclasses.replace(record, successor=successor)
+
+
+def mark_gone(record: member.Member) -> member.Member:
+    """Returns the record of an instance that has ended."""
+    return dataclasses.replace(record, state=member.MemberState.GONE)
--- a/src/caperdyke/coordination/ownership.py
+++ b/src/caperdyke/coordination/ownership.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from caperdyke.coordination import membership
-from caperdyke.state import ids, keys, lease, member, outcome, timing
+from caperdyke.state import ids, keys, lease, outcome, timing
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,7 +53,7 @@
     """Returns what this instance does with a request that carries a key."""
     own = members.own
     if key.owner == own.holder or memory.has_adopted(key.owner):
-        return _decide_owned(now, key, fingerprint, memory)
+        return _decide_owned(now, key, fingerprint, memory, members)
     return _decide_foreign(now, key.owner, members)
 
 
@@ -62,10 +62,14 @@
     key: keys.RequestKey,
     fingerprint: bytes,
     memory: keys.KeyMemory,
+    members: membership.MemberTable,
 ) -> Decision:
     record = memory.find(key)
     if record is not None:
         return _decide_used(record, fingerprint)
+    if members.own.successor:
+        # The memory was handed over; from then on only the successor may start the key.
+        return _decide_foreign(now, members.own.holder, members)
     if now * 1000 >= key.expires_at:
         # The record of a used key may have been forgotten since.
         return Decline(outcome.report_unknown(outcome.Reason.KEY_EXPIRED))
@@ -94,7 +98,7 @@
         if record is None or record.incarnation != owner.incarnation or owner in visited:
             break
         visited.add(owner)
-        if record.state is not member.MemberState.GONE:
+        if not record.successor:
             if members.is_lost(now, owner.instance):
                 break
             return Delegate(record.instance, record.incarnation)
--- a/src/caperdyke/coordination/retries.py
+++ b/src/caperdyke/coordination/retries.py
@@ -44,8 +44,8 @@
         counts = self._counts.get(key)
         if counts is None:
             counts = _Counts(
-                window.SlidingWindow(BUDGET_PERIOD_SECONDS, 1),
-                window.SlidingWindow(BUDGET_PERIOD_SECONDS, 1),
+                window.SlidingWindow(BUDGET_PERIOD_SECONDS),
+                window.SlidingWindow(BUDGET_PERIOD_SECONDS),
             )
             self._counts[key] = counts
         return counts
--- a/src/caperdyke/coordination/shares.py
+++ b/src/caperdyke/coordination/shares.py
@@ -20,6 +20,7 @@
 class _Usage:
     starts: window.SlidingWindow
     shifted: window.SlidingWindow
+    ramp: window.PeriodCounter
 
 
 class ShareBook:
@@ -98,12 +99,9 @@
             retry_at = usage.starts.find_free_time(now, limits.share)
             return outcome.refuse(outcome.Reason.SHARE_SPENT, retry_at)
         if is_shifted:
-            ramp = usage.shifted.count_previous(now) + limits.step
-            allowed = min(limits.shift, ramp)
-            if usage.shifted.count(now) >= allowed:
-                retry_at = usage.shifted.find_free_time(now, allowed)
-                return outcome.refuse(outcome.Reason.SHIFT_SPENT, retry_at)
-            usage.shifted.add(now)
+            refusal = _spend_shift(now, usage, limits)
+            if refusal is not None:
+                return refusal
         usage.starts.add(now)
         return None
 
@@ -117,11 +115,26 @@
         if usage is None:
             contract = book.newest.contracts[customer]
             period = contract.period_ms / 1000
-            usage = _Usage(window.SlidingWindow(period), window.SlidingWindow(period))
+            usage = _Usage(
+                window.SlidingWindow(period),
+                window.SlidingWindow(period),
+                window.PeriodCounter(period),
+            )
             self._usages[customer] = usage
         return usage
 
 
+def _spend_shift(now: float, usage: _Usage, limits: Limits) -> outcome.Refusal | None:
+    if usage.shifted.count(now) >= limits.shift:
+        retry_at = usage.shifted.find_free_time(now, limits.shift)
+        return outcome.refuse(outcome.Reason.SHIFT_SPENT, retry_at)
+    if usage.ramp.count(now) >= usage.ramp.count_previous(now) + limits.step:
+        return outcome.refuse(outcome.Reason.SHIFT_SPENT, usage.ramp.find_next_start(now))
+    usage.shifted.add(now)
+    usage.ramp.add(now)
+    return None
+
+
 def _sum_holdings(
     configuration: configurations.Configuration,
     customer: ids.CustomerName,
@@ -137,7 +150,7 @@
         part = allotment.allot_slice(configuration, contract, domain, holding.slice_index)
         share += _add_parts(part.share, part.floor, holding)
         shift += _add_parts(part.shift, part.shift_floor, holding)
-        step += part.step if holding.rest else min(part.step, part.shift_floor)
+        step += _add_parts(part.step, part.step_floor, holding)
     return Limits(share, shift, step)
 
 
--- a/src/caperdyke/loading/caller.py
+++ b/src/caperdyke/loading/caller.py
@@ -1,32 +1,32 @@
 """A caller: asks which entry to use, sends requests and checks the answers."""
 
+import asyncio
 import dataclasses
 import json
 import time
 
-import aiosonic
-import aiosonic.connectors
-import aiosonic.exceptions
-import aiosonic.pools
-import aiosonic.timeout
-
 from caperdyke.loading import results, scenario
 from caperdyke.protocol import refusals
 from caperdyke.state import ids
+from caperdyke.transport import http_client
 
-TRIES_MAX = 3
+TRIES_MAX = 6
 CONNECTIONS_MAX = 2000
-REQUEST_TIMEOUT_SECONDS = 60.0
+CONNECT_TIMEOUT_SECONDS = 2.0
+COME_BACK_MAX_SECONDS = 2.0
 TOKEN_HEADER = "test-token"
-FAILURES = (OSError, EOFError, ValueError, aiosonic.exceptions.AiosonicError)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CachedLookup:
-    """Entry instances to use until a time, seconds since 1970."""
+    """Entry instances to use until a time, seconds since 1970.
+
+    :param key: key of the look-up; a repeatable request shows the caller's home with it.
+    """
 
     entries: tuple[ids.Address, ...]
     valid_until: float
+    key: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,15 +47,8 @@
         self._stream = stream
         self._entries = entries
         self._run_id = run_id
-        pool = aiosonic.pools.PoolConfig(size=CONNECTIONS_MAX)
-        timeouts = aiosonic.timeout.Timeouts(
-            sock_connect=2.0, sock_read=None, request_timeout=REQUEST_TIMEOUT_SECONDS
-        )
-        connector = aiosonic.connectors.TCPConnector(
-            pool_configs={":default": pool}, timeouts=timeouts
-        )
-        self._client = aiosonic.HTTPClient(connector)
-        self._cached = CachedLookup((), 0.0)
+        self._client = http_client.HttpClient(CONNECTIONS_MAX, CONNECT_TIMEOUT_SECONDS)
+        self._cached = CachedLookup((), 0.0, "")
         self._turn = 0
         self.result = results.StreamResult(stream.name, stream.customer, stream.service)
 
@@ -79,7 +72,7 @@
 
     async def close(self) -> None:
         """Closes the kept connections."""
-        await self._client.aclose()
+        await self._client.close()
 
     async def _send_with_retries(self, token: str) -> Reply | None:
         key = ""
@@ -98,11 +91,12 @@
             address = entries[offset % len(entries)]
             reply = await self._send(address, token, key)
             if reply is None:
-                self._cached = CachedLookup((), 0.0)
+                self._cached = CachedLookup((), 0.0, "")
                 continue
             last = reply
             if reply.outcome != "not-run" or not _is_worth_retrying(reply):
                 return reply
+            await asyncio.sleep(_find_wait(reply))
         return last
 
     def _needs_key(self) -> bool:
@@ -110,21 +104,22 @@
 
     async def _look_up(self, is_key_needed: bool) -> tuple[tuple[ids.Address, ...], str] | None:
         if not is_key_needed and time.time() < self._cached.valid_until:
-            return self._cached.entries, ""
+            return self._cached.entries, self._cached.key
         stream = self._stream
         query = f"customer={stream.customer}&client={stream.client}"
         for _ in range(len(self._entries)):
             self._turn += 1
             address = self._entries[self._turn % len(self._entries)]
             try:
-                response = await self._client.get(f"http://{address}/lookup?{query}")
-                body = await response.content()
-            except FAILURES:
+                response, body = await self._fetch(
+                    "GET", f"http://{address}/lookup?{query}", {}, None
+                )
+            except http_client.FAILURES:
                 continue
             if response.status_code == 200:
                 found = json.loads(body)
                 entries = tuple(found["entries"])
-                self._cached = CachedLookup(entries, found["valid_until"])
+                self._cached = CachedLookup(entries, found["valid_until"], found["key"])
                 return entries, found["key"]
         return None
 
@@ -138,11 +133,10 @@
             path = stream.path
         body = b"x" * stream.body_size if stream.method == "POST" else None
         try:
-            response = await self._client.request(
-                f"http://{address}{path}", stream.method, headers=headers, data=body
+            response, content = await self._fetch(
+                stream.method, f"http://{address}{path}", headers, body
             )
-            content = await response.content()
-        except FAILURES:
+        except http_client.FAILURES:
             return None
         lowered = {name.lower(): value for name, value in response.headers.items()}
         outcome = lowered.get(refusals.OUTCOME_HEADER)
@@ -150,6 +144,13 @@
             outcome = "answered" if response.status_code == 200 else "not-run"
         return Reply(response.status_code, outcome or "", content)
 
+    async def _fetch(self, method: str, url: str, headers: dict[str, str], body: bytes | None):
+        exchange = http_client.Exchange()
+        pairs = list(headers.items())
+        return await self._client.fetch(
+            exchange, method, url, pairs, body, self._stream.timeout_ms / 1000
+        )
+
     def _record_answer(self, reply: Reply, token: str, elapsed: float) -> None:
         if reply.status >= 500:
             self.result.failed += 1
@@ -186,6 +187,15 @@
     return _find_reason(reply) in ("instance-leaving", "not-ready", "peer-lost")
 
 
+def _find_wait(reply: Reply) -> float:
+    """Returns the seconds until the time at which the refusal says to come back."""
+    try:
+        retry_at = json.loads(reply.body)["retry_at"] or 0.0
+    except (ValueError, KeyError, TypeError):
+        return 0.0
+    return min(COME_BACK_MAX_SECONDS, max(0.0, retry_at - time.time()))
+
+
 def _find_reason(reply: Reply) -> str:
     try:
         return json.loads(reply.body)["reason"]
--- a/src/caperdyke/loading/scenario.py
+++ b/src/caperdyke/loading/scenario.py
@@ -15,6 +15,7 @@
     :param rate: mean requests per second at the start.
     :param rate_end: mean requests per second at the end; changes linearly in between.
     :param client: address that the look-up is asked for.
+    :param timeout_ms: longest time that one try may take.
     :param direct: addresses to send to without a look-up, for comparison.
     """
 
@@ -30,6 +31,7 @@
     direct: tuple[ids.Address, ...]
     starts_at_ms: int
     ends_at_ms: int
+    timeout_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,4 +84,5 @@
         tuple(ids.Address(document.check_address(section, "direct", word)) for word in direct),
         document.read_number(section, "starts_at_ms", 0, seconds * 1000, 0),
         document.read_number(section, "ends_at_ms", 0, seconds * 1000, seconds * 1000),
+        document.read_number(section, "timeout_ms", 1, 600_000, 60_000),
     )
--- a/src/caperdyke/programs/operator.py
+++ b/src/caperdyke/programs/operator.py
@@ -10,19 +10,17 @@
 import time
 import uuid
 
-import aiosonic
-import aiosonic.exceptions
-
 import caperdyke
 from caperdyke import errors
 from caperdyke.programs import common
 from caperdyke.protocol import documents
 from caperdyke.state import ids
-from caperdyke.transport import change_writer, platform_client
+from caperdyke.transport import change_writer, http_client, platform_client
 
 EXIT_REFUSED = 3
 EXIT_UNKNOWN = 4
 APPLY_SECONDS = 15.0
+CALL_SECONDS = 5.0
 DEFAULT_PLATFORM = "127.0.0.1:7000"
 DEFAULT_ENTRY = "127.0.0.1:7100"
 
@@ -214,11 +212,13 @@
 
 
 async def _call_entry(address: str, method: str, path: str, body: dict | None = None) -> dict:
-    client = aiosonic.HTTPClient()
+    client = http_client.HttpClient(1, CALL_SECONDS)
     data = json.dumps(body).encode() if body is not None else None
-    response = await client.request(f"http://{address}{path}", method, data=data)
-    content = json.loads(await response.content())
-    await client.aclose()
+    response, answer = await client.fetch(
+        http_client.Exchange(), method, f"http://{address}{path}", [], data, CALL_SECONDS
+    )
+    await client.close()
+    content = json.loads(answer)
     if response.status_code != 200:
         raise errors.CaperdykeError(content.get("error", f"status {response.status_code}"))
     return content
@@ -245,7 +245,7 @@
         return Result(text, {"refused": error.problems}, EXIT_REFUSED)
     except errors.OutcomeUnknownError as error:
         return _make_failure(str(error), EXIT_UNKNOWN)
-    except (errors.CaperdykeError, OSError, aiosonic.exceptions.AiosonicError) as error:
+    except (errors.CaperdykeError, *http_client.FAILURES) as error:
         return _make_failure(str(error) or repr(error), common.EXIT_FAILED)
 
 
--- a/src/caperdyke/protocol/messages.py
+++ b/src/caperdyke/protocol/messages.py
@@ -43,6 +43,19 @@
     members: tuple[member.Member, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerReport:
+    """Tells that an instance does not answer its neighbours.
+
+    :param reporter_domain: failure domain of the instance that noticed it.
+    :param until: deadline of the report, seconds since 1970.
+    """
+
+    holder: lease.Holder
+    reporter_domain: ids.DomainName
+    until: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DrainNews:
     """Drain announcements that changed."""
@@ -204,6 +217,7 @@
     Hello
     | Heartbeat
     | MemberNews
+    | PeerReport
     | DrainNews
     | ChangesRequest
     | ChangesReply
--- a/src/caperdyke/protocol/settings_files.py
+++ b/src/caperdyke/protocol/settings_files.py
@@ -19,11 +19,15 @@
     document = ini.read_file(path)
     domain = ids.DomainName(_read_name(document, "instance", "failure_domain"))
     document.has_section("limits")
+    peer_address = document.read_address("instance", "peer_address")
     result = settings.EntrySettings(
         instance=ids.InstanceId(_read_name(document, "instance", "name")),
         domain=domain,
         caller_address=ids.Address(document.read_address("instance", "caller_address")),
-        peer_address=ids.Address(document.read_address("instance", "peer_address")),
+        peer_address=ids.Address(peer_address),
+        advertised_address=ids.Address(
+            document.read_address("instance", "advertised_peer_address", peer_address)
+        ),
         platform_address=ids.Address(document.read_address("platform", "address")),
         seeds=_read_seeds(document),
         backends=_read_backends(document, domain),
@@ -60,6 +64,39 @@
     return result
 
 
+def read_network(path: str) -> settings.NetworkSettings:
+    """Returns the settings of the stand-in for the network."""
+    document = ini.read_file(path)
+    result = settings.NetworkSettings(
+        ids.Address(document.read_address("network", "control")),
+        tuple(_read_route(document, name) for name in document.list_sections("route")),
+        tuple(_read_place(document, name) for name in document.list_sections("place")),
+        tuple(_read_delay(document, name) for name in document.list_sections("delay")),
+        _read_logs(document),
+    )
+    document.check_all_read()
+    return result
+
+
+def _read_route(document: ini.Document, name: str) -> settings.NetworkRoute:
+    section = f"route {name}"
+    return settings.NetworkRoute(
+        document.read_text(section, "place"),
+        ids.Address(document.read_address(section, "listen")),
+        ids.Address(document.read_address(section, "target")),
+    )
+
+
+def _read_place(document: ini.Document, name: str) -> settings.NetworkPlace:
+    return settings.NetworkPlace(name, document.read_text(f"place {name}", "host"))
+
+
+def _read_delay(document: ini.Document, name: str) -> settings.NetworkDelay:
+    first, _, second = name.partition(" ")
+    delay_us = document.read_number(f"delay {name}", "one_way_us", 0, 1_000_000)
+    return settings.NetworkDelay(first, second, delay_us)
+
+
 def _read_simulated(document: ini.Document, name: str) -> settings.SimulatedBackend:
     section = f"backend {name}"
     return settings.SimulatedBackend(
--- a/src/caperdyke/standins/backend_app.py
+++ b/src/caperdyke/standins/backend_app.py
@@ -50,6 +50,8 @@
         self.shed = 0
         self._answered = 0
         self.last_start = 0.0
+        # Time and token of every start, for checks of the limits.
+        self.starts: collections.deque[tuple[float, str]] = collections.deque(maxlen=100_000)
 
     def make_app(self) -> starlette.applications.Starlette:
         """Returns the HTTP application."""
@@ -76,6 +78,7 @@
         self.in_flight += 1
         self.peak = max(self.peak, self.in_flight)
         self.last_start = time.time()
+        self.starts.append((self.last_start, token))
         is_streamed = False
         try:
             if self.faults.fast_errors:
@@ -110,6 +113,7 @@
                 "shed": self.shed,
                 "in_flight": self.in_flight,
                 "last_start": self.last_start,
+                "starts": list(self.starts),
             }
         )
 
--- a/src/caperdyke/state/contract.py
+++ b/src/caperdyke/state/contract.py
@@ -57,7 +57,8 @@
 
     :param period_ms: length of the period that every limit counts, in milliseconds.
     :param shift_cap: most requests per period that may start outside their home region.
-    :param shift_step: most by which shifted starts may grow from one period to the next.
+    :param shift_step: most by which shifted starts may grow from one period of the wall clock to
+        the next.
     :param retry_percent: retries allowed for each hundred requests.
     """
 
--- a/src/caperdyke/state/member.py
+++ b/src/caperdyke/state/member.py
@@ -20,7 +20,7 @@
 
     :param peer_address: where other instances reach it, ``host:port``.
     :param caller_address: where callers reach it, ``host:port``.
-    :param successor: instance that took over the request keys of a planned stop, or empty.
+    :param successor: instance that took over the request keys in a planned stop, or empty.
     """
 
     instance: ids.InstanceId
--- a/src/caperdyke/state/settings.py
+++ b/src/caperdyke/state/settings.py
@@ -25,6 +25,8 @@
 class EntrySettings:
     """Settings of one entry instance.
 
+    :param peer_address: where it listens for peers, and the source of its own links.
+    :param advertised_address: where peers reach it; differs where addresses are translated.
     :param seeds: peer addresses that are tried while the platform's list is not known.
     :param body_max: largest request body in bytes.
     :param stop_seconds: longest time that a planned stop may take.
@@ -35,6 +37,7 @@
     domain: ids.DomainName
     caller_address: ids.Address
     peer_address: ids.Address
+    advertised_address: ids.Address
     platform_address: ids.Address
     seeds: tuple[ids.Address, ...]
     backends: tuple[backend.BackendServer, ...]
@@ -84,3 +87,43 @@
 
     backends: tuple[SimulatedBackend, ...]
     logs: LogSettings
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NetworkRoute:
+    """One relay of the stand-in for the network.
+
+    :param place: place behind the target.
+    """
+
+    place: str
+    listen: ids.Address
+    target: ids.Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NetworkPlace:
+    """Source address by which connections from a place are known."""
+
+    place: str
+    host: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NetworkDelay:
+    """One-way delay between two places, in both directions."""
+
+    first: str
+    second: str
+    one_way_us: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NetworkSettings:
+    """Settings of the stand-in for the network."""
+
+    control: ids.Address
+    routes: tuple[NetworkRoute, ...]
+    places: tuple[NetworkPlace, ...]
+    delays: tuple[NetworkDelay, ...]
+    logs: LogSettings
--- a/src/caperdyke/state/timing.py
+++ b/src/caperdyke/state/timing.py
@@ -7,6 +7,9 @@
 # Interval between two heartbeats on a link, and the silence after which the peer counts as lost.
 HEARTBEAT_SECONDS = 0.5
 HEARTBEAT_TIMEOUT_SECONDS = 1.6
+# How long a report that an instance does not answer counts, and the age at which it is repeated.
+REPORT_SECONDS = 10.0
+REPORT_AGAIN_SECONDS = 4.0
 # Interval between two reads of the configuration's head, and the age of the latest confirmation
 # beyond which an instance falls back to floors.
 POLL_SECONDS = 0.4
--- a/src/caperdyke/state/window.py
+++ b/src/caperdyke/state/window.py
@@ -10,12 +10,10 @@
     and windows of several holders add up: the sum of their counts never exceeds the sum of limits.
 
     :param period: length of one period in seconds.
-    :param periods: number of past periods that are kept.
     """
 
-    def __init__(self, period: float, periods: int = 2) -> None:
+    def __init__(self, period: float) -> None:
         self._period = period
-        self._kept = period * periods
         self._times: collections.deque[float] = collections.deque()
 
     def add(self, now: float) -> None:
@@ -25,31 +23,63 @@
 
     def count(self, now: float) -> int:
         """Returns the events of the period that ends now."""
-        return self._count_after(now, now - self._period)
-
-    def count_previous(self, now: float) -> int:
-        """Returns the events of the period before the one that ends now."""
-        return self._count_after(now, now - 2 * self._period) - self.count(now)
+        self._forget(now)
+        return len(self._times)
 
     def find_free_time(self, now: float, limit: int) -> float:
         """Returns the earliest time at which the count falls below the limit."""
         self._forget(now)
-        recent = [moment for moment in self._times if moment > now - self._period]
-        if len(recent) < limit:
+        if len(self._times) < limit:
             return now
         if limit <= 0:
             return now + self._period
-        return recent[-limit] + self._period
+        return self._times[-limit] + self._period
 
     def _forget(self, now: float) -> None:
-        while self._times and self._times[0] <= now - self._kept:
+        while self._times and self._times[0] <= now - self._period:
             self._times.popleft()
 
-    def _count_after(self, now: float, start: float) -> int:
-        self._forget(now)
-        count = 0
-        for moment in reversed(self._times):
-            if moment <= start:
-                break
-            count += 1
-        return count
+
+class PeriodCounter:
+    """Counts events in periods of the wall clock, for limits on growth between periods.
+
+    Every holder cuts time at the same moments, so limits on growth add up over holders. Growth
+    between sliding windows would not: it is checked only when an event happens, and the earlier
+    window shrinks afterwards while the later one does not.
+
+    :param period: length of one period in seconds.
+    """
+
+    def __init__(self, period: float) -> None:
+        self._period = period
+        self._index = 0
+        self._count = 0
+        self._previous = 0
+
+    def add(self, now: float) -> None:
+        """Records one event."""
+        self._turn(now)
+        self._count += 1
+
+    def count(self, now: float) -> int:
+        """Returns the events of the period in which now lies."""
+        self._turn(now)
+        return self._count
+
+    def count_previous(self, now: float) -> int:
+        """Returns the events of the period before."""
+        self._turn(now)
+        return self._previous
+
+    def find_next_start(self, now: float) -> float:
+        """Returns the time at which the next period starts."""
+        return (int(now / self._period) + 1) * self._period
+
+    def _turn(self, now: float) -> None:
+        index = int(now / self._period)
+        if index <= self._index:
+            # A clock that was set back goes on in the period that it has reached.
+            return
+        self._previous = self._count if index == self._index + 1 else 0
+        self._count = 0
+        self._index = index
--- a/src/caperdyke/transport/backend_client.py
+++ b/src/caperdyke/transport/backend_client.py
@@ -4,15 +4,9 @@
 import collections.abc
 import time
 
-import aiosonic
-import aiosonic.connectors
-import aiosonic.exceptions
-import aiosonic.pools
-import aiosonic.timeout
-
 from caperdyke import errors
 from caperdyke.state import backend, outcome
-from caperdyke.transport import answers
+from caperdyke.transport import answers, http_client
 
 CONNECTIONS_MAX = 350
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -46,14 +40,7 @@
     """Sends requests to backend servers."""
 
     def __init__(self) -> None:
-        pool = aiosonic.pools.PoolConfig(size=CONNECTIONS_MAX)
-        timeouts = aiosonic.timeout.Timeouts(
-            sock_connect=CONNECT_TIMEOUT_SECONDS, sock_read=None, request_timeout=None
-        )
-        connector = aiosonic.connectors.TCPConnector(
-            pool_configs={":default": pool}, timeouts=timeouts
-        )
-        self._client = aiosonic.HTTPClient(connector, handle_cookies=False)
+        self._client = http_client.HttpClient(CONNECTIONS_MAX, CONNECT_TIMEOUT_SECONDS)
 
     async def send(
         self, server: backend.BackendServer, request: answers.IncomingRequest
@@ -63,56 +50,62 @@
         :raises errors.BackendFailedError: where no whole head came; tells whether it may have run.
         :raises errors.RefusalError: where the backend server says that it did not run the request.
         """
-        remaining = request.deadline - time.time()
+        exchange = http_client.Exchange()
         try:
-            async with asyncio.timeout(remaining):
-                response = await self._request(server, request)
-        except (ConnectionRefusedError, aiosonic.exceptions.ConnectTimeout) as error:
-            raise errors.BackendFailedError(f"{server.backend}: {error!r}", False) from error
-        except (OSError, EOFError, ValueError, aiosonic.exceptions.AiosonicError) as error:
-            raise errors.BackendFailedError(f"{server.backend}: {error!r}", True) from error
+            response = await self._start(exchange, server, request)
+        except http_client.FAILURES as error:
+            message = f"{server.backend}: {error!r}"
+            raise errors.BackendFailedError(message, exchange.is_sent) from error
         headers = tuple((name, value) for name, value in response.headers.items())
         lowered = {name.lower(): value for name, value in headers}
         if response.status_code == 503 and lowered.get(OUTCOME_HEADER.lower()) == "not-run":
-            await response.content()
+            exchange.close()
             raise errors.RefusalError(_make_refusal(lowered))
         kept = tuple(item for item in headers if item[0].lower() not in HOP_HEADERS)
         head = outcome.AnswerHead(response.status_code, kept)
-        chunks = self._iterate(server, response, request.deadline)
-        return answers.Answer(head, chunks, response.aclose)
+        chunks = _iterate(server, exchange, response, request.deadline)
+
+        async def abandon() -> None:
+            exchange.close()
+
+        return answers.Answer(head, chunks, abandon)
 
     async def close(self) -> None:
         """Closes the kept connections."""
-        await self._client.aclose()
-
-    async def _request(self, server: backend.BackendServer, request: answers.IncomingRequest):
+        await self._client.close()
+
+    async def _start(
+        self,
+        exchange: http_client.Exchange,
+        server: backend.BackendServer,
+        request: answers.IncomingRequest,
+    ):
         headers = [item for item in request.headers if item[0].lower() not in HOP_HEADERS]
         headers.append((DEADLINE_HEADER, str(int(request.deadline * 1000))))
-        return await self._client.request(
-            f"http://{server.address}{request.target}",
-            request.method,
-            headers=headers,
-            data=request.body,
-            stream=True,
+        remaining = max(0.0, request.deadline - time.time())
+        url = f"http://{server.address}{request.target}"
+        return await self._client.start(
+            exchange, request.method, url, headers, request.body, remaining
         )
 
-    async def _iterate(
-        self, server: backend.BackendServer, response, deadline: float
-    ) -> collections.abc.AsyncGenerator[bytes, None]:
-        chunks = response.iter_bytes()
-        is_whole = False
-        try:
-            while True:
-                chunk = await _read_chunk(chunks, deadline)
-                if chunk is None:
-                    break
-                yield chunk
-            is_whole = True
-        except (OSError, EOFError, ValueError, aiosonic.exceptions.AiosonicError) as error:
-            raise errors.BackendFailedError(f"{server.backend}: {error!r}", True) from error
-        finally:
-            if not is_whole:
-                await response.aclose()
+
+async def _iterate(
+    server: backend.BackendServer, exchange: http_client.Exchange, response, deadline: float
+) -> collections.abc.AsyncGenerator[bytes, None]:
+    chunks = response.iter_bytes()
+    is_whole = False
+    try:
+        while True:
+            chunk = await _read_chunk(chunks, deadline)
+            if chunk is None:
+                break
+            yield chunk
+        is_whole = True
+    except http_client.FAILURES as error:
+        raise errors.BackendFailedError(f"{server.backend}: {error!r}", True) from error
+    finally:
+        if not is_whole:
+            exchange.close()
 
 
 async def _read_chunk(
--- a/src/caperdyke/transport/context.py
+++ b/src/caperdyke/transport/context.py
@@ -36,7 +36,7 @@
             node_settings.instance,
             ids.Incarnation(int(now * 1000)),
             node_settings.domain,
-            node_settings.peer_address,
+            node_settings.advertised_address,
             node_settings.caller_address,
             member.MemberState.LIVE,
         )
--- /dev/null
+++ b/src/caperdyke/transport/http_client.py
@@ -0,0 +1,125 @@
+"""HTTP client on kept connections that never hands out the answer of an earlier request.
+
+The client library returns a connection to its pool when a request on it is cancelled, although the
+answer may still arrive; the next request on the connection would then read it. Here a connection
+whose exchange did not end as planned is closed.
+"""
+
+import asyncio
+import contextvars
+import dataclasses
+
+import aiosonic
+import aiosonic.connection
+import aiosonic.connectors
+import aiosonic.exceptions
+import aiosonic.pools
+import aiosonic.timeout
+
+# What the library raises where an exchange fails; TimeoutError is an OSError.
+FAILURES = (OSError, EOFError, ValueError, aiosonic.exceptions.AiosonicError)
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """The connection of one request.
+
+    :param connection: None until the first byte is written.
+    """
+
+    connection: aiosonic.connection.Connection | None = None
+
+    @property
+    def is_sent(self) -> bool:
+        """Tells whether any byte of the request may have left."""
+        return self.connection is not None
+
+    def close(self) -> None:
+        """Ends the connection, so that nothing else is read from it."""
+        if self.connection is not None:
+            self.connection.close()
+
+
+_CURRENT: contextvars.ContextVar[Exchange | None] = contextvars.ContextVar(
+    "current_exchange", default=None
+)
+
+
+class _NotedConnection(aiosonic.connection.Connection):
+    """Tells the exchange that is under way which connection it writes to."""
+
+    def write(self, data: bytes) -> None:
+        exchange = _CURRENT.get()
+        if exchange is not None:
+            exchange.connection = self
+        super().write(data)
+
+
+class HttpClient:
+    """Sends HTTP requests.
+
+    :param connections_max: connections that are kept for each address.
+    :param connect_timeout: longest time to open a connection, in seconds.
+    """
+
+    def __init__(self, connections_max: int, connect_timeout: float) -> None:
+        pool = aiosonic.pools.PoolConfig(size=connections_max)
+        timeouts = aiosonic.timeout.Timeouts(
+            sock_connect=connect_timeout, sock_read=None, request_timeout=None
+        )
+        connector = aiosonic.connectors.TCPConnector(
+            pool_configs={":default": pool}, timeouts=timeouts, connection_cls=_NotedConnection
+        )
+        self._client = aiosonic.HTTPClient(connector, handle_cookies=False)
+
+    async def start(
+        self,
+        exchange: Exchange,
+        method: str,
+        url: str,
+        headers: list[tuple[str, str]],
+        body: bytes | None,
+        timeout: float,
+    ) -> aiosonic.HttpResponse:
+        """Sends a request and returns the response, whose body is still to be read.
+
+        :param exchange: gets the connection; close it where the body is not read to its end.
+        :param timeout: longest time until the response's head, in seconds.
+        :raises FAILURES: where no whole head arrived; the connection is closed.
+        """
+        token = _CURRENT.set(exchange)
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._client.request(
+                    url, method, headers=headers, data=body, stream=True
+                )
+        except BaseException:
+            exchange.close()
+            raise
+        finally:
+            _CURRENT.reset(token)
+
+    async def fetch(
+        self,
+        exchange: Exchange,
+        method: str,
+        url: str,
+        headers: list[tuple[str, str]],
+        body: bytes | None,
+        timeout: float,
+    ) -> tuple[aiosonic.HttpResponse, bytes]:
+        """Sends a request and returns the response with its whole body.
+
+        :raises FAILURES: where it did not arrive whole in time; the connection is closed.
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                response = await self.start(exchange, method, url, headers, body, timeout)
+                return response, await response.content()
+        except BaseException:
+            exchange.close()
+            raise
+
+    async def close(self) -> None:
+        """Closes the kept connections."""
+        await self._client.aclose()
--- a/src/caperdyke/transport/key_runs.py
+++ b/src/caperdyke/transport/key_runs.py
@@ -49,7 +49,7 @@
                 return _replay(record)
             case ownership.Join(record):
                 return await self._join(record.key)
-            case ownership.Delegate(instance, _) if not is_forwarded:
+            case ownership.Delegate(instance, _) if not is_forwarded or node.memory.is_sealed:
                 target = node.members.find(instance)
                 return await self._links.forward(request, target, messages.Role.KEY_OWNER)
             case ownership.Decline(refusal):
--- a/src/caperdyke/transport/links.py
+++ b/src/caperdyke/transport/links.py
@@ -141,7 +141,27 @@
         events.log(events.Event.LINK_CLOSED, peer=link.peer.instance, cause=cause)
         if self._links.get(link.peer.instance) is link:
             del self._links[link.peer.instance]
-            self._node.members.fail(self._node.clock(), link.peer.instance)
+            self._fail(link.peer.instance)
+
+    def learn_report(self, link: peerlink.PeerLink, report: messages.PeerReport) -> None:
+        """Takes over a report that an instance does not answer and passes it on."""
+        now = self._node.clock()
+        if self._node.members.learn_report(
+            now, report.holder, report.reporter_domain, report.until
+        ):
+            self.broadcast(report, link)
+
+    def _fail(self, instance: ids.InstanceId) -> None:
+        """Records that an instance does not answer, and tells the others."""
+        node = self._node
+        now = node.clock()
+        node.members.fail(now, instance)
+        record = node.members.find(instance)
+        if record is None or not node.members.needs_report(now, instance):
+            return
+        until = now + timing.REPORT_SECONDS
+        if node.members.learn_report(now, record.holder, node.own.domain, until):
+            self.broadcast(messages.PeerReport(record.holder, node.own.domain, until))
 
     async def _dial_once(
         self, address: ids.Address, instance: ids.InstanceId | None
@@ -160,11 +180,13 @@
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_SECONDS):
-                reader, writer = await asyncio.open_connection(host, int(port))
+                reader, writer = await asyncio.open_connection(
+                    host, int(port), local_addr=(self._find_own_host(), 0)
+                )
         except OSError:
             self._redial_at[address] = self._node.clock() + REDIAL_SECONDS
             if instance is not None:
-                self._node.members.fail(self._node.clock(), instance)
+                self._fail(instance)
             return None
         link = await self._greet(reader, writer)
         if link is None:
@@ -174,6 +196,9 @@
         task.add_done_callback(self._readers.discard)
         return link
 
+    def _find_own_host(self) -> str:
+        return self._node.settings.peer_address.rpartition(":")[0]
+
     def _open_missing(self) -> None:
         node = self._node
         now = node.clock()
@@ -182,17 +207,19 @@
             for record in node.members.list_all()
             if record.state is not member.MemberState.GONE
         ]
-        wanted = {
-            record.peer_address
+        chosen = set(overlay.choose_links(node.own, records))
+        wanted: dict[ids.Address, ids.InstanceId | None] = {
+            record.peer_address: record.instance
             for record in records
-            if record.instance in overlay.choose_links(node.own, records)
-            and self.find(record.instance) is None
+            if record.instance in chosen and self.find(record.instance) is None
         }
         known = {record.peer_address for record in records}
-        wanted |= {seed for seed in node.settings.seeds if seed not in known}
-        for address in wanted:
+        for seed in node.settings.seeds:
+            if seed not in known:
+                wanted[seed] = None
+        for address, instance in wanted.items():
             if now >= self._redial_at.get(address, 0.0) and address not in self._dialling:
-                task = asyncio.create_task(self._dial_once(address, None))
+                task = asyncio.create_task(self._dial_once(address, instance))
                 self._readers.add(task)
                 task.add_done_callback(self._readers.discard)
 
--- a/src/caperdyke/transport/node.py
+++ b/src/caperdyke/transport/node.py
@@ -7,7 +7,7 @@
 
 from caperdyke.coordination import membership
 from caperdyke.protocol import messages
-from caperdyke.state import settings, timing
+from caperdyke.state import member, settings, timing
 from caperdyke.transport import (
     caller_app,
     claims,
@@ -127,6 +127,8 @@
                 self.sync.learn_heartbeat(link, message)
             case messages.MemberNews():
                 self._learn_members(link, message)
+            case messages.PeerReport():
+                self.links.learn_report(link, message)
             case messages.DrainNews():
                 self.watch.learn(message.marks, link)
             case messages.ChangesRequest():
@@ -156,19 +158,23 @@
         node = self.node
         deadline = node.clock() + node.settings.stop_seconds
         events.log(events.Event.STOPPING, deadline=deadline)
-        node.members.merge(membership.mark_leaving(node.own))
-        self.links.broadcast(messages.MemberNews((node.own,)))
+        self._announce(membership.mark_leaving(node.own))
         # Look-up answers that name this instance run out before it refuses new requests.
         await self._wait_until(lambda: False, min(deadline, node.clock() + timing.LOOKUP_SECONDS))
         node.memory.seal()
-        await self._wait_until(self._is_idle, deadline)
-        await self.keeper.release()
+        await self._wait_until(lambda: self.runs.count_running() == 0, deadline)
         successor = await self.handover.send()
-        node.members.merge(membership.mark_gone(node.own, successor))
-        self.links.broadcast(messages.MemberNews((node.own,)))
+        self._announce(membership.mark_successor(node.own, successor))
+        await self.keeper.release()
+        await self._wait_until(self._is_idle, deadline)
+        self._announce(membership.mark_gone(node.own))
         for link in self.links.list_open():
             await link.drain()
 
+    def _announce(self, record: member.Member) -> None:
+        self.node.members.merge(record)
+        self.links.broadcast(messages.MemberNews((record,)))
+
     def _is_idle(self) -> bool:
         return self.node.active_requests == 0 and self.runs.count_running() == 0
 
--- a/src/caperdyke/transport/platform_client.py
+++ b/src/caperdyke/transport/platform_client.py
@@ -1,17 +1,15 @@
 """Client of the platform: table, object store and instance list over HTTP."""
 
-import asyncio
 import base64
 import dataclasses
 import json
 
-import aiosonic
-import aiosonic.exceptions
-
 from caperdyke import errors
 from caperdyke.state import ids
+from caperdyke.transport import http_client
 
 CALL_TIMEOUT_SECONDS = 1.5
+CONNECTIONS_MAX = 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,7 +46,7 @@
     def __init__(self, address: ids.Address, timeout: float = CALL_TIMEOUT_SECONDS) -> None:
         self._base = f"http://{address}"
         self._timeout = timeout
-        self._client = aiosonic.HTTPClient()
+        self._client = http_client.HttpClient(CONNECTIONS_MAX, timeout)
 
     async def read(self, keys: list[str]) -> dict[str, Row]:
         """Returns rows of the table; a row that does not exist has version 0.
@@ -96,24 +94,21 @@
 
     async def close(self) -> None:
         """Closes the kept connections."""
-        await self._client.aclose()
+        await self._client.close()
 
     async def _call(self, method: str, path: str, body: bytes) -> bytes | None:
+        exchange = http_client.Exchange()
+        headers = [("Content-Type", "application/json")]
+        url = self._base + path
         try:
-            async with asyncio.timeout(self._timeout):
-                response = await self._client.request(
-                    self._base + path,
-                    method,
-                    data=body,
-                    headers={"Content-Type": "application/json"},
-                )
-                content = await response.content()
-        except ConnectionRefusedError as error:
-            raise errors.PlatformUnavailableError(f"{method} {path}: refused") from error
-        except (TimeoutError, OSError, EOFError, aiosonic.exceptions.BaseTimeout) as error:
-            raise errors.OutcomeUnknownError(f"{method} {path}: {error!r}") from error
-        except aiosonic.exceptions.AiosonicError as error:
-            raise errors.OutcomeUnknownError(f"{method} {path}: {error!r}") from error
+            response, content = await self._client.fetch(
+                exchange, method, url, headers, body, self._timeout
+            )
+        except http_client.FAILURES as error:
+            message = f"{method} {path}: {error!r}"
+            if exchange.is_sent:
+                raise errors.OutcomeUnknownError(message) from error
+            raise errors.PlatformUnavailableError(message) from error
         return self._check(method, path, response.status_code, content)
 
     def _check(self, method: str, path: str, status: int, content: bytes) -> bytes | None:
--- /dev/null
+++ b/testing/test_shares.py
@@ -0,0 +1,194 @@
+"""Starts of all instances together stay within the contract's limits."""
+
+import dataclasses
+
+import testtools
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from caperdyke.coordination import allotment, leases, shares
+from caperdyke.state import ids, lease, outcome, timing
+from testing import builders
+
+ONE = builders.make_holder("one")
+TWO = builders.make_holder("two")
+
+
+def make_shares(now: float, holder: lease.Holder, row: lease.DomainLease) -> shares.ShareBook:
+    """Returns a share book that knows a row."""
+    book = shares.ShareBook(holder, row.domain)
+    book.learn_row(row)
+    return book
+
+
+def count_spends(book, configurations, now: float, is_shifted: bool, tries: int = 400) -> int:
+    """Returns how many of a number of tries are allowed at one moment."""
+    refusals = [
+        book.spend(now, configurations, builders.CUSTOMER, is_shifted) for _ in range(tries)
+    ]
+    return refusals.count(None)
+
+
+class ShareBookTest(testtools.TestCase):
+    """Limits follow slices, deadlines and confirmations."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.configuration = builders.make_configuration()
+        self.book = builders.make_book(100.0, self.configuration)
+        row = builders.make_row(100.0, [ONE, TWO], 2)
+        self.one = make_shares(100.0, ONE, row)
+        self.two = make_shares(100.0, TWO, row)
+
+    def test_holders_of_a_domain_spend_exactly_its_part(self) -> None:
+        spent = [count_spends(item, self.book, 101.0, False) for item in (self.one, self.two)]
+        self.assertEqual(60, sum(spent), "half of luzon's share of 120")
+
+    def test_refusal_tells_when_to_come_back(self) -> None:
+        count_spends(self.one, self.book, 101.0, False)
+        refusal = self.one.spend(101.5, self.book, builders.CUSTOMER, False)
+        self.assertEqual(outcome.Reason.SHARE_SPENT, refusal.reason)
+        self.assertEqual(102.0, refusal.retry_at)
+        self.assertIsNone(self.one.spend(102.0, self.book, builders.CUSTOMER, False))
+
+    def test_shift_ramps_by_its_step(self) -> None:
+        counts = []
+        for second in (101.0, 102.0, 103.0):
+            self.book.confirm(self.configuration.revision, second)
+            spent = [count_spends(item, self.book, second, True) for item in (self.one, self.two)]
+            counts.append(sum(spent))
+        # Of 20 a step, luzon has 8 and pasig-hall 4; of 20 shifted, pasig-hall has 10.
+        self.assertEqual([4, 8, 10], counts)
+
+    def test_stale_confirmation_leaves_the_floor(self) -> None:
+        stale = 100.0 + timing.CURRENT_SECONDS
+        spent = [count_spends(item, self.book, stale, False) for item in (self.one, self.two)]
+        self.assertEqual(30, sum(spent), "half of luzon's floor of 60")
+
+    def test_lapsed_lease_leaves_the_floor_and_then_nothing(self) -> None:
+        row = self.one.row
+        self.book.confirm(self.configuration.revision, row.rest_until)
+        limits = self.one.find_limits(row.rest_until, self.book, builders.CUSTOMER)
+        self.assertEqual(15, limits.share)
+        end = row.rest_until + timing.FLOOR_EXTRA_SECONDS
+        self.assertEqual(0, self.one.find_limits(end, self.book, builders.CUSTOMER).share)
+
+    def test_stricter_of_old_and_new_binds_until_the_stored_time(self) -> None:
+        lowered = builders.change_contract(self.configuration, 200.0, "share = 120", "share = 80")
+        row = builders.make_row(199.0, [ONE], 2)
+        one = make_shares(199.0, ONE, row)
+        book = builders.make_book(199.0, self.configuration)
+        book.adopt(200.1, lowered)
+        book.confirm(lowered.revision, 200.1)
+        self.assertEqual(40, one.find_limits(200.1, book, builders.CUSTOMER).share)
+        raised = builders.change_contract(lowered, 210.0, "share = 80", "share = 120")
+        book.adopt(210.1, raised)
+        book.confirm(raised.revision, 210.1)
+        self.assertEqual(40, one.find_limits(210.1, book, builders.CUSTOMER).share)
+        in_force_at = raised.in_force_at
+        book.confirm(raised.revision, in_force_at)
+        one.learn_row(dataclasses.replace(row, version=2, rest_until=in_force_at + 9))
+        self.assertEqual(60, one.find_limits(in_force_at, book, builders.CUSTOMER).share)
+
+    def test_given_up_slice_is_not_spent_until_a_newer_row(self) -> None:
+        row = builders.make_row(100.0, [ONE], 2)
+        one = make_shares(100.0, ONE, row)
+        one.give_up(0)
+        self.assertEqual(30, one.find_limits(101.0, self.book, builders.CUSTOMER).share)
+        one.learn_row(dataclasses.replace(row, version=2))
+        self.assertEqual(60, one.find_limits(101.0, self.book, builders.CUSTOMER).share)
+
+    def test_older_and_foreign_rows_are_ignored(self) -> None:
+        older = dataclasses.replace(self.one.row, version=0)
+        self.assertFalse(self.one.learn_row(older))
+        foreign = dataclasses.replace(self.one.row, version=9, domain=ids.DomainName("x"))
+        self.assertFalse(self.one.learn_row(foreign))
+
+    def test_renewal_of_an_unknown_row_is_not_applied(self) -> None:
+        self.assertFalse(self.one.learn_renewal(5, 4, 500.0))
+        self.assertTrue(self.one.learn_renewal(2, 1, 500.0))
+        self.assertEqual(500.0, self.one.row.rest_until)
+
+    def test_unknown_customer_has_no_limit_to_spend(self) -> None:
+        other = ids.CustomerName("nobody")
+        self.assertEqual(0, self.one.find_limits(101.0, self.book, other).share)
+
+
+class AllotmentTest(testtools.TestCase):
+    """Parts of all slices add up to exactly the contract's limits."""
+
+    @seed(20261203)
+    @settings(max_examples=200, deadline=None, database=None, phases=builders.PHASES)
+    @given(st.integers(0, 10_000), st.lists(st.integers(0, 500), min_size=1, max_size=9))
+    def test_apportioned_parts_add_up(self, total, weights) -> None:
+        parts = allotment.apportion(total, weights, "seed")
+        self.assertEqual(total if sum(weights) else 0, sum(parts))
+        for part, weight in zip(parts, weights, strict=True):
+            share = total * weight / max(1, sum(weights))
+            self.assertLessEqual(abs(part - share), 1 if weight else 0)
+
+    def test_slices_add_up_to_the_region(self) -> None:
+        configuration = builders.make_configuration()
+        contract = configuration.contracts[builders.CUSTOMER]
+        for terms in contract.regions:
+            parts = [
+                allotment.allot_slice(configuration, contract, domain, index)
+                for domain in configuration.list_region(terms.region)
+                for index in range(domain.slices)
+            ]
+            self.assertEqual(terms.share, sum(part.share for part in parts))
+            self.assertEqual(terms.floor, sum(part.floor for part in parts))
+            self.assertEqual(terms.shift, sum(part.shift for part in parts))
+        steps = [
+            allotment.allot_slice(configuration, contract, domain, index).step
+            for operator_places in configuration.places.values()
+            for domain in operator_places.domains
+            for index in range(domain.slices)
+        ]
+        self.assertEqual(contract.shift_step, sum(steps))
+
+
+class FleetLimitTest(testtools.TestCase):
+    """Several holders with pauses, stale rows and take-overs keep share, shift and step."""
+
+    @seed(20261203)
+    @settings(max_examples=60, deadline=None, database=None, phases=builders.PHASES)
+    @given(
+        st.lists(
+            st.tuples(st.integers(0, 2), st.booleans(), st.floats(0.01, 0.7), st.integers(0, 9)),
+            min_size=30,
+            max_size=150,
+        )
+    )
+    def test_sum_over_holders_keeps_the_limits(self, steps) -> None:
+        configuration = builders.make_configuration()
+        book = builders.make_book(100.0, configuration)
+        stored = lease.make_empty(builders.PASIG, 0)
+        holders = [builders.make_holder(f"i{number}") for number in range(3)]
+        books = [shares.ShareBook(holder, builders.PASIG) for holder in holders]
+        starts, shifted = [], []
+        now = 100.0
+        for number, is_shifted, length, action in steps:
+            book.confirm(configuration.revision, now)
+            if action == 0:
+                planned = leases.plan_renewal(now, stored, [holders[number]], 2)
+                stored = dataclasses.replace(planned, version=stored.version + 1)
+            if action <= 2:
+                books[number].learn_row(stored)
+            if action == 3:
+                now += 15.0
+            for _ in range(20):
+                if books[number].spend(now, book, builders.CUSTOMER, is_shifted) is None:
+                    starts.append(now)
+                    if is_shifted:
+                        shifted.append(now)
+            now += length
+        period = 1.0
+        for moment in starts:
+            self.assertLessEqual(sum(1 for t in starts if moment - period < t <= moment), 60)
+        for moment in shifted:
+            self.assertLessEqual(sum(1 for t in shifted if moment - period < t <= moment), 10)
+            index = int(moment)
+            late = sum(1 for t in shifted if int(t) == index)
+            early = sum(1 for t in shifted if int(t) == index - 1)
+            self.assertLessEqual(late, early + 4)
