--- /dev/null
+++ b/testing/test_backends.py
@@ -0,0 +1,180 @@
+"""Choice of backend servers, slots, warm-up, ejection and leaving."""
+
+import asyncio
+import random
+
+import parameterized
+import testtools
+
+from caperdyke import errors
+from caperdyke.coordination import backends
+from caperdyke.state import backend, outcome
+from caperdyke.transport import slot_queue
+from testing import builders
+
+SERVICE = "gallery-reader"
+
+
+def make_server(name: str, slots: int = 3) -> backend.BackendServer:
+    """Returns a backend server."""
+    return backend.BackendServer(name, builders.PASIG, SERVICE, "127.0.0.1:1", slots)
+
+
+def make_table(count: int, policy: backends.Policy = backends.Policy.LEAST_WORK):
+    """Returns a table whose backend servers are warm."""
+    table = backends.BackendTable(policy, random.Random(1))
+    for number in range(count):
+        record = table.add(make_server(f"b{number}"))
+        record.figures.answers = backends.WARM_ANSWERS
+        record.warm()
+    return table
+
+
+class BackendTableTest(testtools.TestCase):
+    """Decisions about one service."""
+
+    @parameterized.parameterized.expand([(item.value, item) for item in backends.Policy])
+    def test_slots_are_never_exceeded(self, _name, policy) -> None:
+        table = make_table(3, policy)
+        chosen = []
+        while (record := table.choose(0.0, SERVICE)) is not None:
+            table.start(record)
+            chosen.append(record.server.backend)
+        self.assertEqual(9, len(chosen))
+        self.assertEqual({3}, {chosen.count(name) for name in set(chosen)})
+
+    def test_slots_are_dealt_exactly_once(self) -> None:
+        for size in (1, 2, 3, 10):
+            instances = [f"i{number}" for number in range(size)]
+            for server in (make_server(f"b{number}", 7) for number in range(10)):
+                parts = [backends.count_owned_slots(server, i, instances) for i in instances]
+                self.assertEqual(7, sum(parts))
+                self.assertLessEqual(max(parts) - min(parts), 1)
+
+    def test_slower_backend_server_gets_less(self) -> None:
+        table = make_table(2)
+        table.find("b0").figures.latency = 0.1
+        table.find("b1").figures.latency = 0.01
+        self.assertEqual("b1", table.choose(0.0, SERVICE).server.backend)
+
+    def test_cold_backend_server_gets_one_request_at_a_time(self) -> None:
+        table = backends.BackendTable(backends.Policy.LEAST_WORK, random.Random(1))
+        record = table.add(make_server("cold"))
+        table.start(record)
+        self.assertIsNone(table.choose(0.0, SERVICE))
+        for _ in range(backends.WARM_ANSWERS):
+            table.finish_answer(record, 0.01)
+            table.start(record)
+        self.assertEqual(backend.BackendState.SERVING, record.state)
+        self.assertIsNotNone(table.choose(0.0, SERVICE))
+
+    def fail(self, table, record, now: float) -> None:
+        for _ in range(backends.EJECT_FAILURES):
+            table.start(record)
+            table.finish_failure(now, record)
+
+    def test_failing_backend_server_is_ejected_and_tried_again(self) -> None:
+        table = make_table(2)
+        record = table.find("b0")
+        self.fail(table, record, 10.0)
+        self.assertEqual(backend.BackendState.EJECTED, record.state)
+        self.assertEqual("b1", table.choose(10.0, SERVICE).server.backend)
+        table.choose(10.0 + backends.EJECT_SECONDS, SERVICE)
+        self.assertEqual(backend.BackendState.WARMING, record.state)
+        table.start(record)
+        table.finish_failure(13.0, record)
+        self.assertEqual(backend.BackendState.EJECTED, record.state)
+
+    def test_at_most_half_are_ejected(self) -> None:
+        table = make_table(4)
+        for record in table.list_records():
+            self.fail(table, record, 10.0)
+        states = [record.state for record in table.list_records()]
+        self.assertEqual(2, states.count(backend.BackendState.EJECTED))
+
+    def test_leaving_backend_server_gets_nothing_until_it_is_back_cold(self) -> None:
+        table = make_table(1)
+        record = table.find("b0")
+        table.mark_leaving(10.0, record)
+        self.assertIsNone(table.choose(10.0, SERVICE))
+        self.assertFalse(table.has_open(SERVICE))
+        table.mark_back(record)
+        self.assertEqual(backend.BackendState.WARMING, record.state)
+        self.assertEqual(0, record.figures.answers)
+
+    def test_ejected_backend_server_can_leave_and_is_not_restored(self) -> None:
+        table = make_table(2)
+        record = table.find("b0")
+        self.fail(table, record, 10.0)
+        table.mark_leaving(11.0, record)
+        table.choose(20.0, SERVICE)
+        self.assertEqual(backend.BackendState.LEAVING, record.state)
+
+
+class SlotQueueTest(testtools.TestCase):
+    """Waiting requests: turns, deadlines and backend servers that leave."""
+
+    def run_queue(self, scenario):
+        async def run():
+            table = make_table(1)
+            queue = slot_queue.SlotQueue(SERVICE, table)
+            for _ in range(3):
+                await queue.acquire(0.0, "tala", 10.0)
+            return await scenario(queue, table)
+
+        return asyncio.run(run())
+
+    def free(self, queue, table) -> None:
+        table.finish_answer(table.find("b0"), 0.01)
+        queue.serve_waiting(0.0)
+
+    def test_customers_take_turns(self) -> None:
+        async def scenario(queue, table):
+            order = []
+
+            async def wait(customer: str) -> None:
+                await queue.acquire(0.0, customer, 10.0)
+                order.append(customer)
+
+            waiting = [asyncio.create_task(wait("flood")) for _ in range(6)]
+            await asyncio.sleep(0)
+            waiting += [asyncio.create_task(wait("quiet")) for _ in range(2)]
+            for _ in range(8):
+                await asyncio.sleep(0)
+                self.free(queue, table)
+            await asyncio.gather(*waiting)
+            return order
+
+        order = self.run_queue(scenario)
+        self.assertEqual(["flood", "quiet"] * 2 + ["flood"] * 4, order)
+
+    def test_request_that_cannot_be_served_in_time_is_refused_at_once(self) -> None:
+        async def scenario(queue, table):
+            table.find("b0").figures.latency = 3.0
+            return await queue.acquire(0.0, "tala", 0.5)
+
+        error = self.assertRaises(errors.RefusalError, self.run_queue, scenario)
+        self.assertEqual(outcome.Reason.BACKEND_BUSY, error.refusal.reason)
+        self.assertEqual(1.0, error.refusal.retry_at)
+
+    def test_queued_requests_are_refused_when_the_last_backend_server_leaves(self) -> None:
+        async def scenario(queue, table):
+            waiting = asyncio.create_task(queue.acquire(0.0, "tala", 10.0))
+            await asyncio.sleep(0)
+            table.mark_leaving(0.0, table.find("b0"))
+            queue.serve_waiting(0.0)
+            return await waiting
+
+        error = self.assertRaises(errors.RefusalError, self.run_queue, scenario)
+        self.assertEqual(outcome.Reason.NO_BACKEND, error.refusal.reason)
+
+    def test_slot_granted_to_a_cancelled_request_is_given_back(self) -> None:
+        async def scenario(queue, table):
+            waiting = asyncio.create_task(queue.acquire(0.0, "tala", 10.0))
+            await asyncio.sleep(0)
+            self.free(queue, table)
+            waiting.cancel()
+            await asyncio.wait([waiting])
+            return table.find("b0").figures.in_flight, queue.count_waiting()
+
+        self.assertEqual((2, 0), self.run_queue(scenario))
--- /dev/null
+++ b/testing/test_exchange.py
@@ -0,0 +1,121 @@
+"""Answers over a peer link arrive whole or not at all."""
+
+import asyncio
+
+import parameterized
+import testtools
+
+from caperdyke import errors
+from caperdyke.protocol import messages
+from caperdyke.state import outcome
+from caperdyke.transport import exchange
+
+START = messages.AnswerStart(1, 200, ())
+CUT = errors.LinkClosedError("link ended")
+REFUSED = messages.AnswerRefused(1, "unknown", "backend-failed", 0.0, "")
+
+
+def chunk(sequence: int, data: bytes = b"ab") -> messages.AnswerChunk:
+    """Returns a part of a body."""
+    return messages.AnswerChunk(1, sequence, data)
+
+
+# Name, messages after the head, whether the peer is told to stop.
+BROKEN = [
+    ("cut_before_body", [CUT], False),
+    ("cut_in_mid_body", [chunk(0), CUT], False),
+    ("lost_part", [chunk(0), chunk(2)], True),
+    ("repeated_part", [chunk(0), chunk(0)], True),
+    ("reordered_parts", [chunk(1), chunk(0)], True),
+    ("end_too_early", [chunk(0), messages.AnswerEnd(1, 2)], True),
+    ("end_without_parts", [messages.AnswerEnd(1, 1)], True),
+    ("second_head", [START], True),
+    ("broken_off", [chunk(0), REFUSED], False),
+]
+
+
+class ExchangeTest(testtools.TestCase):
+    """The receiving side checks order and completeness."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.sent: list = []
+        self.closed: list = []
+
+    def make_exchange(self) -> exchange.Exchange:
+        return exchange.Exchange(1, self.sent.append, self.closed.append)
+
+    def read(self, arriving: list) -> bytes:
+        async def run() -> bytes:
+            opened = self.make_exchange()
+            for message in [START, *arriving]:
+                opened.accept(message)
+            await opened.read_head()
+            return b"".join([part async for part in opened.iterate_body()])
+
+        return asyncio.run(run())
+
+    def test_whole_answer(self) -> None:
+        body = self.read([chunk(0), chunk(1, b"c"), messages.AnswerEnd(1, 2)])
+        self.assertEqual(b"abc", body)
+        self.assertEqual([messages.Credit(1, 2), messages.Credit(1, 1)], self.sent)
+        self.assertEqual([1], self.closed)
+
+    def test_empty_answer(self) -> None:
+        self.assertEqual(b"", self.read([messages.AnswerEnd(1, 0)]))
+
+    @parameterized.parameterized.expand(BROKEN)
+    def test_broken_answer_is_an_error(self, _name, arriving, is_cancelled) -> None:
+        self.assertRaises(errors.LinkClosedError, self.read, arriving)
+        self.assertEqual(is_cancelled, messages.Cancel(1) in self.sent)
+        self.assertEqual([1], self.closed)
+
+    def test_refusal_is_passed_on(self) -> None:
+        async def run() -> None:
+            opened = self.make_exchange()
+            opened.accept(messages.AnswerRefused(1, "not-run", "share-spent", 5.0, ""))
+            await opened.read_head()
+
+        error = self.assertRaises(errors.RefusalError, asyncio.run, run())
+        self.assertEqual(outcome.refuse(outcome.Reason.SHARE_SPENT, 5.0), error.refusal)
+
+    def test_refusal_that_is_not_understood_counts_as_unknown(self) -> None:
+        message = messages.AnswerRefused(1, "not-run", "a-newer-reason", 5.0, "")
+        self.assertEqual(outcome.Outcome.UNKNOWN, exchange.open_refusal(message).outcome)
+
+    def test_reader_that_stops_cancels_at_the_peer(self) -> None:
+        async def run() -> None:
+            opened = self.make_exchange()
+            for message in (START, chunk(0), chunk(1)):
+                opened.accept(message)
+            await opened.read_head()
+            body = opened.iterate_body()
+            await anext(body)
+            await body.aclose()
+
+        asyncio.run(run())
+        self.assertIn(messages.Cancel(1), self.sent)
+
+    def test_slow_reader_holds_the_sender_back(self) -> None:
+        async def run() -> int:
+            gate = exchange.CreditGate()
+            passed = 0
+
+            async def send() -> None:
+                nonlocal passed
+                for _ in range(100):
+                    await gate.pass_bytes(64 * 1024)
+                    passed += 64 * 1024
+
+            task = asyncio.create_task(send())
+            await asyncio.sleep(0)
+            before = passed
+            gate.add(64 * 1024)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            task.cancel()
+            return before, passed
+
+        before, after = asyncio.run(run())
+        self.assertEqual(exchange.WINDOW_BYTES, before)
+        self.assertEqual(exchange.WINDOW_BYTES + 64 * 1024, after)
--- /dev/null
+++ b/testing/test_membership.py
@@ -0,0 +1,138 @@
+"""News of instances merges in any order; own evidence goes first."""
+
+import itertools
+
+import testtools
+
+from caperdyke.coordination import membership, overlay
+from caperdyke.state import member, timing
+from testing import builders
+
+LIVE, LEAVING, GONE = member.MemberState.LIVE, member.MemberState.LEAVING, member.MemberState.GONE
+
+
+class MemberTableTest(testtools.TestCase):
+    """Merging and usability."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.table = membership.MemberTable(builders.make_member("me"))
+
+    def is_usable(self, now: float, name: str = "two") -> bool:
+        return self.table.is_usable(now, self.table.find(name))
+
+    def test_order_and_repetition_do_not_matter(self) -> None:
+        news = [
+            builders.make_member("two", state=LIVE),
+            builders.make_member("two", state=LEAVING),
+            builders.make_member("two", state=GONE, successor="me"),
+            builders.make_member("two", state=LIVE, incarnation=2),
+        ]
+        for order in itertools.permutations(news):
+            table = membership.MemberTable(builders.make_member("me"))
+            for record in (*order, *order):
+                table.merge(record)
+            self.assertEqual(news[3], table.find("two"))
+
+    def test_own_record_is_not_replaced_by_an_earlier_life(self) -> None:
+        table = membership.MemberTable(builders.make_member("me", incarnation=5))
+        self.assertFalse(table.merge(builders.make_member("me", state=GONE, incarnation=4)))
+        self.assertEqual(LIVE, table.own.state)
+
+    def test_silent_peer_is_lost_within_two_seconds(self) -> None:
+        self.table.merge(builders.make_member("two"))
+        self.table.hear(100.0, "two")
+        self.assertTrue(self.is_usable(101.0))
+        self.assertFalse(self.is_usable(102.0))
+        self.assertTrue(self.table.is_lost(102.0, "two"))
+        self.assertLess(timing.HEARTBEAT_TIMEOUT_SECONDS, 2.0)
+
+    def test_leaving_instance_gets_no_new_work(self) -> None:
+        self.table.merge(builders.make_member("two", state=LEAVING))
+        self.table.hear(100.0, "two")
+        self.assertFalse(self.is_usable(100.0))
+        self.assertFalse(self.table.is_lost(100.0, "two"))
+
+    def test_report_counts_from_own_domain_and_that_of_the_subject(self) -> None:
+        two = builders.make_member("two", domain="cebu-hall")
+        self.table.merge(two)
+        for domain, is_news in (("iloilo-hall", False), ("pasig-hall", True), ("cebu-hall", True)):
+            table = membership.MemberTable(builders.make_member("me"))
+            table.merge(two)
+            self.assertEqual(is_news, table.learn_report(100.0, two.holder, domain, 110.0), domain)
+            self.assertEqual(not is_news, table.is_usable(100.0, two))
+            self.assertTrue(table.is_usable(110.0, two))
+
+    def test_own_evidence_goes_before_reports(self) -> None:
+        two = builders.make_member("two")
+        self.table.merge(two)
+        self.table.hear(100.0, "two")
+        self.assertFalse(self.table.learn_report(100.5, two.holder, "pasig-hall", 110.0))
+        self.table.fail(101.0, "two")
+        self.assertTrue(self.table.learn_report(101.0, two.holder, "pasig-hall", 111.0))
+        self.table.hear(102.0, "two")
+        self.assertTrue(self.is_usable(102.0))
+
+    def test_report_about_an_earlier_life_is_ignored(self) -> None:
+        self.table.merge(builders.make_member("two", incarnation=2))
+        earlier = builders.make_holder("two", 1)
+        self.assertFalse(self.table.learn_report(100.0, earlier, "pasig-hall", 110.0))
+
+    def test_repeated_report_is_passed_on_only_when_it_extends(self) -> None:
+        two = builders.make_member("two")
+        self.table.merge(two)
+        self.assertTrue(self.table.learn_report(100.0, two.holder, "pasig-hall", 110.0))
+        self.assertFalse(self.table.learn_report(100.1, two.holder, "pasig-hall", 110.1))
+        self.assertTrue(self.table.learn_report(105.0, two.holder, "pasig-hall", 115.0))
+
+    def test_forgets_the_oldest_gone_instances(self) -> None:
+        for number in range(5):
+            record = builders.make_member(f"g{number}", state=GONE, incarnation=number + 1)
+            self.table.merge(record)
+        self.assertEqual(3, self.table.forget_gone(2))
+        self.assertIsNone(self.table.find("g0"))
+        self.assertIsNotNone(self.table.find("g4"))
+
+
+class OverlayTest(testtools.TestCase):
+    """Links stay few and connect everybody."""
+
+    def make_fleet(self, domains: int, size: int) -> list[member.Member]:
+        return [
+            builders.make_member(f"d{domain}-{number:03}", domain=f"d{domain}")
+            for domain in range(domains)
+            for number in range(size)
+        ]
+
+    def test_links_per_instance_stay_small_at_full_size(self) -> None:
+        fleet = self.make_fleet(9, 84)
+        degrees = {record.instance: 0 for record in fleet}
+        for record in fleet:
+            for peer in overlay.choose_links(record, fleet):
+                degrees[record.instance] += 1
+                degrees[peer] += 1
+        self.assertLessEqual(max(degrees.values()), 24)
+        self.assertLessEqual(sum(degrees.values()) / len(degrees), 10)
+
+    def test_every_instance_is_reached(self) -> None:
+        for domains, size in ((1, 1), (2, 1), (3, 2), (9, 84)):
+            fleet = self.make_fleet(domains, size)
+            neighbours = {record.instance: set() for record in fleet}
+            for record in fleet:
+                for peer in overlay.choose_links(record, fleet):
+                    neighbours[record.instance].add(peer)
+                    neighbours[peer].add(record.instance)
+            reached = {fleet[0].instance}
+            frontier = list(reached)
+            while frontier:
+                frontier = [p for name in frontier for p in neighbours[name] - reached]
+                reached.update(frontier)
+            self.assertEqual(len(fleet), len(reached), f"{domains} domains of {size}")
+
+    def test_rendezvous_moves_only_the_subjects_of_an_instance_that_goes(self) -> None:
+        names = [f"i{number}" for number in range(20)]
+        for subject in range(50):
+            first = overlay.rank_instances(str(subject), names)[0]
+            rest = [name for name in names if name != "i7"]
+            if first != "i7":
+                self.assertEqual(first, overlay.rank_instances(str(subject), rest)[0])
