--- a/src/caperdyke/coordination/backends.py
+++ b/src/caperdyke/coordination/backends.py
@@ -162,7 +162,8 @@
         figures.answers += 1
         figures.failures = 0
         figures.latency += LATENCY_WEIGHT * (latency - figures.latency)
-        if figures.answers >= WARM_ANSWERS:
+        is_warming = record.state is backend.BackendState.WARMING
+        if is_warming and figures.answers >= WARM_ANSWERS:
             record.warm()
 
     def finish_failure(self, now: float, record: BackendRecord) -> None:
@@ -170,7 +171,8 @@
         figures = record.figures
         figures.in_flight -= 1
         figures.failures += 1
-        if figures.failures >= EJECT_FAILURES and self._may_eject(record):
+        is_failing = figures.failures >= EJECT_FAILURES and record.is_open()
+        if is_failing and self._may_eject(record):
             figures.ejected_until = now + EJECT_SECONDS
             record.eject()
 
@@ -180,12 +182,14 @@
 
     def mark_leaving(self, now: float, record: BackendRecord) -> None:
         """Stops new work for a backend server at the first sign that it is leaving."""
-        if record.leave():
+        if record.state not in (backend.BackendState.LEAVING, backend.BackendState.GONE):
+            record.leave()
             record.figures.leaving_at = now
 
     def mark_back(self, record: BackendRecord) -> None:
         """Lets a backend server that left start again, cold."""
-        if record.come_back():
+        if record.state is backend.BackendState.LEAVING:
+            record.come_back()
             record.figures.leaving_at = 0.0
             record.figures.answers = 0
             record.figures.failures = 0
--- a/src/caperdyke/transport/answers.py
+++ b/src/caperdyke/transport/answers.py
@@ -56,6 +56,8 @@
         self._chunks = chunks
         self._abandon = abandon
         self._is_started = False
+        # The whole body, once it is known.
+        self.body: bytes | None = None
 
     async def iterate(self) -> collections.abc.AsyncGenerator[bytes, None]:
         """Yields the parts of the body.
@@ -88,9 +90,47 @@
         return b"".join(parts) if size <= limit else None
 
 
+async def prefetch(answer: Answer, limit: int) -> Answer:
+    """Reads the start of a body, so that a failure shows before anything is passed on.
+
+    :param limit: bytes after which the rest is left to be streamed.
+    :raises errors.LinkClosedError: where the peer cannot complete the part that is read.
+    :raises errors.BackendFailedError: where the backend server cannot.
+    """
+    parts = []
+    size = 0
+    rest = answer.iterate()
+    try:
+        async for chunk in rest:
+            parts.append(chunk)
+            size += len(chunk)
+            if size > limit:
+                return Answer(answer.head, _chain(parts, rest, answer), answer.close)
+    except BaseException:
+        await answer.close()
+        raise
+    await answer.close()
+    return make_whole(answer.head, b"".join(parts))
+
+
+async def _chain(
+    parts: list[bytes], rest: collections.abc.AsyncGenerator[bytes, None], answer: Answer
+) -> collections.abc.AsyncGenerator[bytes, None]:
+    try:
+        for part in parts:
+            yield part
+        async for chunk in rest:
+            yield chunk
+    finally:
+        await rest.aclose()
+        await answer.close()
+
+
 def make_whole(head: outcome.AnswerHead, body: bytes) -> Answer:
     """Returns an answer whose body is already complete."""
-    return Answer(head, _yield_body(body), _do_nothing)
+    answer = Answer(head, _yield_body(body), _do_nothing)
+    answer.body = body
+    return answer
 
 
 async def _yield_body(body: bytes) -> collections.abc.AsyncGenerator[bytes, None]:
--- a/src/caperdyke/transport/backend_client.py
+++ b/src/caperdyke/transport/backend_client.py
@@ -61,6 +61,11 @@
         if response.status_code == 503 and lowered.get(OUTCOME_HEADER.lower()) == "not-run":
             exchange.close()
             raise errors.RefusalError(_make_refusal(lowered))
+        if not _has_length(request.method, response.status_code, lowered):
+            # The library takes a head that was cut off for an answer with an empty body.
+            exchange.close()
+            message = f"{server.backend}: neither Content-Length nor chunks, expected one of them"
+            raise errors.BackendFailedError(message, True)
         kept = tuple(item for item in headers if item[0].lower() not in HOP_HEADERS)
         head = outcome.AnswerHead(response.status_code, kept)
         chunks = _iterate(server, exchange, response, request.deadline)
@@ -115,6 +120,13 @@
         return await anext(chunks, None)
 
 
+def _has_length(method: str, status: int, headers: dict[str, str]) -> bool:
+    """Tells whether the end of the body can be known."""
+    if method == "HEAD" or status in (204, 304):
+        return True
+    return "content-length" in headers or "chunked" in headers.get("transfer-encoding", "")
+
+
 def _make_refusal(headers: dict[str, str]) -> outcome.Refusal:
     if headers.get(STATE_HEADER.lower()) == "leaving":
         return outcome.refuse(outcome.Reason.NO_BACKEND, time.time(), detail="leaving")
--- a/src/caperdyke/transport/caller_app.py
+++ b/src/caperdyke/transport/caller_app.py
@@ -13,8 +13,6 @@
 from caperdyke.state import blockmap, contract, ids, outcome, timing
 from caperdyke.transport import answers, claims, context, events, key_runs, steering
 
-# Body bytes that are collected before an answer is streamed instead of sent with its length.
-COLLECTED_BYTES = 128 * 1024
 # Methods that the client library never sends twice by itself.
 ONCE_METHODS = frozenset(("POST", "PATCH"))
 ALL_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
@@ -85,7 +83,7 @@
         try:
             incoming = await self._open(request, label, started_at)
             answer = await self._run_watched(request, incoming, steps)
-            response = await self._make_response(incoming, answer, started_at, label)
+            response = self._make_response(incoming, answer, started_at, label)
         except errors.RefusalError as error:
             refusal = error.refusal
             steps.append(context.describe_refusal(refusal))
@@ -206,18 +204,19 @@
             return await self._steering.serve(incoming, steps)
         return await self._runs.serve(incoming, steps, is_forwarded=False)
 
-    async def _make_response(
+    def _make_response(
         self,
         incoming: answers.IncomingRequest,
         answer: answers.Answer,
         started_at: float,
         label: str,
     ) -> starlette.responses.Response:
-        body = self._count_answer(incoming, answer, started_at, label)
-        if incoming.service.kind is contract.ServiceKind.DOWNLOAD:
-            response = AnswerResponse(body, answer)
+        if answer.body is not None:
+            self._count_latency(incoming, started_at)
+            response = starlette.responses.Response(answer.body, answer.head.status)
         else:
-            response = await _collect(body, answer)
+            body = self._count_answer(incoming, answer, started_at, label)
+            response = AnswerResponse(body, answer)
         for name, value in answer.head.headers:
             response.headers.append(name, value)
         response.headers[refusals.OUTCOME_HEADER] = outcome.Outcome.ANSWERED.value
@@ -236,12 +235,7 @@
         try:
             async for chunk in answer.iterate():
                 yield chunk
-            node.metrics.count_answer(
-                incoming.contract.customer,
-                incoming.service.name,
-                incoming.service.kind.value,
-                node.clock() - started_at,
-            )
+            self._count_latency(incoming, started_at)
         except (errors.LinkClosedError, errors.BackendFailedError) as error:
             events.log(events.Event.ANSWER_CUT, request=label, error=error)
             raise
@@ -249,6 +243,14 @@
             node.active_requests -= 1
             await answer.close()
 
+    def _count_latency(self, incoming: answers.IncomingRequest, started_at: float) -> None:
+        self._node.metrics.count_answer(
+            incoming.contract.customer,
+            incoming.service.name,
+            incoming.service.kind.value,
+            self._node.clock() - started_at,
+        )
+
     def _count_refusal(
         self, customer: str, service: str, refusal: outcome.Refusal, label: str
     ) -> None:
@@ -319,33 +321,3 @@
         finally:
             await self._body.aclose()
             await self._answer.close()
-
-
-async def _collect(
-    body: collections.abc.AsyncGenerator[bytes, None], answer: answers.Answer
-) -> starlette.responses.Response:
-    """Returns a response with a length, or a streamed one where the body is large."""
-    parts = []
-    size = 0
-    try:
-        async for chunk in body:
-            parts.append(chunk)
-            size += len(chunk)
-            if size > COLLECTED_BYTES:
-                return AnswerResponse(_chain(parts, body), answer)
-    except (errors.LinkClosedError, errors.BackendFailedError) as error:
-        refusal = outcome.report_unknown(outcome.Reason.BACKEND_FAILED, str(error))
-        raise errors.RefusalError(refusal) from error
-    return starlette.responses.Response(b"".join(parts), answer.head.status)
-
-
-async def _chain(
-    parts: list[bytes], rest: collections.abc.AsyncGenerator[bytes, None]
-) -> collections.abc.AsyncGenerator[bytes, None]:
-    try:
-        for part in parts:
-            yield part
-        async for chunk in rest:
-            yield chunk
-    finally:
-        await rest.aclose()
--- a/src/caperdyke/transport/context.py
+++ b/src/caperdyke/transport/context.py
@@ -40,9 +40,8 @@
             node_settings.caller_address,
             member.MemberState.LIVE,
         )
-        self.members = membership.MemberTable(own)
+        self.become(own)
         self.book = adoption.ConfigurationBook()
-        self.shares = shares.ShareBook(own.holder, own.domain)
         self.memory = keys.KeyMemory()
         self.drains = drains.DrainTable()
         self.retries = retries.RetryBudget()
@@ -64,6 +63,11 @@
         for server in node_settings.backends:
             self.backends.add(server)
 
+    def become(self, own: member.Member) -> None:
+        """Starts with the record of this process, before anything else is known."""
+        self.members = membership.MemberTable(own)
+        self.shares = shares.ShareBook(own.holder, own.domain)
+
     @property
     def own(self) -> member.Member:
         """Record of this instance."""
--- a/src/caperdyke/transport/node.py
+++ b/src/caperdyke/transport/node.py
@@ -163,14 +163,19 @@
         await self._wait_until(lambda: False, min(deadline, node.clock() + timing.LOOKUP_SECONDS))
         node.memory.seal()
         await self._wait_until(lambda: self.runs.count_running() == 0, deadline)
-        successor = await self.handover.send()
-        self._announce(membership.mark_successor(node.own, successor))
-        await self.keeper.release()
+        await self.hand_over()
         await self._wait_until(self._is_idle, deadline)
         self._announce(membership.mark_gone(node.own))
         for link in self.links.list_open():
             await link.drain()
 
+    async def hand_over(self) -> None:
+        """Gives up this instance's keys and slices; no request starts here any more."""
+        self.node.memory.seal()
+        successor = await self.handover.send()
+        self._announce(membership.mark_successor(self.node.own, successor))
+        await self.keeper.release()
+
     def _announce(self, record: member.Member) -> None:
         self.node.members.merge(record)
         self.links.broadcast(messages.MemberNews((record,)))
--- a/src/caperdyke/transport/steering.py
+++ b/src/caperdyke/transport/steering.py
@@ -5,9 +5,12 @@
 from caperdyke import errors
 from caperdyke.coordination import retries, routing
 from caperdyke.protocol import messages
-from caperdyke.state import ids, member, outcome
+from caperdyke.state import contract, ids, member, outcome
 from caperdyke.transport import answers, context, links, local_service
 
+# Body bytes of a cheap answer that are collected, so that a broken answer can be asked for again.
+COLLECTED_BYTES = 128 * 1024
+
 
 class Steering:
     """Tries destinations in order until one answers or the request is given up."""
@@ -113,9 +116,17 @@
         self, request: answers.IncomingRequest, target: member.Member, steps: list[str]
     ) -> answers.Answer:
         if target.instance == self._node.own.instance:
-            return await self._local.serve(request, steps)
-        steps.append(f"forwarded to {target.instance} in {target.domain}")
-        return await self._links.forward(request, target, messages.Role.DESTINATION)
+            answer = await self._local.serve(request, steps)
+        else:
+            steps.append(f"forwarded to {target.instance} in {target.domain}")
+            answer = await self._links.forward(request, target, messages.Role.DESTINATION)
+        if request.service.kind is contract.ServiceKind.DOWNLOAD:
+            return answer
+        try:
+            return await answers.prefetch(answer, COLLECTED_BYTES)
+        except (errors.LinkClosedError, errors.BackendFailedError) as error:
+            refusal = outcome.report_unknown(outcome.Reason.BACKEND_FAILED, str(error))
+            raise errors.RefusalError(refusal) from error
 
 
 def _choose_final(now: float, refusals: list[outcome.Refusal]) -> outcome.Refusal:
--- /dev/null
+++ b/testing/servers.py
@@ -0,0 +1,75 @@
+"""Servers on ephemeral ports of the loopback interface."""
+
+import asyncio
+import contextlib
+import socket
+
+from caperdyke.transport import http_server
+
+
+@contextlib.asynccontextmanager
+async def serve_app(app):
+    """Serves an ASGI application and yields its address."""
+    listening = socket.socket()
+    listening.bind(("127.0.0.1", 0))
+    address = f"127.0.0.1:{listening.getsockname()[1]}"
+    server = http_server.make_server(app, address)
+    serving = asyncio.create_task(server.serve([listening]))
+    while not server.started:
+        await asyncio.sleep(0)
+    try:
+        yield address
+    finally:
+        server.should_exit = True
+        server.force_exit = True
+        await serving
+        listening.close()
+
+
+class RawServer:
+    """Plays bytes: each connection gets scripted answers, and requests are counted.
+
+    :param script: answer of each path; None ends the connection, an event is waited for first.
+    """
+
+    def __init__(self, script: dict[str, list[bytes | asyncio.Event | None]]) -> None:
+        self._script = script
+        self.requests: list[str] = []
+        self.disconnected = asyncio.Event()
+
+    @contextlib.asynccontextmanager
+    async def listen(self):
+        """Listens and yields the address."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        try:
+            yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        finally:
+            server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, EOFError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+                if "content-length: " in head:
+                    length = int(head.split("content-length: ")[1].split("\r\n")[0])
+                    await reader.readexactly(length)
+                path = head.split()[1]
+                self.requests.append(path)
+                for step in self._script[path]:
+                    if step is None:
+                        writer.close()
+                        return
+                    if isinstance(step, asyncio.Event):
+                        gone = asyncio.create_task(reader.read(1))
+                        waiting = asyncio.create_task(step.wait())
+                        done, _ = await asyncio.wait(
+                            {gone, waiting}, return_when=asyncio.FIRST_COMPLETED
+                        )
+                        if gone in done:
+                            self.disconnected.set()
+                            return
+                        gone.cancel()
+                        continue
+                    writer.write(step)
+                    await writer.drain()
+        writer.close()
