--- a/src/caperdyke/coordination/acceptance.py
+++ b/src/caperdyke/coordination/acceptance.py
@@ -101,13 +101,15 @@
     """Returns the limits that are lower than a floor which may still be in use."""
     problems = []
     for standing in configuration.standing_floors:
-        part = _find_part(configuration, standing.customer, standing.domain, standing.slice_index)
+        parts = _find_parts(configuration, standing.customer, standing.domain)
+        index = standing.slice_index
+        part = parts[index] if index < len(parts) else allotment.NOTHING
         if standing.until > now and (
             part.share < standing.floor or part.shift < standing.shift_floor
         ):
             problems.append(
                 f"{standing.customer} in {standing.domain}: limit {part.share} (shift {part.shift})"
-                f" of slice {standing.slice_index} is below the floor {standing.floor}"
+                f" of slice {index} is below the floor {standing.floor}"
                 f" (shift {standing.shift_floor}) that instances cut off may use until"
                 f" {standing.until:.0f}; lower the floor first and the limit after that time"
             )
@@ -227,17 +229,16 @@
     return sum(loan.amount for loan in loans if (loan.region, loan.borrower) == (region, borrower))
 
 
-def _find_part(
+def _find_parts(
     configuration: configurations.Configuration,
     customer: ids.CustomerName,
     domain_name: ids.DomainName,
-    slice_index: int,
-) -> allotment.Allotment:
+) -> tuple[allotment.Allotment, ...]:
     contract = configuration.contracts.get(customer)
     domain = configuration.find_domain(domain_name)
     if contract is None or domain is None:
-        return allotment.NOTHING
-    return allotment.allot_slice(configuration, contract, domain, slice_index)
+        return ()
+    return allotment.allot_domain(configuration, contract, domain)
 
 
 def _list_standing_floors(
@@ -251,13 +252,31 @@
         + timing.FLOOR_EXTRA_SECONDS
         + timing.CLOCK_ERROR_SECONDS
     )
-    for customer in current.contracts:
+    for customer, contract in current.contracts.items():
         for operator_places in current.places.values():
             for domain in operator_places.domains:
-                kept += _compare_domain(current, changed, customer, domain, until)
+                if _is_affected(current, changed, customer, contract, domain):
+                    kept += _compare_domain(current, changed, customer, domain, until)
     return tuple(kept)
 
 
+def _is_affected(
+    current: configurations.Configuration,
+    changed: configurations.Configuration,
+    customer: ids.CustomerName,
+    contract: contracts.Contract,
+    domain: places.FailureDomain,
+) -> bool:
+    """Tells whether a change can alter what the slices of a domain get of a contract."""
+    if contract.find_region(domain.region) is None:
+        return False
+    if changed.contracts.get(customer) is not contract:
+        return True
+    return changed.places is not current.places and (
+        changed.list_region(domain.region) != current.list_region(domain.region)
+    )
+
+
 def _compare_domain(
     current: configurations.Configuration,
     changed: configurations.Configuration,
@@ -266,13 +285,14 @@
     until: ids.Timestamp,
 ) -> list[configurations.StandingFloor]:
     lowered = []
-    for index in range(domain.slices):
-        before = _find_part(current, customer, domain.name, index)
-        after = _find_part(changed, customer, domain.name, index)
-        if after.floor < before.floor or after.shift_floor < before.shift_floor:
+    before = _find_parts(current, customer, domain.name)
+    after = _find_parts(changed, customer, domain.name)
+    for index, old in enumerate(before):
+        new = after[index] if index < len(after) else allotment.NOTHING
+        if new.floor < old.floor or new.shift_floor < old.shift_floor:
             lowered.append(
                 configurations.StandingFloor(
-                    customer, domain.name, index, before.floor, before.shift_floor, until
+                    customer, domain.name, index, old.floor, old.shift_floor, until
                 )
             )
     return lowered
--- a/src/caperdyke/coordination/allotment.py
+++ b/src/caperdyke/coordination/allotment.py
@@ -54,23 +54,44 @@
     slice_index: int,
 ) -> Allotment:
     """Returns the part of a contract's limits that belongs to one slice of a domain."""
+    parts = allot_domain(configuration, contract, domain)
+    return parts[slice_index] if slice_index < len(parts) else NOTHING
+
+
+def allot_domain(
+    configuration: configurations.Configuration,
+    contract: contracts.Contract,
+    domain: places.FailureDomain,
+) -> tuple[Allotment, ...]:
+    """Returns the parts of a contract's limits that belong to each slice of a domain."""
     terms = contract.find_region(domain.region)
-    if terms is None or slice_index >= domain.slices:
-        return NOTHING
+    if terms is None:
+        return (NOTHING,) * domain.slices
     shift_floor = terms.shift * terms.floor // terms.share if terms.share else 0
-    step = _find_region_step(contract, domain.region)
+    region = configuration.list_region(domain.region)
 
-    def cut(total: int, name: str) -> int:
-        seed = f"{contract.customer}/{domain.region}/{name}"
-        return _cut_slice(configuration, domain, slice_index, total, seed)
+    def cut(total: int, name: str) -> list[int]:
+        return _cut_slices(region, domain, total, f"{contract.customer}/{domain.region}/{name}")
 
-    floor = cut(terms.floor, "floor")
-    floor_shifted = min(floor, cut(shift_floor, "shift-floor"))
-    share = floor + cut(terms.share - terms.floor, "rest")
-    shift = floor_shifted + cut(terms.shift - shift_floor, "shift-rest")
-    step_part = cut(step, "step")
-    step_floor = step_part * floor_shifted // shift if shift else 0
-    return Allotment(share, floor, min(share, shift), floor_shifted, step_part, step_floor)
+    columns = zip(
+        cut(terms.floor, "floor"),
+        cut(terms.share - terms.floor, "rest"),
+        cut(shift_floor, "shift-floor"),
+        cut(terms.shift - shift_floor, "shift-rest"),
+        cut(_find_region_step(contract, domain.region), "step"),
+        strict=True,
+    )
+    return tuple(_make_allotment(*row) for row in columns)
+
+
+def _make_allotment(
+    floor: int, rest: int, shift_floor: int, shift_rest: int, step: int
+) -> Allotment:
+    share = floor + rest
+    shift_floor = min(floor, shift_floor)
+    shift = min(share, shift_floor + shift_rest)
+    step_floor = step * shift_floor // shift if shift else 0
+    return Allotment(share, floor, shift, shift_floor, step, step_floor)
 
 
 def _find_region_step(contract: contracts.Contract, region: ids.RegionName) -> int:
@@ -82,15 +103,12 @@
     return 0
 
 
-def _cut_slice(
-    configuration: configurations.Configuration,
+def _cut_slices(
+    region: tuple[places.FailureDomain, ...],
     domain: places.FailureDomain,
-    slice_index: int,
     total: int,
     seed: str,
-) -> int:
-    domains = configuration.list_region(domain.region)
-    parts = apportion(total, [item.capacity for item in domains], seed)
-    position = [item.name for item in domains].index(domain.name)
-    slices = apportion(parts[position], [1] * domain.slices, f"{seed}/{domain.name}")
-    return slices[slice_index]
+) -> list[int]:
+    parts = apportion(total, [item.capacity for item in region], seed)
+    position = [item.name for item in region].index(domain.name)
+    return apportion(parts[position], [1] * domain.slices, f"{seed}/{domain.name}")
--- a/src/caperdyke/coordination/leases.py
+++ b/src/caperdyke/coordination/leases.py
@@ -29,8 +29,19 @@
 
     :param is_current: whether the holder has confirmed the configuration recently enough.
     """
+    return select_holdings(now, row, row.list_slices(holder), holder, is_current)
+
+
+def select_holdings(
+    now: float,
+    row: lease.DomainLease,
+    parts: list[tuple[int, lease.Slice]],
+    holder: lease.Holder,
+    is_current: bool,
+) -> list[Holding]:
+    """Returns what a holder may spend now of slices that it has a part of."""
     holdings = []
-    for index, part in enumerate(row.slices):
+    for index, part in parts:
         has_floor = _may_spend_floor(now, row, part, holder)
         has_rest = is_current and _may_spend_rest(now, row, part, holder)
         if has_floor or has_rest:
@@ -64,16 +75,15 @@
     :param slice_count: slices that the configuration gives the domain.
     """
     counts = count_slices(row)
-    gained: set[lease.Holder] = set()
+    living = set(live)
+    waiting = sorted(living, key=lambda holder: (counts[holder], holder.instance), reverse=True)
     renewed = []
     for part in _resize(row, slice_count):
-        candidates = [holder for holder in live if holder not in gained]
-        chosen = _pick_holder(candidates, counts)
-        changed = _reassign_rest(now, row, part, live, chosen)
-        changed = _reassign_floor(now, row, changed, live, chosen)
-        if changed.epoch != part.epoch and chosen is not None:
-            gained.add(chosen)
-            counts[chosen] += 1
+        chosen = waiting[-1] if waiting else None
+        changed = _reassign_rest(now, row, part, living, chosen)
+        changed = _reassign_floor(now, row, changed, living, chosen)
+        if changed.epoch != part.epoch:
+            waiting.pop()
         renewed.append(changed)
     rest_until = max(row.rest_until, now + timing.REST_LEASE_SECONDS)
     return dataclasses.replace(row, rest_until=ids.Timestamp(rest_until), slices=tuple(renewed))
@@ -113,12 +123,8 @@
     counts = count_slices(row)
     if not others or counts[holder] <= min(counts[other] for other in others) + 1:
         return None
-    held = [
-        index
-        for index, part in enumerate(row.slices)
-        if holder in (part.rest_holder, part.floor_holder)
-    ]
-    return held[-1] if held else None
+    held = row.list_slices(holder)
+    return held[-1][0] if held else None
 
 
 def count_slices(row: lease.DomainLease) -> collections.Counter[lease.Holder]:
@@ -160,7 +166,7 @@
     now: float,
     row: lease.DomainLease,
     part: lease.Slice,
-    live: list[lease.Holder],
+    live: set[lease.Holder],
     chosen: lease.Holder | None,
 ) -> lease.Slice:
     if part.rest_holder in live or chosen is None:
@@ -180,10 +186,12 @@
     now: float,
     row: lease.DomainLease,
     part: lease.Slice,
-    live: list[lease.Holder],
+    live: set[lease.Holder],
     chosen: lease.Holder | None,
 ) -> lease.Slice:
     if part.floor_holder in live:
+        if part.floor_until == 0:
+            return part
         return dataclasses.replace(part, floor_until=ids.Timestamp(0))
     free_from = part.floor_from
     if part.floor_holder is not None:
@@ -200,11 +208,3 @@
         floor_until=ids.Timestamp(0),
         epoch=part.epoch + 1,
     )
-
-
-def _pick_holder(
-    candidates: list[lease.Holder], counts: collections.Counter[lease.Holder]
-) -> lease.Holder | None:
-    if not candidates:
-        return None
-    return min(candidates, key=lambda holder: (counts[holder], holder.instance))
--- a/src/caperdyke/coordination/lookup.py
+++ b/src/caperdyke/coordination/lookup.py
@@ -42,9 +42,8 @@
     for domain in _order_domains(configuration, contract, home):
         if domain in draining:
             continue
-        usable = members.list_usable(now, domain)
-        for position in range(min(ENTRIES_PER_DOMAIN, len(usable))):
-            entries.append(usable[(turn + position) % len(usable)].caller_address)
+        for record in members.pick_usable(now, domain, turn, ENTRIES_PER_DOMAIN):
+            entries.append(record.caller_address)
         if len(entries) >= ENTRIES_MAX:
             break
     valid_until = ids.Timestamp(now + timing.LOOKUP_SECONDS)
--- a/src/caperdyke/coordination/membership.py
+++ b/src/caperdyke/coordination/membership.py
@@ -1,5 +1,6 @@
 """Merges what is known of other instances and decides which of them can be used."""
 
+import bisect
 import dataclasses
 
 from caperdyke.state import ids, lease, member, timing
@@ -14,6 +15,10 @@
     def __init__(self, own: member.Member) -> None:
         self.own = own
         self._members: dict[ids.InstanceId, member.Member] = {own.instance: own}
+        # Names of each failure domain's instances, sorted.
+        self._names: dict[ids.DomainName, list[ids.InstanceId]] = {own.domain: [own.instance]}
+        # Grows with every change of a record.
+        self.version = 0
         # Time after which a silent peer counts as lost, per instance with a link.
         self._trusted_until: dict[ids.InstanceId, float] = {}
         self._failed_until: dict[ids.InstanceId, float] = {}
@@ -27,10 +32,13 @@
         known = self._members.get(record.instance)
         if known is not None and record.rank <= known.rank:
             return False
+        if known is None or known.domain != record.domain:
+            self._index(record, known)
         if known is None or record.incarnation != known.incarnation:
             self._reported_until.pop(record.instance, None)
             self._failed_until.pop(record.instance, None)
         self._members[record.instance] = record
+        self.version += 1
         if record.instance == self.own.instance:
             self.own = record
         return True
@@ -110,11 +118,22 @@
 
     def list_usable(self, now: float, domain: ids.DomainName) -> list[member.Member]:
         """Returns the usable instances of a failure domain, ordered by instance."""
-        return [
-            record
-            for record in self.list_all()
-            if record.domain == domain and self.is_usable(now, record)
-        ]
+        records = [self._members[name] for name in self._names.get(domain, [])]
+        return [record for record in records if self.is_usable(now, record)]
+
+    def pick_usable(
+        self, now: float, domain: ids.DomainName, turn: int, count: int
+    ) -> list[member.Member]:
+        """Returns up to a number of usable instances of a domain, starting at a turn."""
+        names = self._names.get(domain, [])
+        picked: list[member.Member] = []
+        for position in range(len(names)):
+            record = self._members[names[(turn + position) % len(names)]]
+            if self.is_usable(now, record):
+                picked.append(record)
+                if len(picked) == count:
+                    break
+        return picked
 
     def forget_gone(self, keep: int) -> int:
         """Drops the oldest records of processes that are gone, beyond a number to keep."""
@@ -122,9 +141,15 @@
         gone.sort(key=lambda item: item.incarnation)
         for record in gone[: max(0, len(gone) - keep)]:
             del self._members[record.instance]
+            self._names[record.domain].remove(record.instance)
             self._trusted_until.pop(record.instance, None)
         return max(0, len(gone) - keep)
 
+    def _index(self, record: member.Member, known: member.Member | None) -> None:
+        if known is not None:
+            self._names[known.domain].remove(known.instance)
+        bisect.insort(self._names.setdefault(record.domain, []), record.instance)
+
 
 def mark_leaving(record: member.Member) -> member.Member:
     """Returns the record of an instance that starts a planned stop."""
--- a/src/caperdyke/coordination/overlay.py
+++ b/src/caperdyke/coordination/overlay.py
@@ -8,6 +8,10 @@
 RING_DISTANCES = (1, 4, 16, 64)
 # Links kept between each ordered pair of failure domains.
 CROSS_LINKS = 2
+# Instances of a failure domain that read the platform while all is well.
+POLLERS = 2
+# Reads a second that all other instances of a domain together make while they hear nothing.
+SILENT_READS_PER_SECOND = 20
 
 
 def choose_links(own: member.Member, members: list[member.Member]) -> list[ids.InstanceId]:
@@ -51,6 +55,23 @@
     return [receivers[senders.index(own.instance) % len(receivers)]]
 
 
+def find_poll_interval(
+    own: ids.InstanceId, domain: ids.DomainName, instances: list[ids.InstanceId], interval: float
+) -> float:
+    """Returns how often an instance reads the platform, in seconds.
+
+    A few instances read at the full rate and tell the others. The others share a rate that does
+    not grow with their number, so that a platform that comes back is not overrun.
+
+    :param instances: usable instances of the domain, this one included.
+    :param interval: interval at the full rate, in seconds.
+    """
+    ranked = rank_instances(f"poll/{domain}", instances)
+    if own in ranked[:POLLERS]:
+        return interval
+    return max(interval, len(instances) / SILENT_READS_PER_SECOND)
+
+
 def rank_instances(subject: str, instances: list[ids.InstanceId]) -> list[ids.InstanceId]:
     """Orders instances by rendezvous hash, so that one that goes moves only its own subjects."""
     return sorted(
--- a/src/caperdyke/coordination/shares.py
+++ b/src/caperdyke/coordination/shares.py
@@ -36,6 +36,10 @@
         self._usages: dict[ids.CustomerName, _Usage] = {}
         self.row = lease.make_empty(domain, 0)
         self._given_up: set[int] = set()
+        self._own_slices: list[tuple[int, lease.Slice]] = []
+        # Limits by customer and what is held, for the configurations that bind.
+        self._limits: dict[tuple, Limits] = {}
+        self._limits_revisions: tuple[ids.Revision, ...] = ()
 
     def give_up(self, slice_index: int) -> None:
         """Stops spending a slice at once, until a newer row tells who holds it."""
@@ -46,6 +50,7 @@
         if row.domain != self._domain or row.version <= self.row.version:
             return False
         self.row = row
+        self._own_slices = row.list_slices(self._holder)
         self._given_up.clear()
         return True
 
@@ -62,25 +67,26 @@
 
     def list_holdings(self, now: float, book: adoption.ConfigurationBook) -> list[leases.Holding]:
         """Returns the parts of slices that may be spent now."""
-        holdings = leases.list_holdings(now, self.row, self._holder, book.is_current(now))
+        holdings = leases.select_holdings(
+            now, self.row, self._own_slices, self._holder, book.is_current(now)
+        )
         return [item for item in holdings if item.slice_index not in self._given_up]
 
     def find_limits(
         self, now: float, book: adoption.ConfigurationBook, customer: ids.CustomerName
     ) -> Limits:
         """Returns the strictest limits of all configurations that bind now."""
-        holdings = self.list_holdings(now, book)
-        limits = [
-            _sum_holdings(configuration, customer, self._domain, holdings)
-            for configuration in book.list_binding(now)
-        ]
-        if not limits:
-            return Limits(0, 0, 0)
-        return Limits(
-            min(item.share for item in limits),
-            min(item.shift for item in limits),
-            min(item.step for item in limits),
-        )
+        binding = book.list_binding(now)
+        revisions = tuple(item.revision for item in binding)
+        if revisions != self._limits_revisions:
+            self._limits_revisions = revisions
+            self._limits.clear()
+        holdings = tuple(self.list_holdings(now, book))
+        known = self._limits.get((customer, holdings))
+        if known is None:
+            known = _find_strictest(binding, customer, self._domain, holdings)
+            self._limits[customer, holdings] = known
+        return known
 
     def spend(
         self,
@@ -135,22 +141,40 @@
     return None
 
 
+def _find_strictest(
+    binding: list[configurations.Configuration],
+    customer: ids.CustomerName,
+    domain: ids.DomainName,
+    holdings: tuple[leases.Holding, ...],
+) -> Limits:
+    limits = [_sum_holdings(item, customer, domain, holdings) for item in binding]
+    if not limits:
+        return Limits(0, 0, 0)
+    return Limits(
+        min(item.share for item in limits),
+        min(item.shift for item in limits),
+        min(item.step for item in limits),
+    )
+
+
 def _sum_holdings(
     configuration: configurations.Configuration,
     customer: ids.CustomerName,
     domain_name: ids.DomainName,
-    holdings: list[leases.Holding],
+    holdings: tuple[leases.Holding, ...],
 ) -> Limits:
     contract = configuration.contracts.get(customer)
     domain = configuration.find_domain(domain_name)
     if contract is None or domain is None:
         return Limits(0, 0, 0)
+    parts = allotment.allot_domain(configuration, contract, domain)
     share = shift = step = 0
     for holding in holdings:
-        part = allotment.allot_slice(configuration, contract, domain, holding.slice_index)
-        share += _add_parts(part.share, part.floor, holding)
-        shift += _add_parts(part.shift, part.shift_floor, holding)
-        step += _add_parts(part.step, part.step_floor, holding)
+        if holding.slice_index < len(parts):
+            part = parts[holding.slice_index]
+            share += _add_parts(part.share, part.floor, holding)
+            shift += _add_parts(part.shift, part.shift_floor, holding)
+            step += _add_parts(part.step, part.step_floor, holding)
     return Limits(share, shift, step)
 
 
--- a/src/caperdyke/state/lease.py
+++ b/src/caperdyke/state/lease.py
@@ -50,6 +50,14 @@
     rest_until: ids.Timestamp
     slices: tuple[Slice, ...]
 
+    def list_slices(self, holder: Holder) -> list[tuple[int, Slice]]:
+        """Returns number and state of the slices of which a holder has a part."""
+        return [
+            (index, part)
+            for index, part in enumerate(self.slices)
+            if holder in (part.rest_holder, part.floor_holder)
+        ]
+
     def find_floor_deadline(self, part: Slice) -> float:
         """Returns the deadline of a slice's floor, seconds since 1970."""
         return part.floor_until or self.rest_until + timing.FLOOR_EXTRA_SECONDS
--- a/src/caperdyke/transport/caller_app.py
+++ b/src/caperdyke/transport/caller_app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import urllib.parse
 
 import starlette.requests
 import starlette.responses
@@ -13,6 +14,9 @@
 from caperdyke.state import blockmap, contract, ids, outcome, timing
 from caperdyke.transport import answers, claims, context, events, key_runs, steering
 
+# How long look-ups share an answer, and how many answers take turns for one home.
+ANSWERS_SECONDS = 0.1
+ANSWER_TURNS = 16
 # Methods that the client library never sends twice by itself.
 ONCE_METHODS = frozenset(("POST", "PATCH"))
 ALL_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
@@ -33,43 +37,74 @@
         self._runs = runs
         self._claims = claim_book
         self._turn = 0
+        self._answers: dict[tuple, lookup.LookupAnswer] = {}
+        self._answers_until = 0.0
 
     def list_routes(self) -> list[starlette.routing.Route]:
-        """Returns the routes for callers."""
+        """Returns the routes for callers, but for the look-up."""
         path = "/serve/{customer}/{service}{rest:path}"
         return [
-            starlette.routing.Route("/lookup", self.look_up),
             starlette.routing.Route(path, self.serve, methods=ALL_METHODS),
         ]
 
-    async def look_up(self, request: starlette.requests.Request) -> starlette.responses.Response:
-        """Answers which entry instances a caller is to use."""
+    async def look_up(self, scope, receive, send) -> None:
+        """Answers which entry instances a caller is to use.
+
+        Look-ups are by far the most frequent calls, so this is a bare ASGI application.
+        """
+        parameters = dict(urllib.parse.parse_qsl(scope["query_string"].decode("latin-1")))
+        answered = self._answer_lookup(parameters, scope.get("client"))
+        if isinstance(answered, outcome.Refusal):
+            await self._refuse(answered, "")(scope, receive, send)
+            return
+        await send(
+            {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": [
+                    (b"content-type", b"application/json"),
+                    (b"content-length", str(len(answered)).encode()),
+                ],
+            }
+        )
+        await send({"type": "http.response.body", "body": answered})
+
+    def _answer_lookup(
+        self, parameters: dict[str, str], client: tuple[str, int] | None
+    ) -> bytes | outcome.Refusal:
         node = self._node
         now = node.clock()
-        parameters = request.query_params
-        contract_found = node.book.newest.contracts.get(parameters.get("customer", ""))
         if not node.is_ready:
-            return self._refuse(outcome.refuse(outcome.Reason.NOT_READY, now + 1.0), "")
-        if contract_found is None:
-            return self._refuse(outcome.refuse(outcome.Reason.UNKNOWN_CUSTOMER), "")
-        address = parameters.get("client") or (request.client.host if request.client else "")
-        home = self._find_home(contract_found, address)
-        self._turn += 1
-        answer = lookup.choose_entries(
-            now,
-            node.book.newest,
-            contract_found,
-            home,
-            node.members,
-            node.drains.list_active(),
-            self._turn,
-        )
+            return outcome.refuse(outcome.Reason.NOT_READY, now + 1.0)
+        found = node.book.newest.contracts.get(parameters.get("customer", ""))
+        if found is None:
+            return outcome.refuse(outcome.Reason.UNKNOWN_CUSTOMER)
+        home = self._find_home(found, parameters.get("client") or (client[0] if client else ""))
+        answer = self._find_entries(now, found, home)
         if not answer.entries:
-            return self._refuse(outcome.refuse(outcome.Reason.NO_BACKEND, now + 1.0), "")
+            return outcome.refuse(outcome.Reason.NO_BACKEND, now + 1.0)
+        node.metrics.count_lookup(found.customer)
         key = node.make_key(home, now + timing.KEY_SECONDS)
-        node.metrics.count_lookup(contract_found.customer)
-        body = refusals.encode_lookup(answer, keytext.format_key(key))
-        return starlette.responses.Response(body, media_type="application/json")
+        return refusals.encode_lookup(answer, keytext.format_key(key))
+
+    def _find_entries(
+        self, now: float, found: contract.Contract, home: ids.DomainName
+    ) -> lookup.LookupAnswer:
+        """Returns the entries for callers of a home; few answers in turn serve many look-ups."""
+        node = self._node
+        self._turn += 1
+        if now >= self._answers_until:
+            self._answers.clear()
+            self._answers_until = now + ANSWERS_SECONDS
+        slot = (found.customer, home, self._turn % ANSWER_TURNS)
+        answer = self._answers.get(slot)
+        if answer is None:
+            draining = node.drains.list_active()
+            answer = lookup.choose_entries(
+                now, node.book.newest, found, home, node.members, draining, self._turn
+            )
+            self._answers[slot] = answer
+        return answer
 
     async def serve(self, request: starlette.requests.Request) -> starlette.responses.Response:
         """Serves one request and returns its whole answer or a refusal."""
--- a/src/caperdyke/transport/config_sync.py
+++ b/src/caperdyke/transport/config_sync.py
@@ -1,16 +1,14 @@
 """Keeps this instance on the newest accepted configuration."""
 
 import asyncio
+import random
 
 from caperdyke import errors
-from caperdyke.coordination import overlay
 from caperdyke.protocol import frames, messages, records
 from caperdyke.state import blockmap, ids, timing
 from caperdyke.state import configuration as configurations
 from caperdyke.transport import context, events, links, peerlink
 
-# Instances of a failure domain that read the platform while all is well.
-POLLERS = 2
 # Silence after which any instance reads the platform itself.
 SILENCE_SECONDS = 1.2
 # Accepted changes that are kept for peers that lag behind.
@@ -27,11 +25,15 @@
         self._links = link_set
         self._changes: list[records.Change] = []
         self._was_current = False
+        # A random start keeps instances that start together from reading together.
+        self._polled_at = node.clock() - random.uniform(0.0, SILENCE_SECONDS)
 
     async def poll(self) -> None:
         """Reads the head of the configuration again and again."""
         while True:
-            if self._is_poller() or self._is_silent():
+            interval = self._node.find_poll_interval(timing.POLL_SECONDS)
+            is_due = self._node.clock() >= self._polled_at + interval
+            if interval == timing.POLL_SECONDS or (is_due and self._is_silent()):
                 await self._poll_once()
             self._report_currency()
             await asyncio.sleep(timing.POLL_SECONDS)
@@ -70,19 +72,13 @@
             return
         self._node.book.confirm(self._node.book.revision, reply.confirmed_at)
 
-    def _is_poller(self) -> bool:
-        node = self._node
-        usable = node.members.list_usable(node.clock(), node.own.domain)
-        names = [record.instance for record in usable]
-        ranked = overlay.rank_instances(f"poll/{node.own.domain}", names)
-        return node.own.instance in ranked[:POLLERS]
-
     def _is_silent(self) -> bool:
         return self._node.clock() - self._node.book.confirmed_at > SILENCE_SECONDS
 
     async def _poll_once(self) -> None:
         node = self._node
         asked_at = node.clock()
+        self._polled_at = asked_at
         try:
             rows = await node.platform.read([records.HEAD_KEY])
             head = _open_head(rows[records.HEAD_KEY].value)
--- a/src/caperdyke/transport/context.py
+++ b/src/caperdyke/transport/context.py
@@ -6,7 +6,15 @@
 import random
 import time
 
-from caperdyke.coordination import adoption, backends, drains, membership, retries, shares
+from caperdyke.coordination import (
+    adoption,
+    backends,
+    drains,
+    membership,
+    overlay,
+    retries,
+    shares,
+)
 from caperdyke.state import backend, blockmap, ids, keys, member, outcome, settings
 from caperdyke.transport import backend_client, metrics, platform_client, slot_queue
 
@@ -73,6 +81,12 @@
         """Record of this instance."""
         return self.members.own
 
+    def find_poll_interval(self, interval: float) -> float:
+        """Returns how often this instance reads the platform, in seconds."""
+        usable = self.members.list_usable(self.clock(), self.own.domain)
+        names = [record.instance for record in usable]
+        return overlay.find_poll_interval(self.own.instance, self.own.domain, names, interval)
+
     def find_queue(self, service: ids.ServiceName) -> slot_queue.SlotQueue:
         """Returns the queue of a service."""
         queue = self._queues.get(service)
--- a/src/caperdyke/transport/links.py
+++ b/src/caperdyke/transport/links.py
@@ -33,6 +33,8 @@
         self._dialling: dict[ids.Address, asyncio.Task[peerlink.PeerLink | None]] = {}
         self._redial_at: dict[ids.Address, float] = {}
         self._readers: set[asyncio.Task] = set()
+        self._chosen: set[ids.InstanceId] = set()
+        self._chosen_version = -1
 
     async def listen(self, host: str, port: int) -> asyncio.Server:
         """Accepts links from peers."""
@@ -207,11 +209,13 @@
             for record in node.members.list_all()
             if record.state is not member.MemberState.GONE
         ]
-        chosen = set(overlay.choose_links(node.own, records))
+        if node.members.version != self._chosen_version:
+            self._chosen = set(overlay.choose_links(node.own, records))
+            self._chosen_version = node.members.version
         wanted: dict[ids.Address, ids.InstanceId | None] = {
             record.peer_address: record.instance
             for record in records
-            if record.instance in chosen and self.find(record.instance) is None
+            if record.instance in self._chosen and self.find(record.instance) is None
         }
         known = {record.peer_address for record in records}
         for seed in node.settings.seeds:
--- a/src/caperdyke/transport/metrics.py
+++ b/src/caperdyke/transport/metrics.py
@@ -1,5 +1,8 @@
 """OpenTelemetry metrics, readable by Prometheus."""
 
+import collections
+
+import opentelemetry.metrics as otel_metrics_api
 import prometheus_client
 from opentelemetry.exporter import prometheus as otel_prometheus
 from opentelemetry.sdk import metrics as otel_metrics
@@ -21,7 +24,8 @@
         meter = provider.get_meter("caperdyke")
         self._latency = meter.create_histogram("request_latency", unit="ms")
         self._refusals = meter.create_counter("request_refusals")
-        self._lookups = meter.create_counter("lookups")
+        self._lookups_seen: collections.Counter[str] = collections.Counter()
+        meter.create_observable_counter("lookups", callbacks=[self._observe_lookups])
         self._retries = meter.create_counter("retries")
 
     def count_answer(self, customer: str, service: str, kind: str, latency: float) -> None:
@@ -36,7 +40,13 @@
 
     def count_lookup(self, customer: str) -> None:
         """Counts an answered look-up."""
-        self._lookups.add(1, {"customer": customer})
+        self._lookups_seen[customer] += 1
+
+    def _observe_lookups(self, _options):
+        return [
+            otel_metrics_api.Observation(count, {"customer": customer})
+            for customer, count in self._lookups_seen.items()
+        ]
 
     def count_retry(self, customer: str, service: str) -> None:
         """Counts a further try of a request."""
--- a/src/caperdyke/transport/node.py
+++ b/src/caperdyke/transport/node.py
@@ -49,16 +49,24 @@
         self.handover = handover.Handover(self.node, self.links)
         self._tasks: list[asyncio.Task] = []
 
-    def make_app(self) -> starlette.applications.Starlette:
+    def make_app(self):
         """Returns the HTTP application."""
         callers = caller_app.CallerApp(
             self.node, self.steering, self.runs, claims.ClaimBook(self.node)
         )
         operators = operator_app.OperatorApp(self.node, self.watch)
-        return starlette.applications.Starlette(
+        others = starlette.applications.Starlette(
             routes=callers.list_routes() + operators.list_routes()
         )
 
+        async def app(scope, receive, send) -> None:
+            if scope["type"] == "http" and scope["path"] == "/lookup":
+                await callers.look_up(scope, receive, send)
+            else:
+                await others(scope, receive, send)
+
+        return app
+
     async def run(self, stop: asyncio.Event) -> None:
         """Runs until a planned stop is asked for and done."""
         node_settings = self.node.settings
--- a/src/caperdyke/transport/platform_watch.py
+++ b/src/caperdyke/transport/platform_watch.py
@@ -32,7 +32,7 @@
                 # The configuration's poll reports that the platform is away.
                 pass
             self._node.memory.forget_expired(self._node.clock())
-            await asyncio.sleep(WATCH_SECONDS)
+            await asyncio.sleep(self._node.find_poll_interval(WATCH_SECONDS))
 
     def announce(self, subject: str, active: bool) -> backend.DrainMark:
         """Records an operator's announcement, tells the peers and stores it when possible."""
--- a/src/caperdyke/transport/steering.py
+++ b/src/caperdyke/transport/steering.py
@@ -10,6 +10,8 @@
 
 # Body bytes of a cheap answer that are collected, so that a broken answer can be asked for again.
 COLLECTED_BYTES = 128 * 1024
+# How long a view of the failure domains' loads is used.
+LOADS_SECONDS = 0.1
 
 
 class Steering:
@@ -25,6 +27,8 @@
         self._links = link_set
         self._local = local
         self._turn = 0
+        self._loads: dict[ids.DomainName, routing.DomainLoad] = {}
+        self._loads_until = 0.0
 
     async def serve(self, request: answers.IncomingRequest, steps: list[str]) -> answers.Answer:
         """Returns the answer to a request.
@@ -45,10 +49,19 @@
                 steps.append(f"{target.instance}: {context.describe_refusal(error.refusal)}")
         raise errors.RefusalError(_choose_final(node.clock(), refusals))
 
-    def measure_loads(self) -> dict[ids.DomainName, routing.DomainLoad]:
-        """Returns the latest known load of every failure domain."""
+    def find_loads(self) -> dict[ids.DomainName, routing.DomainLoad]:
+        """Returns the latest known load of every failure domain.
+
+        Loads arrive with heartbeats, so they are worked out once in a while and not per request.
+        """
+        now = self._node.clock()
+        if now >= self._loads_until:
+            self._loads = self._measure_loads(now)
+            self._loads_until = now + LOADS_SECONDS
+        return self._loads
+
+    def _measure_loads(self, now: float) -> dict[ids.DomainName, routing.DomainLoad]:
         node = self._node
-        now = node.clock()
         loads = {}
         for operator_places in node.book.newest.places.values():
             for domain in operator_places.domains:
@@ -75,7 +88,7 @@
             request.service.name,
             home.region if home else ids.RegionName(""),
             node.own.domain,
-            self.measure_loads(),
+            self.find_loads(),
             node.drains.list_active(),
         )
         self._turn += 1
@@ -87,14 +100,16 @@
 
     def _pick_instance(self, domain: ids.DomainName, round_number: int) -> member.Member | None:
         node = self._node
-        usable = node.members.list_usable(node.clock(), domain)
-        if round_number >= len(usable):
-            return None
-        if domain == node.own.domain:
+        now = node.clock()
+        if domain != node.own.domain:
+            usable = node.members.pick_usable(now, domain, self._turn, 2)
+        elif round_number == 0:
             # This instance first, so that a request in its own domain takes no further step.
-            usable.sort(key=lambda record: record.instance != node.own.instance)
-            return usable[round_number]
-        return usable[(self._turn + round_number) % len(usable)]
+            usable = [node.own]
+        else:
+            usable = node.members.pick_usable(now, domain, self._turn, 2)
+            usable = [node.own, *(item for item in usable if item.instance != node.own.instance)]
+        return usable[round_number] if round_number < len(usable) else None
 
     def _may_retry(
         self, request: answers.IncomingRequest, refusal: outcome.Refusal, attempt: int
