--- /dev/null
+++ b/testing/test_links.py
@@ -0,0 +1,143 @@
+"""Links: a bad frame ends one link, answers find their requests, hand-over survives two stops."""
+
+import asyncio
+import dataclasses
+
+import parameterized
+import testtools
+
+from caperdyke.protocol import frames, messages
+from caperdyke.state import backend, member
+from testing import builders, test_sessions
+
+BAD_STREAMS = [
+    ("garbage", b"GET / HTTP/1.1\r\n\r\n"),
+    ("zero_length", b"\x00\x00\x00\x00"),
+    ("huge_length", b"\xff\xff\xff\xff"),
+    ("not_hello", frames.encode_frame(messages.Cancel(1))),
+    ("other_version", frames.encode_frame(messages.Hello(2, builders.make_member("x")))),
+    ("empty", b""),
+]
+BAD_AFTER_HELLO = [
+    ("garbage", b"\x00\x00\x00\x02\xc1\xc1"),
+    ("unknown_type", b"\x00\x00\x00\x02\x91\x63"),
+    ("cut_frame", b"\x00\x00\x00\x09\x91"),
+]
+
+
+async def connect(entry):
+    """Opens a raw connection to an instance."""
+    host, _, port = entry.node.own.peer_address.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def read_to_end(reader: asyncio.StreamReader) -> None:
+    """Reads until the other side closes."""
+    while await reader.read(65536):
+        pass
+
+
+class LinksTest(testtools.TestCase):
+    """Three instances of Tala's with real links between them."""
+
+    def run_session(self, script):
+        async def run():
+            running = test_sessions.make_tala()
+            await running.start()
+            try:
+                return await script(running)
+            finally:
+                await running.close()
+
+        return asyncio.run(run())
+
+    @parameterized.parameterized.expand(BAD_STREAMS)
+    def test_bad_greeting_ends_only_its_link(self, _name, data) -> None:
+        async def script(running):
+            entry = running.nodes["pasig-1"]
+            before = len(entry.links.list_open())
+            reader, writer = await connect(entry)
+            writer.write(data)
+            writer.write_eof()
+            await read_to_end(reader)
+            return before, len(entry.links.list_open())
+
+        self.assertEqual((2, 2), self.run_session(script))
+
+    @parameterized.parameterized.expand(BAD_AFTER_HELLO)
+    def test_bad_frame_ends_only_its_link(self, _name, data) -> None:
+        async def script(running):
+            entry = running.nodes["pasig-1"]
+            reader, writer = await connect(entry)
+            hello = messages.Hello(messages.PROTOCOL_VERSION, builders.make_member("stranger"))
+            writer.write(frames.encode_frame(hello) + data)
+            writer.write_eof()
+            await read_to_end(reader)
+            await running.request("pasig-1", "gallery-reader", "after", method="GET")
+            return len(entry.links.list_open()), running.lines[-1]
+
+        count, line = self.run_session(script)
+        self.assertEqual(2, count)
+        self.assertIn("200 answered answer to after", line)
+
+    def test_answers_out_of_order_find_their_requests(self) -> None:
+        async def script(running):
+            running.backends.faults["gallery-reader"] = ["hold"]
+            running.nodes["pasig-1"].node.drains.merge(backend.DrainMark("pasig-hall", 1, True))
+            first = asyncio.create_task(
+                running.request("pasig-1", "gallery-reader", "first", method="POST")
+            )
+            await running.settle()
+            second = asyncio.create_task(
+                running.request("pasig-1", "gallery-reader", "second", method="POST")
+            )
+            await second
+            running.backends.release.set()
+            await first
+            return running.lines
+
+        self.assertEqual(
+            [
+                "gallery-reader second at pasig-1: 200 answered answer to second",
+                "gallery-reader first at pasig-1: 200 answered answer to first",
+            ],
+            self.run_session(script),
+        )
+
+    def test_two_stops_at_once_keep_the_keys(self) -> None:
+        async def script(running):
+            used = await running.look_up("pasig-1", "tala-gallery", "10.1.0.7")
+            unused = await running.look_up("pasig-1", "tala-gallery", "10.1.0.7")
+            await running.request("pasig-1", "checkout", "paid", used)
+            leaving = [running.nodes["pasig-1"], running.nodes["pasig-2"]]
+            for entry in leaving:
+                entry._announce(
+                    dataclasses.replace(entry.node.own, state=member.MemberState.LEAVING)
+                )
+            await running.settle()
+            await asyncio.gather(*(running.stop(name) for name in ("pasig-1", "pasig-2")))
+            running.lines.clear()
+            await running.request("cebu-1", "checkout", "paid", used)
+            await running.request("cebu-1", "checkout", "late", unused)
+            running.count_runs()
+            return running.lines
+
+        lines = self.run_session(script)
+        self.assertIn("200 answered answer to paid", lines[0])
+        # No backend server of the service may be used outside of the domain that stopped.
+        self.assertIn("not-run", lines[1])
+        self.assertEqual("runs paid=1", lines[2])
+
+    def test_kill_before_the_hand_over_leaves_the_outcome_unknown(self) -> None:
+        async def script(running):
+            used = await running.look_up("pasig-1", "tala-gallery", "10.1.0.7")
+            await running.request("pasig-1", "checkout", "paid", used)
+            running.nodes["pasig-1"].node.memory.seal()
+            await running.kill("pasig-1")
+            await running.request("pasig-2", "checkout", "paid", used)
+            running.count_runs()
+            return running.lines[-2:]
+
+        lines = self.run_session(script)
+        self.assertIn("502 unknown key-owner-gone", lines[0])
+        self.assertEqual("runs paid=1", lines[1])
