Send requests to a sibling with room, and callers' calls round the router

Cause: an entry served its own callers from its own part of the slots only; when one caller list named it, 225 requests a second (60 % of the slots) queued at p50 895 ms beside an idle sibling. Now an instance without a free slot prefers a sibling that is clearly less loaded; heartbeats count queued requests. The load program simulated one caller, so that all its requests went to one entry for 5 s; it simulates 40 now. Ruled out: the decisions (limits 7 us, choice of backend server 2 %).

--- a/src/caperdyke/coordination/backends.py
+++ b/src/caperdyke/coordination/backends.py
@@ -150,6 +150,12 @@
             for record in self.list_service(service)
         )
 
+    def count_slots(self, service: ids.ServiceName) -> int:
+        """Returns the slots of a service that this instance may fill."""
+        return sum(
+            record.figures.owned_slots for record in self.list_service(service) if record.is_open()
+        )
+
     def start(self, record: BackendRecord) -> None:
         """Counts a request that is about to be sent."""
         record.figures.in_flight += 1
@@ -203,13 +209,16 @@
         latency = sum(record.figures.latency for record in records) / len(records)
         return (queued + 1) * latency / slots
 
-    def measure_busy(self) -> float:
-        """Returns the part of this instance's slots that is in use, from 0 to 1."""
+    def measure_busy(self, queued: int) -> float:
+        """Returns requests in flight and queued per slot of this instance.
+
+        :param queued: requests of all services that wait for a slot.
+        """
         slots = sum(item.figures.owned_slots for item in self._records.values() if item.is_open())
         if slots == 0:
             return 1.0
         in_flight = sum(item.figures.in_flight for item in self._records.values())
-        return min(1.0, in_flight / slots)
+        return (in_flight + queued) / slots
 
     def _restore_ejected(self, now: float, record: BackendRecord) -> None:
         if record.state is backend.BackendState.EJECTED and now >= record.figures.ejected_until:
--- a/src/caperdyke/coordination/routing.py
+++ b/src/caperdyke/coordination/routing.py
@@ -11,7 +11,7 @@
 class DomainLoad:
     """Latest known load of a failure domain.
 
-    :param busy: part of the slots in use, from 0 to 1, or 0.5 where nothing recent is known.
+    :param busy: requests in flight and queued per slot, or 0.5 where nothing recent is known.
     """
 
     busy: float
@@ -19,9 +19,11 @@
 
 
 UNKNOWN_LOAD = DomainLoad(0.5, True)
-# Part of the slots in use beyond which another domain of the same region is tried first.
+# Requests per slot beyond which another domain of the same region is tried first.
 BUSY_LATENCY = 0.95
 BUSY_HEADROOM = 0.7
+# Requests per slot by which another instance must be less loaded to be preferred.
+SIBLING_MARGIN = 0.25
 
 
 def list_destinations(
@@ -64,3 +66,33 @@
     is_full = load.busy >= limit
     is_remote = name != own_domain
     return (is_shift, is_full, is_remote, load.busy)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceLoad:
+    """What one instance of a failure domain has to do.
+
+    :param busy: its requests in flight and queued per slot, as last heard.
+    :param sent: requests of this instance that are at the other one.
+    :param slots: slots that it is assumed to fill.
+    """
+
+    busy: float
+    sent: int
+    slots: int
+
+    @property
+    def expected(self) -> float:
+        """Requests per slot, counting what was sent since the load was heard as new."""
+        return self.busy + self.sent / max(1, self.slots)
+
+
+def prefers_sibling(own_busy: float, has_free_slot: bool, sibling: InstanceLoad) -> bool:
+    """Tells whether a request should go to another instance of the same failure domain.
+
+    A free slot at this instance takes no further step. Without one, the other instance has to be
+    clearly less loaded, so that requests do not go to and fro on loads that are a moment old.
+    """
+    if has_free_slot:
+        return False
+    return sibling.expected + SIBLING_MARGIN < own_busy
--- a/src/caperdyke/loading/caller.py
+++ b/src/caperdyke/loading/caller.py
@@ -11,6 +11,8 @@
 from caperdyke.transport import http_client
 
 TRIES_MAX = 6
+# Callers that a stream simulates; each keeps its own look-up.
+CALLERS = 40
 CONNECTIONS_MAX = 2000
 CONNECT_TIMEOUT_SECONDS = 2.0
 COME_BACK_MAX_SECONDS = 2.0
@@ -48,7 +50,8 @@
         self._entries = entries
         self._run_id = run_id
         self._client = http_client.HttpClient(CONNECTIONS_MAX, CONNECT_TIMEOUT_SECONDS)
-        self._cached = CachedLookup((), 0.0, "")
+        # One entry for each simulated caller; requests take turns.
+        self._cached: dict[int, CachedLookup] = {}
         self._turn = 0
         self.result = results.StreamResult(stream.name, stream.customer, stream.service)
 
@@ -60,7 +63,7 @@
         result = self.result
         result.sent += 1
         token = f"{self._run_id}-{self._stream.name}-{number}"
-        reply = await self._send_with_retries(token)
+        reply = await self._send_with_retries(token, number % CALLERS)
         elapsed = time.monotonic() - planned_at
         if reply is None:
             result.failed += 1
@@ -74,14 +77,14 @@
         """Closes the kept connections."""
         await self._client.close()
 
-    async def _send_with_retries(self, token: str) -> Reply | None:
+    async def _send_with_retries(self, token: str, caller: int) -> Reply | None:
         key = ""
         last: Reply | None = None
         for attempt in range(TRIES_MAX):
             if self._stream.direct:
                 entries = self._stream.direct
             else:
-                looked_up = await self._look_up(is_key_needed=self._needs_key() and not key)
+                looked_up = await self._look_up(caller, self._needs_key() and not key)
                 if looked_up is None:
                     continue
                 entries, new_key = looked_up
@@ -91,7 +94,7 @@
             address = entries[offset % len(entries)]
             reply = await self._send(address, token, key)
             if reply is None:
-                self._cached = CachedLookup((), 0.0, "")
+                self._cached.pop(caller, None)
                 continue
             last = reply
             if reply.outcome != "not-run" or not _is_worth_retrying(reply):
@@ -102,9 +105,12 @@
     def _needs_key(self) -> bool:
         return self._stream.method == "POST"
 
-    async def _look_up(self, is_key_needed: bool) -> tuple[tuple[ids.Address, ...], str] | None:
-        if not is_key_needed and time.time() < self._cached.valid_until:
-            return self._cached.entries, self._cached.key
+    async def _look_up(
+        self, caller: int, is_key_needed: bool
+    ) -> tuple[tuple[ids.Address, ...], str] | None:
+        cached = self._cached.get(caller)
+        if cached is not None and not is_key_needed and time.time() < cached.valid_until:
+            return cached.entries, cached.key
         stream = self._stream
         query = f"customer={stream.customer}&client={stream.client}"
         for _ in range(len(self._entries)):
@@ -119,7 +125,7 @@
             if response.status_code == 200:
                 found = json.loads(body)
                 entries = tuple(found["entries"])
-                self._cached = CachedLookup(entries, found["valid_until"], found["key"])
+                self._cached[caller] = CachedLookup(entries, found["valid_until"], found["key"])
                 return entries, found["key"]
         return None
 
--- a/src/caperdyke/protocol/messages.py
+++ b/src/caperdyke/protocol/messages.py
@@ -28,7 +28,7 @@
     """Tells that the sender is alive and what it knows.
 
     :param confirmed_at: time at which the revision was known to be the newest.
-    :param busy: part of the sender's slots in use, from 0 to 1.
+    :param busy: the sender's requests in flight and queued, per slot.
     """
 
     revision: ids.Revision
--- a/src/caperdyke/transport/caller_app.py
+++ b/src/caperdyke/transport/caller_app.py
@@ -6,20 +6,17 @@
 
 import starlette.requests
 import starlette.responses
-import starlette.routing
 
 from caperdyke import errors
 from caperdyke.coordination import lookup
 from caperdyke.protocol import keytext, refusals
-from caperdyke.state import blockmap, contract, ids, outcome, timing
-from caperdyke.transport import answers, claims, context, events, key_runs, steering
+from caperdyke.state import contract, ids, outcome, timing
+from caperdyke.transport import answers, context, events, key_runs, request_reader, steering
 
 # How long look-ups share an answer, and how many answers take turns for one home.
 ANSWERS_SECONDS = 0.1
 ANSWER_TURNS = 16
-# Methods that the client library never sends twice by itself.
-ONCE_METHODS = frozenset(("POST", "PATCH"))
-ALL_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
+SERVE_PREFIX = "/serve/"
 
 
 class CallerApp:
@@ -30,28 +27,35 @@
         node: context.NodeContext,
         steerer: steering.Steering,
         runs: key_runs.KeyRuns,
-        claim_book: claims.ClaimBook,
+        reader: request_reader.RequestReader,
     ) -> None:
         self._node = node
         self._steering = steerer
         self._runs = runs
-        self._claims = claim_book
+        self._reader = reader
         self._turn = 0
         self._answers: dict[tuple, lookup.LookupAnswer] = {}
         self._answers_until = 0.0
 
-    def list_routes(self) -> list[starlette.routing.Route]:
-        """Returns the routes for callers, but for the look-up."""
-        path = "/serve/{customer}/{service}{rest:path}"
-        return [
-            starlette.routing.Route(path, self.serve, methods=ALL_METHODS),
-        ]
+    async def handle(self, scope, receive, send) -> bool:
+        """Answers a caller's HTTP call; tells whether the path is one for callers.
 
-    async def look_up(self, scope, receive, send) -> None:
-        """Answers which entry instances a caller is to use.
-
-        Look-ups are by far the most frequent calls, so this is a bare ASGI application.
+        Look-ups and requests are by far the most frequent calls, so they go round the router.
         """
+        path = scope["path"]
+        if path == "/lookup":
+            await self.look_up(scope, receive, send)
+            return True
+        if path.startswith(SERVE_PREFIX):
+            request = starlette.requests.Request(scope, receive)
+            call_path = request_reader.split_path(path[len(SERVE_PREFIX) :])
+            response = await self.serve(request, call_path)
+            await response(scope, receive, send)
+            return True
+        return False
+
+    async def look_up(self, scope, receive, send) -> None:
+        """Answers which entry instances a caller is to use."""
         parameters = dict(urllib.parse.parse_qsl(scope["query_string"].decode("latin-1")))
         answered = self._answer_lookup(parameters, scope.get("client"))
         if isinstance(answered, outcome.Refusal):
@@ -79,7 +83,9 @@
         found = node.book.newest.contracts.get(parameters.get("customer", ""))
         if found is None:
             return outcome.refuse(outcome.Reason.UNKNOWN_CUSTOMER)
-        home = self._find_home(found, parameters.get("client") or (client[0] if client else ""))
+        home = self._reader.find_home(
+            found, parameters.get("client") or (client[0] if client else "")
+        )
         answer = self._find_entries(now, found, home)
         if not answer.entries:
             return outcome.refuse(outcome.Reason.NO_BACKEND, now + 1.0)
@@ -106,23 +112,23 @@
             self._answers[slot] = answer
         return answer
 
-    async def serve(self, request: starlette.requests.Request) -> starlette.responses.Response:
+    async def serve(
+        self, request: starlette.requests.Request, path: request_reader.CallPath
+    ) -> starlette.responses.Response:
         """Serves one request and returns its whole answer or a refusal."""
         node = self._node
         label = node.make_label()
         steps: list[str] = []
-        customer = request.path_params["customer"]
-        service = request.path_params["service"]
         started_at = node.clock()
         node.active_requests += 1
         try:
-            incoming = await self._open(request, label, started_at)
+            incoming = await self._reader.read(request, path, label, started_at)
             answer = await self._run_watched(request, incoming, steps)
             response = self._make_response(incoming, answer, started_at, label)
         except errors.RefusalError as error:
             refusal = error.refusal
             steps.append(context.describe_refusal(refusal))
-            self._count_refusal(customer, service, refusal, label)
+            self._count_refusal(path, refusal, label)
             return self._refuse(refusal, label)
         except starlette.requests.ClientDisconnect:
             steps.append("the caller went away")
@@ -132,85 +138,9 @@
             return self._refuse(outcome.report_unknown(outcome.Reason.BACKEND_FAILED), label)
         finally:
             node.active_requests -= 1
-            node.explain(label, customer, service, steps)
+            node.explain(label, path.customer, path.service, steps)
         return response
 
-    def _find_home(self, found: contract.Contract, address: str) -> ids.DomainName:
-        node = self._node
-        number = blockmap.parse_address(address)
-        mapped = node.blocks.find(number) if number is not None else None
-        return lookup.choose_home(found, node.book.newest, mapped, node.own.domain)
-
-    async def _open(
-        self, request: starlette.requests.Request, label: str, now: float
-    ) -> answers.IncomingRequest:
-        """Checks a request and reads its body."""
-        node = self._node
-        if not node.is_ready:
-            raise errors.RefusalError(outcome.refuse(outcome.Reason.NOT_READY, now + 1.0))
-        found = node.book.newest.contracts.get(request.path_params["customer"])
-        if found is None:
-            raise errors.RefusalError(outcome.refuse(outcome.Reason.UNKNOWN_CUSTOMER))
-        service = found.find_service(request.path_params["service"])
-        if service is None:
-            raise errors.RefusalError(outcome.refuse(outcome.Reason.UNKNOWN_SERVICE))
-        if not service.repeatable and request.method not in ONCE_METHODS:
-            detail = f"method {request.method}, expected POST or PATCH for this service"
-            raise errors.RefusalError(outcome.refuse(outcome.Reason.BAD_REQUEST, detail=detail))
-        deadline = _read_deadline(request, service, now)
-        body = await self._read_body(request)
-        key = await self._find_key(request, found, service)
-        address = request.client.host if request.client else ""
-        home = key.home if key else self._find_home(found, address)
-        query = request.url.query
-        target = (request.path_params["rest"] or "/") + (f"?{query}" if query else "")
-        headers = tuple(
-            (name, value)
-            for name, value in request.headers.items()
-            if not name.startswith("caperdyke-")
-        )
-        return answers.IncomingRequest(
-            label, found, service, request.method, target, headers, body, key, home, deadline
-        )
-
-    async def _read_body(self, request: starlette.requests.Request) -> bytes:
-        limit = self._node.settings.body_max
-        refusal = outcome.refuse(
-            outcome.Reason.BODY_TOO_LARGE, detail=f"expected at most {limit} bytes"
-        )
-        if int(request.headers.get("content-length") or 0) > limit:
-            raise errors.RefusalError(refusal)
-        parts = []
-        size = 0
-        async for part in request.stream():
-            size += len(part)
-            if size > limit:
-                raise errors.RefusalError(refusal)
-            parts.append(part)
-        return b"".join(parts)
-
-    async def _find_key(
-        self,
-        request: starlette.requests.Request,
-        found: contract.Contract,
-        service: contract.Service,
-    ):
-        text = request.headers.get(refusals.KEY_HEADER)
-        if text is not None:
-            key = keytext.parse_key(text)
-            if key is None:
-                raise errors.RefusalError(outcome.refuse(outcome.Reason.KEY_MALFORMED))
-            return key
-        token = request.headers.get(refusals.IDEMPOTENCY_HEADER)
-        if service.repeatable:
-            return None
-        if token is None:
-            detail = "send the key of a look-up, or an Idempotency-Key of your own"
-            raise errors.RefusalError(outcome.refuse(outcome.Reason.KEY_REQUIRED, detail=detail))
-        address = request.client.host if request.client else ""
-        home = self._find_home(found, address)
-        return await self._claims.claim(found.customer, service.name, token, home)
-
     async def _run_watched(
         self,
         request: starlette.requests.Request,
@@ -287,7 +217,7 @@
         )
 
     def _count_refusal(
-        self, customer: str, service: str, refusal: outcome.Refusal, label: str
+        self, path: request_reader.CallPath, refusal: outcome.Refusal, label: str
     ) -> None:
         events.log(
             events.Event.REQUEST_REFUSED,
@@ -296,9 +226,9 @@
             reason=refusal.reason.value,
             detail=refusal.detail,
         )
-        if self._node.book.newest.contracts.get(customer) is not None:
+        if self._node.book.newest.contracts.get(path.customer) is not None:
             self._node.metrics.count_refusal(
-                customer, service, refusal.outcome.value, refusal.reason.value
+                path.customer, path.service, refusal.outcome.value, refusal.reason.value
             )
 
     def _refuse(self, refusal: outcome.Refusal, label: str) -> starlette.responses.Response:
@@ -314,24 +244,6 @@
         )
 
 
-def _read_deadline(
-    request: starlette.requests.Request, service: contract.Service, now: float
-) -> float:
-    longest = now + service.deadline_ms / 1000
-    text = request.headers.get(refusals.DEADLINE_HEADER)
-    if text is None:
-        return longest
-    try:
-        deadline = int(text) / 1000
-    except ValueError as error:
-        detail = f"{refusals.DEADLINE_HEADER}: got {text!r}, expected milliseconds since 1970"
-        refusal = outcome.refuse(outcome.Reason.BAD_REQUEST, detail=detail)
-        raise errors.RefusalError(refusal) from error
-    if deadline <= now:
-        raise errors.RefusalError(outcome.refuse(outcome.Reason.DEADLINE_PASSED))
-    return min(longest, deadline)
-
-
 async def _wait_for_disconnect(request: starlette.requests.Request) -> None:
     while True:
         message = await request.receive()
--- a/src/caperdyke/transport/context.py
+++ b/src/caperdyke/transport/context.py
@@ -95,6 +95,11 @@
             self._queues[service] = queue
         return queue
 
+    def measure_busy(self) -> float:
+        """Returns requests in flight and queued per slot of this instance."""
+        queued = sum(queue.count_waiting() for queue in self._queues.values())
+        return self.backends.measure_busy(queued)
+
     def serve_queues(self) -> None:
         """Gives free slots to waiting requests of every service."""
         now = self.clock()
--- a/src/caperdyke/transport/http_server.py
+++ b/src/caperdyke/transport/http_server.py
@@ -29,6 +29,7 @@
         access_log=False,
         server_header=False,
         date_header=False,
+        proxy_headers=False,
         timeout_keep_alive=30,
         timeout_graceful_shutdown=5,
         backlog=4096,
--- a/src/caperdyke/transport/links.py
+++ b/src/caperdyke/transport/links.py
@@ -75,9 +75,7 @@
     def send_heartbeats(self) -> None:
         """Tells every linked peer what this instance knows."""
         node = self._node
-        beat = messages.Heartbeat(
-            node.book.revision, node.book.confirmed_at, node.backends.measure_busy()
-        )
+        beat = messages.Heartbeat(node.book.revision, node.book.confirmed_at, node.measure_busy())
         self.broadcast(beat)
 
     async def forward(
--- a/src/caperdyke/transport/node.py
+++ b/src/caperdyke/transport/node.py
@@ -25,6 +25,7 @@
     operator_app,
     peerlink,
     platform_watch,
+    request_reader,
     steering,
 )
 
@@ -51,18 +52,13 @@
 
     def make_app(self):
         """Returns the HTTP application."""
-        callers = caller_app.CallerApp(
-            self.node, self.steering, self.runs, claims.ClaimBook(self.node)
-        )
+        reader = request_reader.RequestReader(self.node, claims.ClaimBook(self.node))
+        callers = caller_app.CallerApp(self.node, self.steering, self.runs, reader)
         operators = operator_app.OperatorApp(self.node, self.watch)
-        others = starlette.applications.Starlette(
-            routes=callers.list_routes() + operators.list_routes()
-        )
+        others = starlette.applications.Starlette(routes=operators.list_routes())
 
         async def app(scope, receive, send) -> None:
-            if scope["type"] == "http" and scope["path"] == "/lookup":
-                await callers.look_up(scope, receive, send)
-            else:
+            if scope["type"] != "http" or not await callers.handle(scope, receive, send):
                 await others(scope, receive, send)
 
         return app
--- a/src/caperdyke/transport/steering.py
+++ b/src/caperdyke/transport/steering.py
@@ -1,5 +1,6 @@
 """Steers a request to a failure domain that may and can serve it."""
 
+import collections
 import collections.abc
 
 from caperdyke import errors
@@ -29,6 +30,8 @@
         self._turn = 0
         self._loads: dict[ids.DomainName, routing.DomainLoad] = {}
         self._loads_until = 0.0
+        # Requests that wait for an answer from each other instance.
+        self._sent: collections.Counter[ids.InstanceId] = collections.Counter()
 
     async def serve(self, request: answers.IncomingRequest, steps: list[str]) -> answers.Answer:
         """Returns the answer to a request.
@@ -94,23 +97,37 @@
         self._turn += 1
         for round_number in range(2):
             for domain in destinations:
-                target = self._pick_instance(domain, round_number)
+                target = self._pick_instance(domain, request.service.name, round_number)
                 if target is not None:
                     yield target
 
-    def _pick_instance(self, domain: ids.DomainName, round_number: int) -> member.Member | None:
+    def _pick_instance(
+        self, domain: ids.DomainName, service: ids.ServiceName, round_number: int
+    ) -> member.Member | None:
         node = self._node
         now = node.clock()
-        if domain != node.own.domain:
-            usable = node.members.pick_usable(now, domain, self._turn, 2)
-        elif round_number == 0:
+        usable = node.members.pick_usable(now, domain, self._turn, 2)
+        if domain == node.own.domain:
+            siblings = [item for item in usable if item.instance != node.own.instance]
             # This instance first, so that a request in its own domain takes no further step.
-            usable = [node.own]
-        else:
-            usable = node.members.pick_usable(now, domain, self._turn, 2)
-            usable = [node.own, *(item for item in usable if item.instance != node.own.instance)]
+            usable = [node.own, *siblings]
+            if siblings and self._prefers(siblings[0], service):
+                usable = [*siblings, node.own]
         return usable[round_number] if round_number < len(usable) else None
 
+    def _prefers(self, sibling: member.Member, service: ids.ServiceName) -> bool:
+        node = self._node
+        has_free_slot = (
+            node.find_queue(service).count_waiting() == 0
+            and node.backends.choose(node.clock(), service) is not None
+        )
+        load = routing.InstanceLoad(
+            node.busy_by_instance.get(sibling.instance, routing.UNKNOWN_LOAD.busy),
+            self._sent[sibling.instance],
+            node.backends.count_slots(service),
+        )
+        return routing.prefers_sibling(node.measure_busy(), has_free_slot, load)
+
     def _may_retry(
         self, request: answers.IncomingRequest, refusal: outcome.Refusal, attempt: int
     ) -> bool:
@@ -134,7 +151,11 @@
             answer = await self._local.serve(request, steps)
         else:
             steps.append(f"forwarded to {target.instance} in {target.domain}")
-            answer = await self._links.forward(request, target, messages.Role.DESTINATION)
+            self._sent[target.instance] += 1
+            try:
+                answer = await self._links.forward(request, target, messages.Role.DESTINATION)
+            finally:
+                self._sent[target.instance] -= 1
         if request.service.kind is contract.ServiceKind.DOWNLOAD:
             return answer
         try:
