--- a/bench/faults.py
+++ b/bench/faults.py
@@ -298,6 +298,39 @@
     case.fleet.call(case.fleet.platform, "PUT", "/standin/instances", {"instances": [item]})
 
 
+def place_drained(case: fault_case.Case) -> None:
+    """A failure domain is drained under load; nothing is lost and its backend servers fall idle."""
+    load = case.start_load(
+        20,
+        "browse gallery-reader 8 10.1.0.9 GET /b",
+        "bundle bundle-depot 1 10.1.0.9 GET /download/1",
+        "once checkout 4 10.1.0.9 POST /buy",
+    )
+    time.sleep(5)
+    entry = case.fleet.find_entries("cebu-hall")[0].caller_address
+    case.fleet.run_operator("drain", "announce", "pasig-hall", "--entry", entry)
+    announced_at = time.time()
+    idle_at = announced_at
+    names = [name for name in case.fleet.backends if name.startswith("pasig-hall")]
+    while load.poll() is None:
+        if any(_read_backend(case, name)["in_flight"] for name in names):
+            idle_at = time.time()
+        time.sleep(0.1)
+    last = max(_read_backend(case, name)["last_start"] for name in names) - announced_at
+    case.figures["last new work s"] = round(last, 2)
+    case.figures["drain time s"] = round(idle_at - announced_at, 1)
+    case.expect(last <= 3.0, f"new work {last:.1f} s after the announcement")
+    report = case.fleet.read_report()
+    for item in report:
+        lost = item["sent"] - item["answered"]
+        case.expect(lost == 0, f"{item['stream']}: {lost} lost {item['reasons']}")
+    case.check_outcomes(report)
+
+
+def _read_backend(case: fault_case.Case, name: str) -> dict:
+    return case.fleet.call(case.fleet.backends[name], "GET", "/standin/runs")
+
+
 def planned_stops(case: fault_case.Case) -> None:
     """Two entries of one domain stop at the same time under load; nothing is cut off."""
     load = case.start_load(
@@ -364,6 +397,7 @@
     whole_answers,
     slow_readers,
     backend_server_leaves,
+    place_drained,
     planned_stops,
     late_starter,
 )
--- a/src/caperdyke/transport/answers.py
+++ b/src/caperdyke/transport/answers.py
@@ -97,6 +97,8 @@
     :raises errors.LinkClosedError: where the peer cannot complete the part that is read.
     :raises errors.BackendFailedError: where the backend server cannot.
     """
+    if answer.body is not None:
+        return answer
     parts = []
     size = 0
     rest = answer.iterate()
--- a/src/caperdyke/transport/backend_client.py
+++ b/src/caperdyke/transport/backend_client.py
@@ -5,11 +5,13 @@
 import time
 
 from caperdyke import errors
-from caperdyke.state import backend, outcome
+from caperdyke.state import backend, contract, outcome
 from caperdyke.transport import answers, http_client
 
 CONNECTIONS_MAX = 350
 CONNECT_TIMEOUT_SECONDS = 1.0
+# Body of a cheap answer that is read at once instead of in parts.
+WHOLE_BODY_BYTES = 64 * 1024
 # Headers of the backend servers' protocol, see docs/INTERFACES.md.
 DEADLINE_HEADER = "Request-Deadline"
 OUTCOME_HEADER = "Request-Outcome"
@@ -68,6 +70,9 @@
             raise errors.BackendFailedError(message, True)
         kept = tuple(item for item in headers if item[0].lower() not in HOP_HEADERS)
         head = outcome.AnswerHead(response.status_code, kept)
+        if request.service.kind is contract.ServiceKind.CHEAP and _is_small(lowered):
+            body = await _read_body(server, exchange, response, request.deadline)
+            return answers.make_whole(head, body)
         chunks = _iterate(server, exchange, response, request.deadline)
 
         async def abandon() -> None:
@@ -94,6 +99,20 @@
         )
 
 
+async def _read_body(
+    server: backend.BackendServer, exchange: http_client.Exchange, response, deadline: float
+) -> bytes:
+    try:
+        async with asyncio.timeout(max(0.0, deadline - time.time())):
+            return await response.content()
+    except http_client.FAILURES as error:
+        exchange.close()
+        raise errors.BackendFailedError(f"{server.backend}: {error!r}", True) from error
+    except BaseException:
+        exchange.close()
+        raise
+
+
 async def _iterate(
     server: backend.BackendServer, exchange: http_client.Exchange, response, deadline: float
 ) -> collections.abc.AsyncGenerator[bytes, None]:
@@ -120,6 +139,12 @@
         return await anext(chunks, None)
 
 
+def _is_small(headers: dict[str, str]) -> bool:
+    """Tells whether the body is known to be small enough to be read at once."""
+    length = headers.get("content-length", "")
+    return length.isdecimal() and int(length) <= WHOLE_BODY_BYTES
+
+
 def _has_length(method: str, status: int, headers: dict[str, str]) -> bool:
     """Tells whether the end of the body can be known."""
     if method == "HEAD" or status in (204, 304):
--- a/src/caperdyke/transport/local_service.py
+++ b/src/caperdyke/transport/local_service.py
@@ -85,7 +85,12 @@
             node.backends.finish_refusal(record)
             self._free_slot(request.service.name)
             raise
-        chunks = self._count_body(request, record, answer, node.clock() - started_at)
+        latency = node.clock() - started_at
+        if answer.body is not None:
+            self._count_end(record, answer.head.status >= 500, True, latency)
+            self._free_slot(request.service.name)
+            return answer
+        chunks = self._count_body(request, record, answer, latency)
 
         async def abandon() -> None:
             node.backends.finish_refusal(record)
@@ -112,15 +117,20 @@
             is_failed = True
             raise
         finally:
-            if is_failed:
-                self._note_failure(record)
-            elif is_whole:
-                self._node.backends.finish_answer(record, latency)
-            else:
-                self._node.backends.finish_refusal(record)
+            self._count_end(record, is_failed, is_whole, latency)
             self._free_slot(request.service.name)
             await answer.close()
 
+    def _count_end(
+        self, record: backends.BackendRecord, is_failed: bool, is_whole: bool, latency: float
+    ) -> None:
+        if is_failed:
+            self._note_failure(record)
+        elif is_whole:
+            self._node.backends.finish_answer(record, latency)
+        else:
+            self._node.backends.finish_refusal(record)
+
     def _free_slot(self, service: ids.ServiceName) -> None:
         self._node.find_queue(service).serve_waiting(self._node.clock())
 
