Judge backend servers by running requests, and stop a drained place's queued work

Cold servers are spared only beside warm ones. Ruled out: counting bodies as running (a slow reader would make a server look slow; tested).

--- a/src/caperdyke/coordination/backends.py
+++ b/src/caperdyke/coordination/backends.py
@@ -1,5 +1,6 @@
 """Chooses backend servers and decides which of them get new work."""
 
+import collections
 import dataclasses
 import enum
 import random
@@ -43,6 +44,8 @@
     answers: int = 0
     failures: int = 0
     latency: float = LATENCY_FIRST_SECONDS
+    # Start times of the requests whose head has not arrived, the oldest first.
+    running_since: collections.deque[float] = dataclasses.field(default_factory=collections.deque)
     ejected_until: float = 0.0
     leaving_at: float = 0.0
     starts: int = 0
@@ -56,14 +59,28 @@
         self.figures = Figures(server.slots)
         MACHINE.add_model(self, initial=backend.BackendState.WARMING)
 
-    def count_free(self, policy: Policy) -> int:
-        """Returns the slots that this instance may fill now."""
+    def count_free(self, is_spared: bool) -> int:
+        """Returns the slots that this instance may fill now.
+
+        :param is_spared: whether a cold backend server gets less until it is warm.
+        """
         allowed = self.figures.owned_slots
-        if policy is Policy.LEAST_WORK and self.state is backend.BackendState.WARMING:
+        if is_spared and self.state is backend.BackendState.WARMING:
             warm = self.server.slots * self.figures.answers // WARM_ANSWERS
             allowed = min(allowed, max(1, warm))
         return allowed - self.figures.in_flight
 
+    def estimate_latency(self, now: float) -> float:
+        """Returns the expected time of one answer in seconds.
+
+        The age of the oldest running request counts too: a server that became slow shows it before
+        its first slow answer.
+        """
+        figures = self.figures
+        if not figures.running_since:
+            return figures.latency
+        return max(figures.latency, now - figures.running_since[0])
+
     def is_open(self) -> bool:
         """Tells whether the state admits new work."""
         return self.state in (backend.BackendState.WARMING, backend.BackendState.SERVING)
@@ -125,16 +142,17 @@
 
     def choose(self, now: float, service: ids.ServiceName) -> BackendRecord | None:
         """Returns a backend server with a free slot, or None."""
+        is_spared = self._spares_cold(service)
         candidates = []
         for record in self.list_service(service):
             self._restore_ejected(now, record)
-            if record.is_open() and record.count_free(self.policy) > 0:
+            if record.is_open() and record.count_free(is_spared) > 0:
                 candidates.append(record)
         if not candidates:
             return None
         match self.policy:
             case Policy.LEAST_WORK:
-                return min(candidates, key=_estimate_work)
+                return min(candidates, key=lambda record: _estimate_work(now, record))
             case Policy.ROUND_ROBIN:
                 turn = self._turns.get(service, 0)
                 self._turns[service] = turn + 1
@@ -156,15 +174,27 @@
             record.figures.owned_slots for record in self.list_service(service) if record.is_open()
         )
 
-    def start(self, record: BackendRecord) -> None:
+    def start(self, now: float, record: BackendRecord) -> None:
         """Counts a request that is about to be sent."""
         record.figures.in_flight += 1
+        record.figures.running_since.append(now)
         record.figures.starts += 1
 
+    def note_head(self, record: BackendRecord) -> None:
+        """Records that a request's head arrived or never will; its body may take longer."""
+        # Requests of a backend server are alike, so the oldest start may stand for any.
+        if record.figures.running_since:
+            record.figures.running_since.popleft()
+
+    def give_back(self, record: BackendRecord) -> None:
+        """Returns a slot that was taken for a request which was never sent."""
+        self.note_head(record)
+        record.figures.in_flight -= 1
+
     def finish_answer(self, record: BackendRecord, latency: float) -> None:
         """Counts an answer and learns from its latency in seconds."""
         figures = record.figures
-        figures.in_flight -= 1
+        record.figures.in_flight -= 1
         figures.answers += 1
         figures.failures = 0
         figures.latency += LATENCY_WEIGHT * (latency - figures.latency)
@@ -175,7 +205,7 @@
     def finish_failure(self, now: float, record: BackendRecord) -> None:
         """Counts a failure, and ejects a backend server that fails again and again."""
         figures = record.figures
-        figures.in_flight -= 1
+        record.figures.in_flight -= 1
         figures.failures += 1
         is_failing = figures.failures >= EJECT_FAILURES and record.is_open()
         if is_failing and self._may_eject(record):
@@ -200,14 +230,19 @@
             record.figures.answers = 0
             record.figures.failures = 0
 
-    def estimate_wait(self, service: ids.ServiceName, queued: int) -> float:
-        """Returns the expected wait in seconds behind a number of queued requests."""
+    def estimate_latency(self, now: float, service: ids.ServiceName) -> float:
+        """Returns the expected time of one answer of a service in seconds."""
         records = [record for record in self.list_service(service) if record.is_open()]
-        slots = sum(record.figures.owned_slots for record in records)
+        if not records:
+            return timing.PERIOD_MAX_SECONDS
+        return sum(record.estimate_latency(now) for record in records) / len(records)
+
+    def estimate_wait(self, now: float, service: ids.ServiceName, queued: int) -> float:
+        """Returns the expected wait in seconds behind a number of queued requests."""
+        slots = self.count_slots(service)
         if slots == 0:
             return timing.PERIOD_MAX_SECONDS
-        latency = sum(record.figures.latency for record in records) / len(records)
-        return (queued + 1) * latency / slots
+        return (queued + 1) * self.estimate_latency(now, service) / slots
 
     def measure_busy(self, queued: int) -> float:
         """Returns requests in flight and queued per slot of this instance.
@@ -227,6 +262,21 @@
             # One more failure ejects it again.
             record.figures.failures = EJECT_FAILURES - 1
 
+    def _spares_cold(self, service: ids.ServiceName) -> bool:
+        """Tells whether enough warm slots exist to give cold backend servers less.
+
+        Where most are cold, as after a shift, sparing them would only lose their capacity.
+        """
+        if self.policy is not Policy.LEAST_WORK:
+            return False
+        warm = cold = 0
+        for record in self.list_service(service):
+            if record.state is backend.BackendState.SERVING:
+                warm += record.figures.owned_slots
+            elif record.state is backend.BackendState.WARMING:
+                cold += record.figures.owned_slots
+        return warm >= cold
+
     def _may_eject(self, record: BackendRecord) -> bool:
         if self.policy is not Policy.LEAST_WORK:
             return False
@@ -235,9 +285,9 @@
         return ejected + 1 <= len(records) * EJECT_PART_MAX
 
 
-def _estimate_work(record: BackendRecord) -> float:
+def _estimate_work(now: float, record: BackendRecord) -> float:
     figures = record.figures
-    return figures.latency * (figures.in_flight + 1) / max(1, record.server.slots)
+    return record.estimate_latency(now) * (figures.in_flight + 1) / max(1, record.server.slots)
 
 
 def count_owned_slots(
--- a/src/caperdyke/transport/local_service.py
+++ b/src/caperdyke/transport/local_service.py
@@ -26,7 +26,7 @@
         record = await queue.acquire(node.clock(), request.contract.customer, request.deadline)
         refusal = self._spend(request)
         if refusal is not None:
-            node.backends.finish_refusal(record)
+            node.backends.give_back(record)
             queue.serve_waiting(node.clock())
             raise errors.RefusalError(refusal)
         steps.append(f"sent to {record.server.backend}")
@@ -85,6 +85,8 @@
             node.backends.finish_refusal(record)
             self._free_slot(request.service.name)
             raise
+        finally:
+            node.backends.note_head(record)
         latency = node.clock() - started_at
         if answer.body is not None:
             self._count_end(record, answer.head.status >= 500, True, latency)
--- a/src/caperdyke/transport/platform_watch.py
+++ b/src/caperdyke/transport/platform_watch.py
@@ -65,7 +65,7 @@
         active = node.drains.list_active()
         for record in node.backends.list_records():
             name = record.server.backend
-            is_draining = name in active or LISTED_PREFIX + name in active
+            is_draining = not active.isdisjoint((name, LISTED_PREFIX + name, record.server.domain))
             if is_draining and record.is_open():
                 node.backends.mark_leaving(node.clock(), record)
                 events.log(events.Event.BACKEND_LEAVING, backend=name, sign="announcement")
--- a/src/caperdyke/transport/slot_queue.py
+++ b/src/caperdyke/transport/slot_queue.py
@@ -2,12 +2,25 @@
 
 import asyncio
 import collections
+import dataclasses
 
 from caperdyke import errors
 from caperdyke.coordination import backends
 from caperdyke.state import ids, outcome
 
 QUEUE_MAX = 500
+# Largest part of the time to the deadline that a request may be expected to wait for a slot.
+WAIT_PART_MAX = 0.5
+# Time after which a request that waited in vain may come back.
+COME_BACK_SECONDS = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Waiter:
+    """A request that waits for a slot; its deadline is in seconds since 1970."""
+
+    granted: asyncio.Future
+    deadline: float
 
 
 class SlotQueue:
@@ -16,9 +29,9 @@
     def __init__(self, service: ids.ServiceName, table: backends.BackendTable) -> None:
         self._service = service
         self._table = table
-        self._waiting: collections.OrderedDict[
-            ids.CustomerName, collections.deque[asyncio.Future]
-        ] = collections.OrderedDict()
+        self._waiting: collections.OrderedDict[ids.CustomerName, collections.deque[_Waiter]] = (
+            collections.OrderedDict()
+        )
 
     def count_waiting(self) -> int:
         """Returns the number of requests that wait."""
@@ -36,74 +49,84 @@
         if not self._table.has_open(self._service):
             raise errors.RefusalError(outcome.refuse(outcome.Reason.NO_BACKEND, now + 1.0))
         waiting = self.count_waiting()
+        latency = self._table.estimate_latency(now, self._service)
         record = self._table.choose(now, self._service) if waiting == 0 else None
-        if record is not None:
-            self._table.start(record)
+        if record is not None and now + record.estimate_latency(now) < deadline:
+            self._table.start(now, record)
             return record
-        wait = self._table.estimate_wait(self._service, waiting)
-        if waiting >= QUEUE_MAX or now + wait >= deadline:
+        wait = self._table.estimate_wait(now, self._service, waiting)
+        latest = now + (deadline - now) * WAIT_PART_MAX
+        if waiting >= QUEUE_MAX or now + wait >= latest or now + wait + latency >= deadline:
             raise errors.RefusalError(outcome.refuse(outcome.Reason.BACKEND_BUSY, now + wait))
-        return await self._wait(customer, deadline - now, now + wait)
+        return await self._wait(customer, deadline, now)
 
     async def _wait(
-        self, customer: ids.CustomerName, timeout: float, retry_at: float
+        self, customer: ids.CustomerName, deadline: float, now: float
     ) -> backends.BackendRecord:
         future: asyncio.Future = asyncio.get_running_loop().create_future()
-        self._waiting.setdefault(customer, collections.deque()).append(future)
+        waiter = _Waiter(future, deadline)
+        self._waiting.setdefault(customer, collections.deque()).append(waiter)
         try:
-            async with asyncio.timeout(timeout):
+            async with asyncio.timeout(deadline - now):
                 return await future
         except TimeoutError as error:
             self._give_back(future)
-            refusal = outcome.refuse(outcome.Reason.BACKEND_BUSY, retry_at)
-            raise errors.RefusalError(refusal) from error
+            raise errors.RefusalError(_refuse_busy(deadline)) from error
         except asyncio.CancelledError:
             self._give_back(future)
             raise
         finally:
-            self._leave(customer, future)
+            self._leave(customer, waiter)
 
     def _give_back(self, future: asyncio.Future) -> None:
         # A slot may have been granted in the same turn of the loop in which the waiter gave up.
         if future.done() and not future.cancelled() and future.exception() is None:
-            self._table.finish_refusal(future.result())
+            self._table.give_back(future.result())
 
     def serve_waiting(self, now: float) -> None:
-        """Gives free slots to waiting requests."""
+        """Gives free slots to waiting requests that can still be answered in time."""
         while self._waiting:
             record = self._table.choose(now, self._service)
             if record is None:
                 break
-            future = self._pop_next()
-            if future is None:
+            waiter = self._pop_next()
+            if waiter is None:
                 break
-            self._table.start(record)
-            future.set_result(record)
+            if now + record.estimate_latency(now) >= waiter.deadline:
+                # Its answer would come too late and cost others a slot.
+                waiter.granted.set_exception(errors.RefusalError(_refuse_busy(now)))
+                continue
+            self._table.start(now, record)
+            waiter.granted.set_result(record)
         if self._waiting and not self._table.has_open(self._service):
             self._refuse_all(now)
 
-    def _pop_next(self) -> asyncio.Future | None:
+    def _pop_next(self) -> _Waiter | None:
         for customer in list(self._waiting):
             queue = self._waiting[customer]
             self._waiting.move_to_end(customer)
             while queue:
-                future = queue.popleft()
-                if not future.done():
-                    return future
+                waiter = queue.popleft()
+                if not waiter.granted.done():
+                    return waiter
         return None
 
     def _refuse_all(self, now: float) -> None:
         error = outcome.refuse(outcome.Reason.NO_BACKEND, now + 1.0)
         for queue in self._waiting.values():
-            for future in queue:
-                if not future.done():
-                    future.set_exception(errors.RefusalError(error))
+            for waiter in queue:
+                if not waiter.granted.done():
+                    waiter.granted.set_exception(errors.RefusalError(error))
 
-    def _leave(self, customer: ids.CustomerName, future: asyncio.Future) -> None:
+    def _leave(self, customer: ids.CustomerName, waiter: _Waiter) -> None:
         queue = self._waiting.get(customer)
         if queue is None:
             return
-        if future in queue:
-            queue.remove(future)
+        if waiter in queue:
+            queue.remove(waiter)
         if not queue:
             del self._waiting[customer]
+
+
+def _refuse_busy(now: float) -> outcome.Refusal:
+    return outcome.refuse(outcome.Reason.BACKEND_BUSY, now + COME_BACK_SECONDS)
--- a/src/caperdyke/transport/steering.py
+++ b/src/caperdyke/transport/steering.py
@@ -11,6 +11,7 @@
 
 # Body bytes of a cheap answer that are collected, so that a broken answer can be asked for again.
 COLLECTED_BYTES = 128 * 1024
+FIRST_ERROR_STATUS = 500
 # How long a view of the failure domains' loads is used.
 LOADS_SECONDS = 0.1
 
@@ -42,14 +43,23 @@
         customer = request.contract.customer
         node.retries.count_request(node.clock(), customer, request.service.name)
         refusals = []
+        failed: answers.Answer | None = None
         for attempt, target in enumerate(self._list_targets(request), start=1):
             if attempt > 1 and not self._may_retry(request, refusals[-1], attempt - 1):
                 break
             try:
-                return await self._try_target(request, target, steps)
+                answer = await self._try_target(request, target, steps)
             except errors.RefusalError as error:
                 refusals.append(error.refusal)
                 steps.append(f"{target.instance}: {context.describe_refusal(error.refusal)}")
+                continue
+            if not _is_worth_repeating(request, answer):
+                return answer
+            failed = answer
+            refusals.append(outcome.report_unknown(outcome.Reason.BACKEND_FAILED))
+            steps.append(f"{target.instance}: status {answer.head.status}")
+        if failed is not None:
+            return failed
         raise errors.RefusalError(_choose_final(node.clock(), refusals))
 
     def find_loads(self) -> dict[ids.DomainName, routing.DomainLoad]:
@@ -165,6 +175,12 @@
             raise errors.RefusalError(refusal) from error
 
 
+def _is_worth_repeating(request: answers.IncomingRequest, answer: answers.Answer) -> bool:
+    """Tells whether an error answer may be asked for again."""
+    is_error = answer.head.status >= FIRST_ERROR_STATUS
+    return is_error and request.service.repeatable and answer.body is not None
+
+
 def _choose_final(now: float, refusals: list[outcome.Refusal]) -> outcome.Refusal:
     """Returns the refusal that tells the caller most.
 
