Split the record of a backend server from their table, use entries of the instance list

Removed: a state and a trigger nothing used. Ruled out: taking membership from the list (it lags; links and news are the evidence).

--- /dev/null
+++ b/src/caperdyke/coordination/backend_record.py
@@ -0,0 +1,88 @@
+"""One backend server as seen by an instance: its state, slots and observed latency."""
+
+import collections
+import dataclasses
+
+import transitions
+
+from caperdyke.state import backend
+
+# Answers after which a cold backend server counts as warm.
+WARM_ANSWERS = 20
+# Estimate of the time of an answer before any was observed.
+LATENCY_FIRST_SECONDS = 0.02
+
+
+@dataclasses.dataclass(slots=True)
+class Figures:
+    """Observations of one backend server.
+
+    :param owned_slots: slots that this instance may fill.
+    :param latency: estimate of the time of one answer in seconds.
+    :param started_at: time of the latest start, seconds since 1970.
+    :param leaving_at: time of the first sign of leaving, seconds since 1970; 0 where there is none.
+    """
+
+    owned_slots: int
+    in_flight: int = 0
+    answers: int = 0
+    failures: int = 0
+    latency: float = LATENCY_FIRST_SECONDS
+    # Start times of the requests whose head has not arrived, the oldest first.
+    running_since: collections.deque[float] = dataclasses.field(default_factory=collections.deque)
+    ejected_until: float = 0.0
+    leaving_at: float = 0.0
+    starts: int = 0
+    started_at: float = 0.0
+
+
+class BackendRecord:
+    """One backend server and its state; the triggers are added by ``transitions``."""
+
+    def __init__(self, server: backend.BackendServer) -> None:
+        self.server = server
+        self.figures = Figures(server.slots)
+        MACHINE.add_model(self, initial=backend.BackendState.WARMING)
+
+    def count_free(self, is_spared: bool) -> int:
+        """Returns the slots that this instance may fill now.
+
+        :param is_spared: whether a cold backend server gets less until it is warm.
+        """
+        allowed = self.figures.owned_slots
+        if is_spared and self.state is backend.BackendState.WARMING:
+            warm = self.server.slots * self.figures.answers // WARM_ANSWERS
+            allowed = min(allowed, max(1, warm))
+        return allowed - self.figures.in_flight
+
+    def estimate_latency(self, now: float) -> float:
+        """Returns the expected time of one answer in seconds.
+
+        The age of the oldest running request counts too: a server that became slow shows it before
+        its first slow answer.
+        """
+        figures = self.figures
+        if not figures.running_since:
+            return figures.latency
+        return max(figures.latency, now - figures.running_since[0])
+
+    def is_open(self) -> bool:
+        """Tells whether the state admits new work."""
+        return self.state in (backend.BackendState.WARMING, backend.BackendState.SERVING)
+
+
+_OPEN = [backend.BackendState.WARMING, backend.BackendState.SERVING]
+MACHINE = transitions.Machine(
+    model=None,
+    states=backend.BackendState,
+    initial=backend.BackendState.WARMING,
+    auto_transitions=False,
+    ignore_invalid_triggers=True,
+    transitions=[
+        ["warm", backend.BackendState.WARMING, backend.BackendState.SERVING],
+        ["eject", _OPEN, backend.BackendState.EJECTED],
+        ["restore", backend.BackendState.EJECTED, backend.BackendState.WARMING],
+        ["leave", [*_OPEN, backend.BackendState.EJECTED], backend.BackendState.LEAVING],
+        ["come_back", backend.BackendState.LEAVING, backend.BackendState.WARMING],
+    ],
+)
--- a/src/caperdyke/coordination/backends.py
+++ b/src/caperdyke/coordination/backends.py
@@ -1,27 +1,20 @@
 """Chooses backend servers and decides which of them get new work."""
 
-import collections
-import dataclasses
 import enum
 import math
 import random
 import statistics
 
-import transitions
-
-from caperdyke.coordination import overlay
+from caperdyke.coordination import backend_record, overlay
 from caperdyke.state import backend, ids, timing
 
-# Answers after which a cold backend server counts as warm.
-WARM_ANSWERS = 20
 # Consecutive failures after which a backend server is ejected, and for how long.
 EJECT_FAILURES = 4
 EJECT_SECONDS = 2.0
 # Largest part of a service's backend servers that may be ejected at the same time.
 EJECT_PART_MAX = 0.5
-# Weight of the newest observation in the latency estimate, and the estimate before any.
+# Weight of the newest observation in the latency estimate.
 LATENCY_WEIGHT = 0.2
-LATENCY_FIRST_SECONDS = 0.02
 # Multiple of the median latency above which a backend server is avoided, and how often it is tried.
 SLOW_FACTOR = 3.0
 PROBE_SECONDS = 4.0
@@ -35,110 +28,34 @@
     RANDOM_TWO = "random-two"
 
 
-@dataclasses.dataclass(slots=True)
-class Figures:
-    """Observations of one backend server.
-
-    :param owned_slots: slots that this instance may fill.
-    :param latency: estimate of the time of one answer in seconds.
-    :param started_at: time of the latest start, seconds since 1970.
-    :param leaving_at: time of the first sign of leaving, seconds since 1970; 0 where there is none.
-    """
-
-    owned_slots: int
-    in_flight: int = 0
-    answers: int = 0
-    failures: int = 0
-    latency: float = LATENCY_FIRST_SECONDS
-    # Start times of the requests whose head has not arrived, the oldest first.
-    running_since: collections.deque[float] = dataclasses.field(default_factory=collections.deque)
-    ejected_until: float = 0.0
-    leaving_at: float = 0.0
-    starts: int = 0
-    started_at: float = 0.0
-
-
-class BackendRecord:
-    """One backend server and its state; the triggers are added by ``transitions``."""
-
-    def __init__(self, server: backend.BackendServer) -> None:
-        self.server = server
-        self.figures = Figures(server.slots)
-        MACHINE.add_model(self, initial=backend.BackendState.WARMING)
-
-    def count_free(self, is_spared: bool) -> int:
-        """Returns the slots that this instance may fill now.
-
-        :param is_spared: whether a cold backend server gets less until it is warm.
-        """
-        allowed = self.figures.owned_slots
-        if is_spared and self.state is backend.BackendState.WARMING:
-            warm = self.server.slots * self.figures.answers // WARM_ANSWERS
-            allowed = min(allowed, max(1, warm))
-        return allowed - self.figures.in_flight
-
-    def estimate_latency(self, now: float) -> float:
-        """Returns the expected time of one answer in seconds.
-
-        The age of the oldest running request counts too: a server that became slow shows it before
-        its first slow answer.
-        """
-        figures = self.figures
-        if not figures.running_since:
-            return figures.latency
-        return max(figures.latency, now - figures.running_since[0])
-
-    def is_open(self) -> bool:
-        """Tells whether the state admits new work."""
-        return self.state in (backend.BackendState.WARMING, backend.BackendState.SERVING)
-
-
-_OPEN = [backend.BackendState.WARMING, backend.BackendState.SERVING]
-MACHINE = transitions.Machine(
-    model=None,
-    states=backend.BackendState,
-    initial=backend.BackendState.WARMING,
-    auto_transitions=False,
-    ignore_invalid_triggers=True,
-    transitions=[
-        ["warm", backend.BackendState.WARMING, backend.BackendState.SERVING],
-        ["eject", _OPEN, backend.BackendState.EJECTED],
-        ["restore", backend.BackendState.EJECTED, backend.BackendState.WARMING],
-        ["leave", [*_OPEN, backend.BackendState.EJECTED], backend.BackendState.LEAVING],
-        ["come_back", backend.BackendState.LEAVING, backend.BackendState.WARMING],
-        ["vanish", "*", backend.BackendState.GONE],
-    ],
-)
-
-
 class BackendTable:
     """All backend servers of one failure domain, grouped by service."""
 
     def __init__(self, policy: Policy, chooser: random.Random) -> None:
         self.policy = policy
         self._chooser = chooser
-        self._records: dict[ids.BackendId, BackendRecord] = {}
-        self._by_service: dict[ids.ServiceName, list[BackendRecord]] = {}
+        self._records: dict[ids.BackendId, backend_record.BackendRecord] = {}
+        self._by_service: dict[ids.ServiceName, list[backend_record.BackendRecord]] = {}
         self._turns: dict[ids.ServiceName, int] = {}
 
-    def add(self, server: backend.BackendServer) -> BackendRecord:
+    def add(self, server: backend.BackendServer) -> backend_record.BackendRecord:
         """Adds a backend server or returns the record that is already known."""
         record = self._records.get(server.backend)
         if record is None:
-            record = BackendRecord(server)
+            record = backend_record.BackendRecord(server)
             self._records[server.backend] = record
             self._by_service.setdefault(server.service, []).append(record)
         return record
 
-    def find(self, name: str) -> BackendRecord | None:
+    def find(self, name: str) -> backend_record.BackendRecord | None:
         """Returns the record of a backend server, or None."""
         return self._records.get(ids.BackendId(name))
 
-    def list_records(self) -> list[BackendRecord]:
+    def list_records(self) -> list[backend_record.BackendRecord]:
         """Returns all records."""
         return list(self._records.values())
 
-    def list_service(self, service: ids.ServiceName) -> list[BackendRecord]:
+    def list_service(self, service: ids.ServiceName) -> list[backend_record.BackendRecord]:
         """Returns the records of one service."""
         return self._by_service.get(service, [])
 
@@ -147,7 +64,7 @@
         for record in self._records.values():
             record.figures.owned_slots = count_owned_slots(record.server, own, instances)
 
-    def choose(self, now: float, service: ids.ServiceName) -> BackendRecord | None:
+    def choose(self, now: float, service: ids.ServiceName) -> backend_record.BackendRecord | None:
         """Returns a backend server with a free slot, or None."""
         is_spared = self._spares_cold(service)
         slow = self._find_slow_limit(now, service)
@@ -183,25 +100,25 @@
             record.figures.owned_slots for record in self.list_service(service) if record.is_open()
         )
 
-    def start(self, now: float, record: BackendRecord) -> None:
+    def start(self, now: float, record: backend_record.BackendRecord) -> None:
         """Counts a request that is about to be sent."""
         record.figures.in_flight += 1
         record.figures.running_since.append(now)
         record.figures.starts += 1
         record.figures.started_at = now
 
-    def note_head(self, record: BackendRecord) -> None:
+    def note_head(self, record: backend_record.BackendRecord) -> None:
         """Records that a request's head arrived or never will; its body may take longer."""
         # Requests of a backend server are alike, so the oldest start may stand for any.
         if record.figures.running_since:
             record.figures.running_since.popleft()
 
-    def give_back(self, record: BackendRecord) -> None:
+    def give_back(self, record: backend_record.BackendRecord) -> None:
         """Returns a slot that was taken for a request which was never sent."""
         self.note_head(record)
         record.figures.in_flight -= 1
 
-    def finish_answer(self, record: BackendRecord, latency: float) -> None:
+    def finish_answer(self, record: backend_record.BackendRecord, latency: float) -> None:
         """Counts an answer and learns from its latency in seconds."""
         figures = record.figures
         record.figures.in_flight -= 1
@@ -209,10 +126,10 @@
         figures.failures = 0
         figures.latency += LATENCY_WEIGHT * (latency - figures.latency)
         is_warming = record.state is backend.BackendState.WARMING
-        if is_warming and figures.answers >= WARM_ANSWERS:
+        if is_warming and figures.answers >= backend_record.WARM_ANSWERS:
             record.warm()
 
-    def finish_failure(self, now: float, record: BackendRecord) -> None:
+    def finish_failure(self, now: float, record: backend_record.BackendRecord) -> None:
         """Counts a failure, and ejects a backend server that fails again and again."""
         figures = record.figures
         record.figures.in_flight -= 1
@@ -222,17 +139,17 @@
             figures.ejected_until = now + EJECT_SECONDS
             record.eject()
 
-    def finish_refusal(self, record: BackendRecord) -> None:
+    def finish_refusal(self, record: backend_record.BackendRecord) -> None:
         """Counts a request that the backend server did not run."""
         record.figures.in_flight -= 1
 
-    def mark_leaving(self, now: float, record: BackendRecord) -> None:
+    def mark_leaving(self, now: float, record: backend_record.BackendRecord) -> None:
         """Stops new work for a backend server at the first sign that it is leaving."""
-        if record.state not in (backend.BackendState.LEAVING, backend.BackendState.GONE):
+        if record.state is not backend.BackendState.LEAVING:
             record.leave()
             record.figures.leaving_at = now
 
-    def mark_back(self, record: BackendRecord) -> None:
+    def mark_back(self, record: backend_record.BackendRecord) -> None:
         """Lets a backend server that left start again, cold."""
         if record.state is backend.BackendState.LEAVING:
             record.come_back()
@@ -265,7 +182,7 @@
         in_flight = sum(item.figures.in_flight for item in self._records.values())
         return (in_flight + queued) / slots
 
-    def _restore_ejected(self, now: float, record: BackendRecord) -> None:
+    def _restore_ejected(self, now: float, record: backend_record.BackendRecord) -> None:
         if record.state is backend.BackendState.EJECTED and now >= record.figures.ejected_until:
             record.restore()
             record.figures.answers = 0
@@ -298,7 +215,7 @@
         ]
         return SLOW_FACTOR * statistics.median_low(latencies) if latencies else math.inf
 
-    def _may_eject(self, record: BackendRecord) -> bool:
+    def _may_eject(self, record: backend_record.BackendRecord) -> bool:
         if self.policy is not Policy.LEAST_WORK:
             return False
         records = self.list_service(record.server.service)
@@ -306,7 +223,7 @@
         return ejected + 1 <= len(records) * EJECT_PART_MAX
 
 
-def _is_avoided(now: float, record: BackendRecord, slow: float) -> bool:
+def _is_avoided(now: float, record: backend_record.BackendRecord, slow: float) -> bool:
     """Tells whether a request should rather wait for a faster backend server.
 
     A slow one gets a request of its own now and then, so that its recovery shows.
@@ -317,7 +234,7 @@
     return record.figures.in_flight > 0 or not is_probe_due
 
 
-def _estimate_work(now: float, record: BackendRecord) -> float:
+def _estimate_work(now: float, record: backend_record.BackendRecord) -> float:
     figures = record.figures
     return record.estimate_latency(now) * (figures.in_flight + 1) / max(1, record.server.slots)
 
--- a/src/caperdyke/state/backend.py
+++ b/src/caperdyke/state/backend.py
@@ -13,7 +13,6 @@
     SERVING = "serving"
     EJECTED = "ejected"
     LEAVING = "leaving"
-    GONE = "gone"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/caperdyke/transport/config_sync.py
+++ b/src/caperdyke/transport/config_sync.py
@@ -160,11 +160,9 @@
         node = self._node
         was_away = node.platform_away
         node.platform_away = not answers
-        if answers:
-            node.platform_heard_at = node.clock()
-            if was_away:
-                events.log(events.Event.PLATFORM_BACK)
-        elif not was_away:
+        if answers and was_away:
+            events.log(events.Event.PLATFORM_BACK)
+        elif not answers and not was_away:
             events.log(events.Event.PLATFORM_AWAY, error=error)
 
     def _report_currency(self) -> None:
--- a/src/caperdyke/transport/context.py
+++ b/src/caperdyke/transport/context.py
@@ -8,6 +8,7 @@
 
 from caperdyke.coordination import (
     adoption,
+    backend_record,
     backends,
     drains,
     membership,
@@ -61,8 +62,8 @@
         self.busy_by_instance: dict[ids.InstanceId, float] = {}
         self.active_requests = 0
         self.is_ready = False
-        # Time of the latest row or configuration that the platform gave, seconds since 1970.
-        self.platform_heard_at = 0.0
+        # Peer addresses of entry instances in the platform's list.
+        self.listed_seeds: tuple[ids.Address, ...] = ()
         self.platform_away = False
         self._queues: dict[ids.ServiceName, slot_queue.SlotQueue] = {}
         self._labels = itertools.count(1)
@@ -133,6 +134,6 @@
     return f"{refusal.outcome.value}: {refusal.reason.value} {refusal.detail}".strip()
 
 
-def is_leaving(record: backends.BackendRecord) -> bool:
+def is_leaving(record: backend_record.BackendRecord) -> bool:
     """Tells whether a backend server gets no new work because it leaves."""
     return record.state is backend.BackendState.LEAVING
--- a/src/caperdyke/transport/links.py
+++ b/src/caperdyke/transport/links.py
@@ -216,7 +216,7 @@
             if record.instance in self._chosen and self.find(record.instance) is None
         }
         known = {record.peer_address for record in records}
-        for seed in node.settings.seeds:
+        for seed in (*node.settings.seeds, *node.listed_seeds):
             if seed not in known:
                 wanted[seed] = None
         for address, instance in wanted.items():
--- a/src/caperdyke/transport/local_service.py
+++ b/src/caperdyke/transport/local_service.py
@@ -3,7 +3,7 @@
 import collections.abc
 
 from caperdyke import errors
-from caperdyke.coordination import backends
+from caperdyke.coordination import backend_record
 from caperdyke.state import ids, outcome
 from caperdyke.transport import answers, context, events
 
@@ -66,7 +66,7 @@
         return home is None or own is None or home.region != own.region
 
     async def _send(
-        self, request: answers.IncomingRequest, record: backends.BackendRecord
+        self, request: answers.IncomingRequest, record: backend_record.BackendRecord
     ) -> answers.Answer:
         node = self._node
         started_at = node.clock()
@@ -104,7 +104,7 @@
     async def _count_body(
         self,
         request: answers.IncomingRequest,
-        record: backends.BackendRecord,
+        record: backend_record.BackendRecord,
         answer: answers.Answer,
         latency: float,
     ) -> collections.abc.AsyncGenerator[bytes, None]:
@@ -124,7 +124,7 @@
             await answer.close()
 
     def _count_end(
-        self, record: backends.BackendRecord, is_failed: bool, is_whole: bool, latency: float
+        self, record: backend_record.BackendRecord, is_failed: bool, is_whole: bool, latency: float
     ) -> None:
         if is_failed:
             self._note_failure(record)
@@ -136,13 +136,13 @@
     def _free_slot(self, service: ids.ServiceName) -> None:
         self._node.find_queue(service).serve_waiting(self._node.clock())
 
-    def _note_failure(self, record: backends.BackendRecord) -> None:
+    def _note_failure(self, record: backend_record.BackendRecord) -> None:
         was_open = record.is_open()
         self._node.backends.finish_failure(self._node.clock(), record)
         if was_open and not record.is_open():
             events.log(events.Event.BACKEND_EJECTED, backend=record.server.backend)
 
-    def _note_leaving(self, record: backends.BackendRecord, refusal: outcome.Refusal) -> None:
+    def _note_leaving(self, record: backend_record.BackendRecord, refusal: outcome.Refusal) -> None:
         if refusal.detail == "leaving" and record.is_open():
             self._node.backends.mark_leaving(self._node.clock(), record)
             events.log(
--- a/src/caperdyke/transport/platform_watch.py
+++ b/src/caperdyke/transport/platform_watch.py
@@ -76,7 +76,13 @@
 
     async def _read_list(self) -> None:
         marks = []
-        for item in await self._node.platform.list_instances():
+        listed = await self._node.platform.list_instances()
+        self._node.listed_seeds = tuple(
+            ids.Address(item.address)
+            for item in listed
+            if item.kind == "entry" and item.state == "live"
+        )
+        for item in listed:
             if item.kind == "backend" and item.domain == self._node.own.domain:
                 self._add_backend(item)
                 marks += self._compare(item)
--- a/src/caperdyke/transport/slot_queue.py
+++ b/src/caperdyke/transport/slot_queue.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from caperdyke import errors
-from caperdyke.coordination import backends
+from caperdyke.coordination import backend_record, backends
 from caperdyke.state import ids, outcome
 
 QUEUE_MAX = 500
@@ -39,7 +39,7 @@
 
     async def acquire(
         self, now: float, customer: ids.CustomerName, deadline: float
-    ) -> backends.BackendRecord:
+    ) -> backend_record.BackendRecord:
         """Returns a backend server with a slot taken.
 
         :param now: current time, seconds since 1970.
@@ -62,7 +62,7 @@
 
     async def _wait(
         self, customer: ids.CustomerName, deadline: float, timeout: float
-    ) -> backends.BackendRecord:
+    ) -> backend_record.BackendRecord:
         future: asyncio.Future = asyncio.get_running_loop().create_future()
         waiter = _Waiter(future, deadline)
         self._waiting.setdefault(customer, collections.deque()).append(waiter)
--- a/testing/test_backends.py
+++ b/testing/test_backends.py
@@ -7,7 +7,7 @@
 import testtools
 
 from caperdyke import errors
-from caperdyke.coordination import backends
+from caperdyke.coordination import backend_record, backends
 from caperdyke.state import backend, outcome
 from caperdyke.transport import slot_queue
 from testing import builders
@@ -25,7 +25,7 @@
     table = backends.BackendTable(policy, random.Random(1))
     for number in range(count):
         record = table.add(make_server(f"b{number}"))
-        record.figures.answers = backends.WARM_ANSWERS
+        record.figures.answers = backend_record.WARM_ANSWERS
         record.warm()
     return table
 
@@ -64,7 +64,7 @@
         record = table.add(make_server("cold"))
         table.start(0.0, record)
         self.assertIsNone(table.choose(0.0, SERVICE))
-        for _ in range(backends.WARM_ANSWERS):
+        for _ in range(backend_record.WARM_ANSWERS):
             table.finish_answer(record, 0.01)
             table.start(0.0, record)
         self.assertEqual(backend.BackendState.SERVING, record.state)
