Keep the queue short until a latency was seen

Cause: with all backend servers cold, 474 refused requests got their answer after 1.0 s at p99: they were queued on a first guess of 20 ms where answers took 480 ms. Until a first answer the queue now holds one request a slot, and the first answer sets the estimate instead of a fifth of it. Ruled out: a longer first guess (it would send callers away from fast servers). Conclusion: early refusal needs an observed latency.

--- a/src/caperdyke/coordination/backend_record.py
+++ b/src/caperdyke/coordination/backend_record.py
@@ -19,6 +19,7 @@
 
     :param owned_slots: slots that this instance may fill.
     :param latency: estimate of the time of one answer in seconds.
+    :param is_observed: whether the estimate comes from answers.
     :param started_at: time of the latest start, seconds since 1970.
     :param leaving_at: time of the first sign of leaving, seconds since 1970; 0 where there is none.
     """
@@ -28,6 +29,7 @@
     answers: int = 0
     failures: int = 0
     latency: float = LATENCY_FIRST_SECONDS
+    is_observed: bool = False
     # Start times of the requests whose head has not arrived, the oldest first.
     running_since: collections.deque[float] = dataclasses.field(default_factory=collections.deque)
     ejected_until: float = 0.0
--- a/src/caperdyke/coordination/backends.py
+++ b/src/caperdyke/coordination/backends.py
@@ -124,7 +124,9 @@
         record.figures.in_flight -= 1
         figures.answers += 1
         figures.failures = 0
-        figures.latency += LATENCY_WEIGHT * (latency - figures.latency)
+        weight = LATENCY_WEIGHT if figures.is_observed else 1.0
+        figures.is_observed = True
+        figures.latency += weight * (latency - figures.latency)
         is_warming = record.state is backend.BackendState.WARMING
         if is_warming and figures.answers >= backend_record.WARM_ANSWERS:
             record.warm()
@@ -164,6 +166,10 @@
             return timing.PERIOD_MAX_SECONDS
         return sum(record.estimate_latency(now) for record in records) / len(records)
 
+    def is_observed(self, service: ids.ServiceName) -> bool:
+        """Tells whether any backend server of a service has answered, so that estimates count."""
+        return any(record.figures.is_observed for record in self.list_service(service))
+
     def estimate_wait(self, now: float, service: ids.ServiceName, queued: int) -> float:
         """Returns the expected wait in seconds behind a number of queued requests."""
         slots = self.count_slots(service)
--- a/src/caperdyke/transport/slot_queue.py
+++ b/src/caperdyke/transport/slot_queue.py
@@ -56,10 +56,20 @@
             return record
         wait = self._table.estimate_wait(now, self._service, waiting)
         latest = now + (deadline - now) * WAIT_PART_MAX
-        if waiting >= QUEUE_MAX or now + wait >= latest or now + wait + latency >= deadline:
+        if (
+            waiting >= self._find_queue_limit()
+            or now + wait >= latest
+            or now + wait + latency >= deadline
+        ):
             raise errors.RefusalError(outcome.refuse(outcome.Reason.BACKEND_BUSY, now + wait))
         return await self._wait(customer, deadline, latest - now)
 
+    def _find_queue_limit(self) -> int:
+        """Returns how many requests may wait; one per slot while no answer has shown a latency."""
+        if self._table.is_observed(self._service):
+            return QUEUE_MAX
+        return self._table.count_slots(self._service)
+
     async def _wait(
         self, customer: ids.CustomerName, deadline: float, timeout: float
     ) -> backend_record.BackendRecord:
--- a/testing/test_backends.py
+++ b/testing/test_backends.py
@@ -187,6 +187,7 @@
                 await queue.acquire(0.0, customer, 10.0)
                 order.append(customer)
 
+            table.find("b0").figures.is_observed = True
             waiting = [asyncio.create_task(wait("flood")) for _ in range(6)]
             await asyncio.sleep(0)
             waiting += [asyncio.create_task(wait("quiet")) for _ in range(2)]
@@ -208,6 +209,18 @@
         self.assertEqual(outcome.Reason.BACKEND_BUSY, error.refusal.reason)
         self.assertEqual(1.0, error.refusal.retry_at)
 
+    def test_queue_is_short_before_any_answer_was_seen(self) -> None:
+        async def scenario(queue, table):
+            waiting = [asyncio.create_task(queue.acquire(0.0, "tala", 10.0)) for _ in range(4)]
+            await asyncio.sleep(0)
+            count = queue.count_waiting()
+            for task in waiting:
+                task.cancel()
+            refused = (await asyncio.gather(*waiting, return_exceptions=True))[-1]
+            return count, refused.refusal.reason
+
+        self.assertEqual((3, outcome.Reason.BACKEND_BUSY), self.run_queue(scenario))
+
     def test_request_whose_answer_would_come_too_late_takes_no_slot(self) -> None:
         async def scenario(queue, table):
             waiting = asyncio.create_task(queue.acquire(0.0, "tala", 10.0))
