Let a passed-on confirmation take the place of a periodic heartbeat

A heartbeat is sent on a link only where none was lately. Ruled out (tried first and mended before landing): counting any message as a sign of life; answers do not refresh the peer's evidence, so a busy link would have been ended as silent. A test for it.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -28,8 +28,8 @@
 def work_out(found: dict[str, slopes.Slope]) -> list[tuple[str, str, str]]:
     """Returns rows of the plan: what, worked-out load, bound."""
     links = _count_links()
-    # Periodic heartbeats, and those that pass a confirmation on at once.
-    beats = links * (1 / timing.HEARTBEAT_SECONDS + 1 / timing.SPREAD_SECONDS)
+    # A heartbeat that passes a confirmation on takes the place of a periodic one.
+    beats = links * max(1 / timing.HEARTBEAT_SECONDS, 1 / timing.SPREAD_SECONDS)
     beat_bytes = found["heartbeat, bytes"].value
     renewals = 1 / timing.RENEW_SECONDS
     request_bytes = found["lease, bytes of a request"].value
--- a/src/caperdyke/transport/links.py
+++ b/src/caperdyke/transport/links.py
@@ -69,14 +69,24 @@
         while True:
             self._end_silent()
             self._open_missing()
-            self.send_heartbeats()
+            self._send_due_heartbeats()
             await asyncio.sleep(timing.HEARTBEAT_SECONDS)
 
     def send_heartbeats(self) -> None:
         """Tells every linked peer what this instance knows."""
+        self.broadcast(self._make_heartbeat())
+
+    def _send_due_heartbeats(self) -> None:
+        """Sends a heartbeat on each link on which none was sent lately."""
+        quiet_since = asyncio.get_running_loop().time() - timing.HEARTBEAT_SECONDS / 2
+        beat = self._make_heartbeat()
+        for link in self.list_open():
+            if link.beat_at <= quiet_since:
+                link.send(beat)
+
+    def _make_heartbeat(self) -> messages.Heartbeat:
         node = self._node
-        beat = messages.Heartbeat(node.book.revision, node.book.confirmed_at, node.measure_busy())
-        self.broadcast(beat)
+        return messages.Heartbeat(node.book.revision, node.book.confirmed_at, node.measure_busy())
 
     async def forward(
         self, request: answers.IncomingRequest, target: member.Member, role: messages.Role
--- a/src/caperdyke/transport/peerlink.py
+++ b/src/caperdyke/transport/peerlink.py
@@ -39,12 +39,16 @@
         self.gates: dict[ids.RequestId, exchange.CreditGate] = {}
         self.serving: dict[ids.RequestId, asyncio.Task] = {}
         self.is_open = True
+        # Loop time of the latest heartbeat that was sent; other messages do not stand in for it.
+        self.beat_at = 0.0
 
     def send(self, message: messages.Message) -> None:
         """Queues a message; does nothing on a closed link."""
         if not self.is_open:
             return
         self._writer.write(frames.encode_frame(message))
+        if isinstance(message, messages.Heartbeat):
+            self.beat_at = asyncio.get_running_loop().time()
         if self._writer.transport.get_write_buffer_size() > BUFFER_MAX_BYTES:
             self.close()
 
--- a/testing/test_links.py
+++ b/testing/test_links.py
@@ -80,6 +80,20 @@
         self.assertEqual(2, count)
         self.assertIn("200 answered answer to after", line)
 
+    def test_heartbeat_is_due_only_where_none_was_sent_and_answers_do_not_count(self) -> None:
+        async def script(running):
+            links = running.nodes["pasig-1"].links
+            for link in links.list_open():
+                link.beat_at = 0.0
+            first, second = links.list_open()
+            first.send(messages.Heartbeat(1, 0.0, 0.0))
+            second.send(messages.AnswerEnd(99, 0))
+            beaten = first.beat_at
+            links._send_due_heartbeats()
+            return first.beat_at == beaten, second.beat_at > 0.0
+
+        self.assertEqual((True, True), self.run_session(script))
+
     def test_answers_out_of_order_find_their_requests(self) -> None:
         async def script(running):
             running.backends.faults["gallery-reader"] = ["hold"]
