Split the transport layer by concern

Cause: transport held 27 modules, and the work on the users' platform adds more of each kind. Callers, backend servers, peers, the store and HTTP now have a package each.

Ruled out: one package for the new code beside the old one, since a reader would look in two places for a fault in one concern.

The layer test now looks into subpackages.

Conclusion: new modules go straight to the package of their concern.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -18,7 +18,7 @@
 import fleet
 
 from caperdyke.loading import results
-from caperdyke.transport import http_client
+from caperdyke.transport.http import http_client
 
 
 def configuration_accepted_once(case: fault_case.Case) -> None:
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -12,7 +12,8 @@
 from caperdyke.protocol import documents, frames, messages, records
 from caperdyke.state import blockmap, ids, lease, member, timing
 from caperdyke.state import configuration as configurations
-from caperdyke.transport import http_client, peerlink
+from caperdyke.transport.http import http_client
+from caperdyke.transport.peers import peerlink
 
 NODES = 750
 DOMAINS = 9
--- a/src/caperdyke/loading/caller.py
+++ b/src/caperdyke/loading/caller.py
@@ -8,7 +8,7 @@
 from caperdyke.loading import results, scenario
 from caperdyke.protocol import refusals
 from caperdyke.state import ids
-from caperdyke.transport import http_client
+from caperdyke.transport.http import http_client
 
 TRIES_MAX = 6
 # Callers that a stream simulates; each keeps its own look-up.
--- a/src/caperdyke/programs/operator.py
+++ b/src/caperdyke/programs/operator.py
@@ -15,7 +15,8 @@
 from caperdyke.programs import common
 from caperdyke.protocol import documents
 from caperdyke.state import ids
-from caperdyke.transport import change_writer, http_client, platform_client
+from caperdyke.transport.http import http_client
+from caperdyke.transport.store import change_writer, platform_client
 
 EXIT_REFUSED = 3
 EXIT_UNKNOWN = 4
--- a/src/caperdyke/programs/platform.py
+++ b/src/caperdyke/programs/platform.py
@@ -7,7 +7,8 @@
 from caperdyke.protocol import settings_files
 from caperdyke.standins import platform_app
 from caperdyke.state import settings
-from caperdyke.transport import events, http_server
+from caperdyke.transport import events
+from caperdyke.transport.http import http_server
 
 
 async def _run(checked: settings.PlatformSettings, stop: asyncio.Event) -> None:
--- /dev/null
+++ b/src/caperdyke/transport/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers: queues, connections and exchanges."""
--- a/src/caperdyke/transport/backend_client.py
+++ b/src/caperdyke/transport/backends/backend_client.py
@@ -6,7 +6,8 @@
 
 from caperdyke import errors
 from caperdyke.state import backend, contract, outcome
-from caperdyke.transport import answers, http_client
+from caperdyke.transport.callers import answers
+from caperdyke.transport.http import http_client
 
 CONNECTIONS_MAX = 350
 CONNECT_TIMEOUT_SECONDS = 1.0
--- /dev/null
+++ b/src/caperdyke/transport/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers: look-ups, requests and their answers."""
--- a/src/caperdyke/transport/caller_app.py
+++ b/src/caperdyke/transport/callers/caller_app.py
@@ -11,7 +11,8 @@
 from caperdyke.coordination import lookup
 from caperdyke.protocol import keytext, refusals
 from caperdyke.state import contract, ids, outcome, timing
-from caperdyke.transport import answers, context, events, key_runs, request_reader, steering
+from caperdyke.transport import context, events
+from caperdyke.transport.callers import answers, key_runs, request_reader, steering
 
 # How long look-ups share an answer, and how many answers take turns for one home.
 ANSWERS_SECONDS = 0.1
--- a/src/caperdyke/transport/key_runs.py
+++ b/src/caperdyke/transport/callers/key_runs.py
@@ -6,7 +6,9 @@
 from caperdyke.coordination import ownership
 from caperdyke.protocol import messages
 from caperdyke.state import keys, outcome
-from caperdyke.transport import answers, context, links, steering
+from caperdyke.transport import context
+from caperdyke.transport.callers import answers, steering
+from caperdyke.transport.peers import links
 
 # Largest answer whose body is kept for callers that ask again.
 KEPT_BODY_BYTES = 64 * 1024
--- a/src/caperdyke/transport/local_service.py
+++ b/src/caperdyke/transport/callers/local_service.py
@@ -5,7 +5,8 @@
 from caperdyke import errors
 from caperdyke.coordination import backend_record
 from caperdyke.state import ids, outcome, timing
-from caperdyke.transport import answers, context, events
+from caperdyke.transport import context, events
+from caperdyke.transport.callers import answers
 
 
 class LocalService:
--- a/src/caperdyke/transport/request_reader.py
+++ b/src/caperdyke/transport/callers/request_reader.py
@@ -8,7 +8,8 @@
 from caperdyke.coordination import lookup
 from caperdyke.protocol import keytext, refusals
 from caperdyke.state import blockmap, contract, ids, keys, outcome
-from caperdyke.transport import answers, claims, context
+from caperdyke.transport import context
+from caperdyke.transport.callers import answers, claims
 
 ALL_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
 # Methods that the client library never sends twice by itself.
--- a/src/caperdyke/transport/steering.py
+++ b/src/caperdyke/transport/callers/steering.py
@@ -7,7 +7,9 @@
 from caperdyke.coordination import retries, routing
 from caperdyke.protocol import messages
 from caperdyke.state import contract, ids, member, outcome
-from caperdyke.transport import answers, context, links, local_service
+from caperdyke.transport import context
+from caperdyke.transport.callers import answers, local_service
+from caperdyke.transport.peers import links
 
 # Body bytes of a cheap answer that are collected, so that a broken answer can be asked for again.
 COLLECTED_BYTES = 128 * 1024
--- a/src/caperdyke/transport/context.py
+++ b/src/caperdyke/transport/context.py
@@ -17,7 +17,9 @@
     shares,
 )
 from caperdyke.state import backend, blockmap, ids, keys, member, outcome, settings
-from caperdyke.transport import backend_client, metrics, platform_client, slot_queue
+from caperdyke.transport import metrics
+from caperdyke.transport.backends import backend_client, slot_queue
+from caperdyke.transport.store import platform_client
 
 EXPLAINED_MAX = 4000
 
--- /dev/null
+++ b/src/caperdyke/transport/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP libraries, with what the project needs beside them."""
--- a/src/caperdyke/transport/node.py
+++ b/src/caperdyke/transport/node.py
@@ -8,26 +8,18 @@
 from caperdyke.coordination import membership
 from caperdyke.protocol import messages
 from caperdyke.state import member, settings, timing
-from caperdyke.transport import (
+from caperdyke.transport import context, events, metrics, operator_app
+from caperdyke.transport.callers import (
     caller_app,
     claims,
-    config_sync,
-    context,
-    events,
-    forwarded,
-    handover,
-    http_server,
     key_runs,
-    lease_keeper,
-    links,
     local_service,
-    metrics,
-    operator_app,
-    peerlink,
-    platform_watch,
     request_reader,
     steering,
 )
+from caperdyke.transport.http import http_server
+from caperdyke.transport.peers import forwarded, handover, links, peerlink
+from caperdyke.transport.store import config_sync, lease_keeper, platform_watch
 
 RESTART_SECONDS = 0.5
 WAIT_STEP_SECONDS = 0.05
--- a/src/caperdyke/transport/operator_app.py
+++ b/src/caperdyke/transport/operator_app.py
@@ -7,7 +7,8 @@
 import starlette.routing
 
 from caperdyke.state import member
-from caperdyke.transport import context, metrics, platform_watch
+from caperdyke.transport import context, metrics
+from caperdyke.transport.store import platform_watch
 
 
 class OperatorApp:
--- /dev/null
+++ b/src/caperdyke/transport/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links to other instances."""
--- a/src/caperdyke/transport/forwarded.py
+++ b/src/caperdyke/transport/peers/forwarded.py
@@ -5,15 +5,9 @@
 from caperdyke import errors
 from caperdyke.protocol import keytext, messages
 from caperdyke.state import outcome
-from caperdyke.transport import (
-    answers,
-    context,
-    events,
-    exchange,
-    key_runs,
-    local_service,
-    peerlink,
-)
+from caperdyke.transport import context, events
+from caperdyke.transport.callers import answers, key_runs, local_service
+from caperdyke.transport.peers import exchange, peerlink
 
 
 class ForwardedRequests:
--- a/src/caperdyke/transport/handover.py
+++ b/src/caperdyke/transport/peers/handover.py
@@ -4,7 +4,8 @@
 
 from caperdyke.protocol import messages
 from caperdyke.state import ids, keys, member
-from caperdyke.transport import context, events, links, peerlink
+from caperdyke.transport import context, events
+from caperdyke.transport.peers import links, peerlink
 
 ACK_TIMEOUT_SECONDS = 1.5
 RECORDS_PER_MESSAGE = 20
--- a/src/caperdyke/transport/links.py
+++ b/src/caperdyke/transport/peers/links.py
@@ -7,7 +7,9 @@
 from caperdyke.coordination import overlay
 from caperdyke.protocol import keytext, messages
 from caperdyke.state import ids, member, outcome, timing
-from caperdyke.transport import answers, context, events, peerlink
+from caperdyke.transport import context, events
+from caperdyke.transport.callers import answers
+from caperdyke.transport.peers import peerlink
 
 DIAL_TIMEOUT_SECONDS = 1.0
 # Seconds between two tries to reach a peer that could not be reached.
--- a/src/caperdyke/transport/peerlink.py
+++ b/src/caperdyke/transport/peers/peerlink.py
@@ -7,7 +7,8 @@
 from caperdyke import errors
 from caperdyke.protocol import frames, messages
 from caperdyke.state import ids, member
-from caperdyke.transport import events, exchange
+from caperdyke.transport import events
+from caperdyke.transport.peers import exchange
 
 HELLO_TIMEOUT_SECONDS = 1.5
 # Unsent bytes beyond which a peer that does not read is given up.
--- a/src/caperdyke/transport/change_writer.py
+++ b/src/caperdyke/transport/store/change_writer.py
@@ -9,7 +9,7 @@
 from caperdyke.protocol import documents, frames, records
 from caperdyke.state import configuration as configurations
 from caperdyke.state import ids, timing
-from caperdyke.transport import platform_client
+from caperdyke.transport.store import platform_client
 
 RETRY_SECONDS = 0.2
 
--- a/src/caperdyke/transport/config_sync.py
+++ b/src/caperdyke/transport/store/config_sync.py
@@ -7,7 +7,8 @@
 from caperdyke.protocol import frames, messages, records
 from caperdyke.state import blockmap, ids, timing
 from caperdyke.state import configuration as configurations
-from caperdyke.transport import context, events, links, peerlink
+from caperdyke.transport import context, events
+from caperdyke.transport.peers import links, peerlink
 
 # Silence after which any instance reads the platform itself.
 SILENCE_SECONDS = 1.2
--- a/src/caperdyke/transport/lease_keeper.py
+++ b/src/caperdyke/transport/store/lease_keeper.py
@@ -6,7 +6,8 @@
 from caperdyke.coordination import leases, overlay
 from caperdyke.protocol import frames, messages, records
 from caperdyke.state import lease, member, timing
-from caperdyke.transport import context, events, links, peerlink
+from caperdyke.transport import context, events
+from caperdyke.transport.peers import links, peerlink
 
 # Silence after which a holder's slices are given to others.
 DROP_SECONDS = 3 * timing.RENEW_SECONDS
--- a/src/caperdyke/transport/platform_client.py
+++ b/src/caperdyke/transport/store/platform_client.py
@@ -6,7 +6,7 @@
 
 from caperdyke import errors
 from caperdyke.state import ids
-from caperdyke.transport import http_client
+from caperdyke.transport.http import http_client
 
 CALL_TIMEOUT_SECONDS = 1.5
 CONNECTIONS_MAX = 20
--- a/src/caperdyke/transport/platform_watch.py
+++ b/src/caperdyke/transport/store/platform_watch.py
@@ -5,7 +5,9 @@
 from caperdyke import errors
 from caperdyke.protocol import frames, messages, records
 from caperdyke.state import backend, ids
-from caperdyke.transport import context, events, links, platform_client
+from caperdyke.transport import context, events
+from caperdyke.transport.peers import links
+from caperdyke.transport.store import platform_client
 
 WATCH_SECONDS = 1.0
 # Records of ended instances that are kept, since keys may still name them.
--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -4,7 +4,8 @@
 
 from caperdyke import errors
 from caperdyke.state import outcome
-from caperdyke.transport import answers, platform_client
+from caperdyke.transport.callers import answers
+from caperdyke.transport.store import platform_client
 
 
 class FakeClock:
--- a/testing/servers.py
+++ b/testing/servers.py
@@ -4,7 +4,7 @@
 import contextlib
 import socket
 
-from caperdyke.transport import http_server
+from caperdyke.transport.http import http_server
 
 
 @contextlib.asynccontextmanager
--- a/testing/test_backend_client.py
+++ b/testing/test_backend_client.py
@@ -9,7 +9,8 @@
 
 from caperdyke import errors
 from caperdyke.state import backend, outcome
-from caperdyke.transport import answers, backend_client
+from caperdyke.transport.backends import backend_client
+from caperdyke.transport.callers import answers
 from testing import builders, servers
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
--- a/testing/test_backends.py
+++ b/testing/test_backends.py
@@ -9,7 +9,7 @@
 from caperdyke import errors
 from caperdyke.coordination import backend_record, backends
 from caperdyke.state import backend, outcome
-from caperdyke.transport import slot_queue
+from caperdyke.transport.backends import slot_queue
 from testing import builders
 
 SERVICE = "gallery-reader"
--- a/testing/test_change_writer.py
+++ b/testing/test_change_writer.py
@@ -7,7 +7,7 @@
 
 from caperdyke import errors
 from caperdyke.protocol import records
-from caperdyke.transport import change_writer
+from caperdyke.transport.store import change_writer
 from testing import builders, fakes
 
 # Name, faults of the coming calls (three reads and a write make one try), whether it is accepted.
--- a/testing/test_config_sync.py
+++ b/testing/test_config_sync.py
@@ -5,7 +5,8 @@
 import testtools
 
 from caperdyke.protocol import frames, messages, records
-from caperdyke.transport import change_writer, config_sync, context, metrics
+from caperdyke.transport import context, metrics
+from caperdyke.transport.store import change_writer, config_sync
 from testing import builders, fakes, session
 
 
--- a/testing/test_exchange.py
+++ b/testing/test_exchange.py
@@ -8,7 +8,7 @@
 from caperdyke import errors
 from caperdyke.protocol import messages
 from caperdyke.state import outcome
-from caperdyke.transport import exchange
+from caperdyke.transport.peers import exchange
 
 START = messages.AnswerStart(1, 200, ())
 CUT = errors.LinkClosedError("link ended")
--- a/testing/test_layers.py
+++ b/testing/test_layers.py
@@ -26,7 +26,7 @@
 
     def test_imports_point_downward(self) -> None:
         for position, layer in enumerate(LAYERS):
-            for path in (SOURCE / layer).glob("*.py"):
+            for path in (SOURCE / layer).rglob("*.py"):
                 for name in list_imports(path):
                     parts = name.split(".")
                     if len(parts) > 1 and parts[1] in LAYERS:
--- a/testing/test_lease_keeper.py
+++ b/testing/test_lease_keeper.py
@@ -6,7 +6,8 @@
 
 from caperdyke.protocol import messages
 from caperdyke.state import member, timing
-from caperdyke.transport import context, lease_keeper, metrics
+from caperdyke.transport import context, metrics
+from caperdyke.transport.store import lease_keeper
 from testing import builders, fakes, session
 
 _METRICS = metrics.Metrics()
--- a/testing/test_platform_client.py
+++ b/testing/test_platform_client.py
@@ -7,7 +7,7 @@
 
 from caperdyke import errors
 from caperdyke.standins import platform_app
-from caperdyke.transport import platform_client
+from caperdyke.transport.store import platform_client
 from testing import servers
 
 
