Keep objects at homes by region and capacity, and count what a cold run costs others

A wrongly expected warm answer also made its server look slow, which moved further objects.

Ruled out: lack of slots (2 of 3, 5 of 8 busy at the median).

Now the order of an object's homes is the same in a region, its part that stays there follows from the region's part of the slots, the second home lies in the sibling domain, and work on a cold object weighs more the fuller the service is.

--- a/src/caperdyke/coordination/placement/choice.py
+++ b/src/caperdyke/coordination/placement/choice.py
@@ -2,15 +2,11 @@
 
 import dataclasses
 
-from caperdyke.coordination.placement import affinity, server_view, work_times
+from caperdyke.coordination.placement import server_view, work_times
 from caperdyke.state import ids
 
-# Weight of an object's servers in the instance's own failure domain, against 1 elsewhere.
-NEAR_WEIGHT = 4.0
-# Chance that an object is warm on the first and the second server of its order, where this
-# instance has not seen it itself.
-FIRST_WARM_CHANCE = 0.7
-SECOND_WARM_CHANCE = 0.2
+# Chance that an object is warm on its first homes, where this instance has not seen it itself.
+WARM_CHANCES = (0.7, 0.4)
 # What it is worth not to leave the failure domain: bytes that leave it cost the operators, and a
 # download has many. In seconds of waiting.
 FAR_SECONDS = 0.02
@@ -44,10 +40,12 @@
 class Candidate:
     """A backend server that may get the request.
 
+    :param place: its place in the order of the object's homes, from 0.
     :param round_trip: seconds to the server and back.
     """
 
     view: server_view.ServerView
+    place: int
     is_near: bool
     round_trip: float
 
@@ -85,26 +83,30 @@
 def choose(
     now: float, demand: Demand, candidates: list[Candidate], times: work_times.WorkTime
 ) -> Choice:
-    """Returns the server with the earliest expected answer.
+    """Returns the server with the earliest expected answer, taking the cost to others into account.
 
     Pattern: objects are slow on a server that has not handled them lately, and servers fill up
-    unevenly. The order of an object's servers is the same on every instance, so each object stays
-    with its first server as long as waiting there costs less than the second one's lack of warmth.
+    unevenly. The order of an object's homes is the same on every instance of a region, so each
+    object stays with its homes as long as waiting there costs less than their warmth is worth. The
+    fuller the service, the more a cold run costs the others, so that overload does not spread
+    objects over all servers and make itself worse.
+
+    :param candidates: in the order of the object's homes.
     """
     open_candidates = [item for item in candidates if _is_open(now, item, demand)]
     if not open_candidates:
         return NoRoom(RETRY_MAX_SECONDS if not candidates else RETRY_MIN_SECONDS * 3, True)
-    order = rank(demand.key, open_candidates)
+    pressure = _measure_pressure(open_candidates)
     best: Placed | None = None
     best_cost = 0.0
     earliest_room = RETRY_MAX_SECONDS
-    for place, candidate in enumerate(order):
-        placed = _estimate(now, demand, candidate, place, times)
+    for candidate in open_candidates:
+        placed, work = _estimate(now, demand, candidate, times)
         is_full = candidate.view.busy >= OVERFILL * candidate.view.server.slots
         if is_full or now + placed.expected > demand.deadline - _find_spare(now, demand):
             earliest_room = min(earliest_room, max(0.0, placed.expected - times.warm))
             continue
-        cost = placed.expected + _find_distance_cost(demand, candidate)
+        cost = placed.expected + pressure * work + _find_distance_cost(demand, candidate)
         if best is None or cost < best_cost:
             best, best_cost = placed, cost
     if best is not None:
@@ -112,17 +114,10 @@
     return NoRoom(max(RETRY_MIN_SECONDS, earliest_room), False)
 
 
-def rank(key: ids.ObjectKey, candidates: list[Candidate]) -> list[Candidate]:
-    """Orders servers by an object's preference; a request without an object has none."""
-    if not key:
-        return candidates
-    return sorted(candidates, key=lambda item: -_weigh(key, item))
-
-
-def _weigh(key: ids.ObjectKey, candidate: Candidate) -> float:
-    server = candidate.view.server
-    weight = server.slots * (NEAR_WEIGHT if candidate.is_near else 1.0)
-    return affinity.weigh(key, server.backend, weight)
+def _measure_pressure(candidates: list[Candidate]) -> float:
+    """Returns requests under way per slot, at most 1."""
+    slots = sum(item.view.server.slots for item in candidates)
+    return min(1.0, sum(item.view.busy for item in candidates) / slots)
 
 
 def _is_open(now: float, candidate: Candidate, demand: Demand) -> bool:
@@ -132,25 +127,29 @@
 
 
 def _estimate(
-    now: float, demand: Demand, candidate: Candidate, place: int, times: work_times.WorkTime
-) -> Placed:
+    now: float, demand: Demand, candidate: Candidate, times: work_times.WorkTime
+) -> tuple[Placed, float]:
+    """Returns what is expected of a server, and the time for which it would work."""
     view = candidate.view
-    if not demand.key:
-        chance = 0.0
-    elif view.is_warm(now, demand.key):
-        chance = 1.0
-    else:
-        chance = {0: FIRST_WARM_CHANCE, 1: SECOND_WARM_CHANCE}.get(place, 0.0)
+    chance = _find_warm_chance(now, demand, candidate)
     work = view.speed * (chance * times.warm + (1 - chance) * times.cold)
     oldest = view.find_oldest()
     if oldest is not None:
         # A server that became slow shows it before its first slow answer.
         work = max(work, now - oldest - times.cold)
     slots = view.server.slots
-    mean = view.speed * (0.7 * times.warm + 0.3 * times.cold)
-    wait = max(0, view.busy + 1 - slots) / slots * mean
+    wait = max(0, view.busy + 1 - slots) / slots * view.speed * times.mean
     is_waiting = view.busy + 1 > slots
-    return Placed(view, wait + work + candidate.round_trip, chance >= 0.5, is_waiting)
+    expected = wait + work + candidate.round_trip
+    return Placed(view, expected, chance >= 0.5, is_waiting), work
+
+
+def _find_warm_chance(now: float, demand: Demand, candidate: Candidate) -> float:
+    if not demand.key:
+        return 0.0
+    if candidate.view.is_warm(now, demand.key):
+        return 1.0
+    return WARM_CHANCES[candidate.place] if candidate.place < len(WARM_CHANCES) else 0.0
 
 
 def _find_distance_cost(demand: Demand, candidate: Candidate) -> float:
--- a/src/caperdyke/coordination/placement/work_times.py
+++ b/src/caperdyke/coordination/placement/work_times.py
@@ -8,6 +8,8 @@
 # Estimates before the first answer, as parts of the route's objective.
 COLD_FIRST_PART = 1.2
 WARM_FIRST_PART = 0.5
+# Least time that an estimate is divided by, in seconds.
+TIME_MIN = 0.001
 
 
 @dataclasses.dataclass(slots=True)
@@ -16,6 +18,18 @@
 
     warm: float
     cold: float
+    # Of all latest answers.
+    mean: float
+
+    def compare(self, is_warm: bool, took: float) -> float:
+        """Returns the time of an answer as a multiple of what was to be expected.
+
+        Pattern: an object is thought to be warm and is not. Such an answer says nothing of the
+        server's speed, so it is held against the time of a cold one.
+        """
+        if is_warm and took * took > self.warm * self.cold:
+            return max(1.0, took / max(TIME_MIN, self.cold))
+        return took / max(TIME_MIN, self.warm if is_warm else self.cold)
 
 
 class WorkTimes:
@@ -31,7 +45,8 @@
         """
         known = self._times.get(service)
         if known is None:
-            known = WorkTime(WARM_FIRST_PART * objective, COLD_FIRST_PART * objective)
+            warm, cold = WARM_FIRST_PART * objective, COLD_FIRST_PART * objective
+            known = WorkTime(warm, cold, warm)
             self._times[service] = known
         return known
 
@@ -41,7 +56,9 @@
         :param took: seconds from the send to the whole answer.
         """
         known = self.find(service, objective)
-        if is_warm:
+        known.mean += NEW_WEIGHT * (took - known.mean)
+        was_cold = took * took > known.warm * known.cold
+        if is_warm and not was_cold:
             known.warm += NEW_WEIGHT * (took - known.warm)
-        else:
+        elif not is_warm and was_cold:
             known.cold += NEW_WEIGHT * (took - known.cold)
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -6,6 +6,7 @@
 from caperdyke.coordination.placement import (
     choice,
     cold_starts,
+    homes,
     retry_quota,
     server_view,
     splits,
@@ -13,7 +14,7 @@
 )
 from caperdyke.coordination.registry import fleet, server_registry
 from caperdyke.protocol import dialect
-from caperdyke.state import clock, gateway_settings, ids, member, routes
+from caperdyke.state import backend, clock, gateway_settings, ids, member, routes
 from caperdyke.transport import events
 from caperdyke.transport.backends import pool
 
@@ -65,12 +66,17 @@
         self.active_requests = 0
         self.is_stopping = False
         self._services: dict[ids.ServiceName, list[server_registry.RegisteredServer]] = {}
+        # Order of a service's servers for each object, until the set of servers changes.
+        self._orders: dict[tuple[ids.ServiceName, ids.ObjectKey], list[homes.Place]] = {}
 
     def refresh_servers(self) -> None:
         """Groups the usable servers anew after a change."""
         now = self.now()
         usable = self.servers.list_usable(now)
-        self._services = server_registry.list_services(usable)
+        services = server_registry.list_services(usable)
+        if _list_names(services) != _list_names(self._services):
+            self._orders.clear()
+        self._services = services
         for name in self.servers.forget_gone(now):
             self.views.pop(name, None)
             self.cold.forget(name)
@@ -97,29 +103,47 @@
             self.pool.drop(name)
 
     def list_candidates(
-        self, service: ids.ServiceName, homes: frozenset[ids.RegionName]
+        self, service: ids.ServiceName, key: ids.ObjectKey, regions: frozenset[ids.RegionName]
     ) -> list[choice.Candidate]:
-        """Returns the servers of a service that a request may go to now."""
+        """Returns the servers of a service that a request may go to now, in the object's order.
+
+        :param regions: the only regions that may serve it; empty where all may.
+        """
         now = self.now()
-        candidates = []
         names = self.fleet.list_names(now)
-        for known in self._services.get(service, ()):
-            server = known.registration.server
-            if server.domain in self.evacuated:
-                continue
-            if homes and self.settings.domains.get(server.domain) not in homes:
+        candidates = []
+        for position, place in enumerate(self._order(service, key)):
+            server = place.server
+            if server.domain in self.evacuated or (regions and place.region not in regions):
                 continue
-            if not self._may_use_cold(now, known, names):
+            known = self.servers.find(server.backend)
+            if known is None or not self._may_use_cold(now, known, names):
                 continue
             candidates.append(
                 choice.Candidate(
                     self.find_view(server.backend),
+                    position,
                     server.domain == self.settings.domain,
                     self.round_trips.get(server.domain, ROUND_TRIP_FIRST),
                 )
             )
         return candidates
 
+    def _order(self, service: ids.ServiceName, key: ids.ObjectKey) -> list[homes.Place]:
+        order = self._orders.get((service, key))
+        if order is None:
+            places = [
+                homes.Place(
+                    known.registration.server,
+                    self.settings.domains.get(known.registration.server.domain, ""),
+                )
+                for known in self._services.get(service, ())
+            ]
+            weight = homes.find_near_weight(self.settings.region, places)
+            order = homes.order_places(key, self.settings.region, weight, places)
+            self._orders[service, key] = order
+        return order
+
     def has_servers(self, service: ids.ServiceName) -> bool:
         """Tells whether any server of a service is registered for work."""
         return bool(self._services.get(service))
@@ -174,3 +198,12 @@
         terms = self._find_terms(known)
         rate = terms.cold_per_second if terms else 0.0
         return rate * bounds.cold_factor + bounds.cold_allowance
+
+
+def _list_names(
+    services: dict[ids.ServiceName, list[server_registry.RegisteredServer]],
+) -> dict[ids.ServiceName, list[backend.BackendServer]]:
+    return {
+        service: [known.registration.server for known in group]
+        for service, group in services.items()
+    }
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -46,6 +46,7 @@
 
     request_id: str
     received_at: float
+    object_key: str = ""
     route: str = ""
     service: str = ""
     sends: list[str] = dataclasses.field(default_factory=list)
@@ -82,7 +83,7 @@
         node = self._node
         received_at = node.now()
         about = node.headers.read_caller(scope["headers"])
-        trace = _Trace(about.request_id, received_at)
+        trace = _Trace(about.request_id, received_at, about.object_key)
         node.active_requests += 1
         try:
             await self._handle(scope, receive, send, about, trace)
@@ -232,7 +233,7 @@
             route.kind is routes.RouteKind.DOWNLOAD,
             frozenset(tried),
         )
-        candidates = node.list_candidates(service, route.homes)
+        candidates = node.list_candidates(service, demand.key, route.homes)
         return choice.choose(node.now(), demand, candidates, node.times.find(service, objective))
 
     def _learn(
@@ -253,7 +254,7 @@
             ratio = None
             if not placed.waits:
                 times = node.times.find(service, objective)
-                ratio = took / max(0.001, times.warm if placed.is_warm else times.cold)
+                ratio = times.compare(placed.is_warm, took)
                 node.times.note(service, objective, placed.is_warm, took)
             view.note_answer(now, request.about.object_key, ratio)
             return
@@ -357,6 +358,7 @@
             status=status,
             took_ms=round((node.now() - trace.received_at) * 1000),
             outcome=outcome,
+            object=trace.object_key,
             route=trace.route,
             service=trace.service,
             configuration=node.routes.version if node.routes else 0,
