Keep objects at their homes under pressure, and turn away what would be late

Now a server that is not warm for an object gets it only while it has a free slot and the service is less than 0.7 full; nothing waits for a slot if it would be late in a full service. Work is estimated by route, and a guess alone turns nothing away. The servers' own load goes before counts that lag. Settings are read again on SIGHUP and when the file changes.

--- a/src/caperdyke/coordination/placement/choice.py
+++ b/src/caperdyke/coordination/placement/choice.py
@@ -7,10 +7,19 @@
 
 # Chance that an object is warm on its first homes, where this instance has not seen it itself.
 WARM_CHANCES = (0.7, 0.4)
+# Chance from which on a server counts as warm.
+WARM_MIN = 0.4
 # What it is worth not to leave the failure domain: bytes that leave it cost the operators, and a
 # download has many. In seconds of waiting.
 FAR_SECONDS = 0.02
 FAR_DOWNLOAD_SECONDS = 0.1
+# What it is worth to use one of an object's homes rather than another server that is warm by
+# accident, as a part of the difference that warmth makes; brings objects to servers that joined.
+HOME_PART = 0.5
+# Requests under way per slot of a service from which on nothing waits that would be late.
+FULL_PRESSURE = 0.9
+# Requests under way per slot of a service from which on objects stay with their homes.
+COLD_PRESSURE = 0.7
 # Requests under way for each slot beyond which a server would turn more away.
 OVERFILL = 2.5
 # Part of the remaining time that must be left when the answer is expected.
@@ -25,13 +34,13 @@
     """What a request needs.
 
     :param deadline: time after which an answer is of no use.
-    :param objective: seconds within which the route's answers are worth most.
+    :param objective_at: time until which an answer is worth most.
     """
 
     service: ids.ServiceName
     key: ids.ObjectKey
     deadline: float
-    objective: float
+    objective_at: float
     is_download: bool
     tried: frozenset[ids.BackendId] = frozenset()
 
@@ -40,12 +49,10 @@
 class Candidate:
     """A backend server that may get the request.
 
-    :param place: its place in the order of the object's homes, from 0.
     :param round_trip: seconds to the server and back.
     """
 
     view: server_view.ServerView
-    place: int
     is_near: bool
     round_trip: float
 
@@ -100,13 +107,17 @@
     best: Placed | None = None
     best_cost = 0.0
     earliest_room = RETRY_MAX_SECONDS
-    for candidate in open_candidates:
-        placed, work = _estimate(now, demand, candidate, times)
-        is_full = candidate.view.busy >= OVERFILL * candidate.view.server.slots
-        if is_full or now + placed.expected > demand.deadline - _find_spare(now, demand):
-            earliest_room = min(earliest_room, max(0.0, placed.expected - times.warm))
+    for place, candidate in enumerate(open_candidates):
+        estimate = _estimate(now, demand, candidate, place, times)
+        placed = estimate.placed
+        if not _is_worth_sending(now, demand, estimate, pressure):
+            earliest_room = min(earliest_room, max(0.0, estimate.wait))
             continue
-        cost = placed.expected + pressure * work + _find_distance_cost(demand, candidate)
+        cost = (
+            placed.expected
+            + pressure * estimate.work
+            + _find_place_cost(demand, candidate, place, times)
+        )
         if best is None or cost < best_cost:
             best, best_cost = placed, cost
     if best is not None:
@@ -126,37 +137,79 @@
     return not is_paused and view.server.backend not in demand.tried
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Estimate:
+    """What is expected of one server.
+
+    :param wait: seconds until a slot is free.
+    :param work: seconds for which the server would work.
+    """
+
+    placed: Placed
+    wait: float
+    work: float
+    round_trip: float
+
+
 def _estimate(
-    now: float, demand: Demand, candidate: Candidate, times: work_times.WorkTime
-) -> tuple[Placed, float]:
-    """Returns what is expected of a server, and the time for which it would work."""
+    now: float,
+    demand: Demand,
+    candidate: Candidate,
+    place: int,
+    times: work_times.WorkTime,
+) -> _Estimate:
     view = candidate.view
-    chance = _find_warm_chance(now, demand, candidate)
+    chance = _find_warm_chance(now, demand, candidate, place)
     work = view.speed * (chance * times.warm + (1 - chance) * times.cold)
     oldest = view.find_oldest()
     if oldest is not None:
         # A server that became slow shows it before its first slow answer.
         work = max(work, now - oldest - times.cold)
     slots = view.server.slots
-    wait = max(0, view.busy + 1 - slots) / slots * view.speed * times.mean
-    is_waiting = view.busy + 1 > slots
-    expected = wait + work + candidate.round_trip
-    return Placed(view, expected, chance >= 0.5, is_waiting), work
+    busy = view.measure_busy(now)
+    wait = max(0, busy + 1 - slots) / slots * view.speed * times.mean
+    is_waiting = busy + 1 > slots
+    placed = Placed(view, wait + work + candidate.round_trip, chance >= WARM_MIN, is_waiting)
+    return _Estimate(placed, wait, work, candidate.round_trip)
 
 
-def _find_warm_chance(now: float, demand: Demand, candidate: Candidate) -> float:
+def _is_worth_sending(now: float, demand: Demand, estimate: _Estimate, pressure: float) -> bool:
+    """Tells whether a server should get the request rather than turn it away.
+
+    Pattern: more work than slots. Whatever waits then is late when it is answered, and so is
+    everything behind it, and a cold run takes the slots of several warm ones. What would be late
+    is turned away while it can still come back in time; what is merely slow is sent.
+    """
+    placed = estimate.placed
+    view = placed.view
+    if view.busy >= OVERFILL * view.server.slots:
+        return False
+    # Only the wait is certain; the work is an estimate and may be of another kind of request.
+    soonest = now + estimate.wait + estimate.round_trip
+    if soonest > demand.deadline - SPARE_PART * max(0.0, demand.deadline - now):
+        return False
+    if not placed.is_warm and (placed.waits or pressure >= COLD_PRESSURE):
+        return False
+    if not placed.waits:
+        return True
+    return pressure < FULL_PRESSURE or now + placed.expected <= demand.objective_at
+
+
+def _find_warm_chance(now: float, demand: Demand, candidate: Candidate, place: int) -> float:
     if not demand.key:
-        return 0.0
+        return WARM_MIN
     if candidate.view.is_warm(now, demand.key):
         return 1.0
-    return WARM_CHANCES[candidate.place] if candidate.place < len(WARM_CHANCES) else 0.0
-
-
-def _find_distance_cost(demand: Demand, candidate: Candidate) -> float:
-    if candidate.is_near:
-        return 0.0
-    return FAR_DOWNLOAD_SECONDS if demand.is_download else FAR_SECONDS
-
-
-def _find_spare(now: float, demand: Demand) -> float:
-    return SPARE_PART * max(0.0, demand.deadline - now)
+    return WARM_CHANCES[place] if place < len(WARM_CHANCES) else 0.0
+
+
+def _find_place_cost(
+    demand: Demand, candidate: Candidate, place: int, times: work_times.WorkTime
+) -> float:
+    """Returns what a server costs beyond its time, in seconds."""
+    cost = 0.0
+    if place >= len(WARM_CHANCES):
+        cost += HOME_PART * max(0.0, times.cold - times.warm)
+    if not candidate.is_near:
+        cost += FAR_DOWNLOAD_SECONDS if demand.is_download else FAR_SECONDS
+    return cost
--- a/src/caperdyke/coordination/placement/retry_quota.py
+++ b/src/caperdyke/coordination/placement/retry_quota.py
@@ -21,11 +21,15 @@
     """
 
     def __init__(self, ratio: float, allowance: float, window: float) -> None:
+        self.apply_limits(ratio, allowance, window)
+        self._firsts: dict[ids.ServiceName, collections.deque[float]] = {}
+        self._repeats: dict[ids.ServiceName, collections.deque[float]] = {}
+
+    def apply_limits(self, ratio: float, allowance: float, window: float) -> None:
+        """Takes over changed limits; what was counted stays."""
         self._ratio = ratio
         self._allowance = allowance
         self._window = window
-        self._firsts: dict[ids.ServiceName, collections.deque[float]] = {}
-        self._repeats: dict[ids.ServiceName, collections.deque[float]] = {}
 
     def note_first(self, now: float, service: ids.ServiceName) -> None:
         """Counts a caller's request."""
--- a/src/caperdyke/coordination/placement/server_view.py
+++ b/src/caperdyke/coordination/placement/server_view.py
@@ -21,6 +21,8 @@
 # doubles with each further failure.
 SUSPEND_FIRST_SECONDS = 0.5
 SUSPEND_MAX_SECONDS = 4.0
+# How long the server's own count is used, in seconds; its requests take about as long.
+REPORT_SECONDS = 0.15
 # How long another instance's count of its requests is used, in seconds.
 PEER_LOAD_SECONDS = 2.0
 
@@ -46,6 +48,8 @@
     avoided_until: float = 0.0
     suspended_until: float = 0.0
     connect_failures: int = 0
+    reported_load: int = 0
+    reported_at: float = 0.0
     sent_at: collections.deque[float] = dataclasses.field(default_factory=collections.deque)
     warm_until: collections.OrderedDict[ids.ObjectKey, float] = dataclasses.field(
         default_factory=collections.OrderedDict
@@ -56,6 +60,17 @@
         """Requests of all instances that are under way, as far as known."""
         return self.in_flight + self.peer_load
 
+    def note_load(self, now: float, load: int) -> None:
+        """Learns the server's own count of its requests."""
+        self.reported_load = load
+        self.reported_at = now
+
+    def measure_busy(self, now: float) -> int:
+        """Returns the requests under way; the server's own count goes first while it is new."""
+        if now < self.reported_at + REPORT_SECONDS:
+            return max(self.busy, self.reported_load)
+        return self.busy
+
     def is_warm(self, now: float, key: ids.ObjectKey) -> bool:
         """Tells whether the server answered for an object lately."""
         return self.warm_until.get(key, 0.0) > now
--- a/src/caperdyke/coordination/placement/work_times.py
+++ b/src/caperdyke/coordination/placement/work_times.py
@@ -1,4 +1,4 @@
-"""Estimates how long backend servers of a service work on one request."""
+"""Estimates how long backend servers work on one request of a route."""
 
 import dataclasses
 
@@ -33,29 +33,29 @@
 
 
 class WorkTimes:
-    """Estimates by service, from answers that did not wait for a slot."""
+    """Estimates by route, from answers that did not wait for a slot."""
 
     def __init__(self) -> None:
-        self._times: dict[ids.ServiceName, WorkTime] = {}
+        self._times: dict[ids.RouteName, WorkTime] = {}
 
-    def find(self, service: ids.ServiceName, objective: float) -> WorkTime:
-        """Returns the estimates of a service.
+    def find(self, route: ids.RouteName, objective: float) -> WorkTime:
+        """Returns the estimates of a route.
 
         :param objective: seconds within which the route's answers are worth most.
         """
-        known = self._times.get(service)
+        known = self._times.get(route)
         if known is None:
             warm, cold = WARM_FIRST_PART * objective, COLD_FIRST_PART * objective
             known = WorkTime(warm, cold, warm)
-            self._times[service] = known
+            self._times[route] = known
         return known
 
-    def note(self, service: ids.ServiceName, objective: float, is_warm: bool, took: float) -> None:
+    def note(self, route: ids.RouteName, objective: float, is_warm: bool, took: float) -> None:
         """Learns from an answer that did not wait.
 
         :param took: seconds from the send to the whole answer.
         """
-        known = self.find(service, objective)
+        known = self.find(route, objective)
         known.mean += NEW_WEIGHT * (took - known.mean)
         was_cold = took * took > known.warm * known.cold
         if is_warm and not was_cold:
--- a/src/caperdyke/coordination/registry/fleet.py
+++ b/src/caperdyke/coordination/registry/fleet.py
@@ -48,6 +48,10 @@
         self._regions = regions
         self._others: dict[ids.InstanceId, KnownInstance] = {}
 
+    def apply_regions(self, regions: dict[ids.DomainName, ids.RegionName]) -> None:
+        """Takes over a changed map of failure domains."""
+        self._regions = regions
+
     def list_others(self) -> list[KnownInstance]:
         """Returns every other instance that is known."""
         return list(self._others.values())
--- a/src/caperdyke/programs/gateway.py
+++ b/src/caperdyke/programs/gateway.py
@@ -1,7 +1,9 @@
 """``caperdyke-gateway``: an entry instance that sends straight to registered backend servers."""
 
 import asyncio
+import functools
 import os
+import signal
 import sys
 
 from caperdyke.platform import calls, documents, headers, store
@@ -9,13 +11,13 @@
 from caperdyke.protocol import gateway_files
 from caperdyke.state import gateway_settings
 from caperdyke.transport import events
-from caperdyke.transport.gateway import context, node
+from caperdyke.transport.gateway import context, node, reload
 
 # Variable in which the platform names the settings file.
 SETTINGS_VARIABLE = "CAPERDYKE_NODE_FILE"
 
 
-async def _run(checked: gateway_settings.GatewaySettings, stop: asyncio.Event) -> None:
+async def _run(path: str, checked: gateway_settings.GatewaySettings, stop: asyncio.Event) -> None:
     events.configure(checked.logs)
     shared = context.GatewayContext(checked, headers, documents, store.Store(checked.store_address))
 
@@ -25,16 +27,25 @@
             checked.lookup_address: calls.make_lookup_app(shared),
         }
 
-    await node.GatewayNode(shared, make_apps).run(stop)
+    gateway = node.GatewayNode(shared, make_apps)
+    reloader = reload.Reloader(shared, path)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reloader.reload)
+    watching = asyncio.create_task(reloader.watch())
+    await gateway.run(stop)
+    watching.cancel()
 
 
 def main(arguments: list[str] | None = None) -> int:
     """Runs the program and returns its exit status."""
+    # Until the handler stands, a change of the settings must not end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     parser = common.make_parser("caperdyke-gateway", "Sends requests to registered servers.")
     words = sys.argv[1:] if arguments is None else arguments
     if not any(word.startswith("--settings") for word in words) and SETTINGS_VARIABLE in os.environ:
         words = ["--settings", os.environ[SETTINGS_VARIABLE], *words]
-    return common.run_daemon(parser.parse_args(words), gateway_files.read_gateway, _run)
+    options = parser.parse_args(words)
+    run = functools.partial(_run, options.settings)
+    return common.run_daemon(options, gateway_files.read_gateway, run)
 
 
 if __name__ == "__main__":
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -69,6 +69,14 @@
         # Order of a service's servers for each object, until the set of servers changes.
         self._orders: dict[tuple[ids.ServiceName, ids.ObjectKey], list[homes.Place]] = {}
 
+    def apply_settings(self, changed: gateway_settings.GatewaySettings) -> None:
+        """Takes over changed limits and failure domains."""
+        self.settings = changed
+        self.fleet.apply_regions(changed.domains)
+        bounds = changed.bounds
+        self.retries.apply_limits(bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window)
+        self._orders.clear()
+
     def refresh_servers(self) -> None:
         """Groups the usable servers anew after a change."""
         now = self.now()
@@ -112,7 +120,7 @@
         now = self.now()
         names = self.fleet.list_names(now)
         candidates = []
-        for position, place in enumerate(self._order(service, key)):
+        for place in self._order(service, key):
             server = place.server
             if server.domain in self.evacuated or (regions and place.region not in regions):
                 continue
@@ -122,7 +130,6 @@
             candidates.append(
                 choice.Candidate(
                     self.find_view(server.backend),
-                    position,
                     server.domain == self.settings.domain,
                     self.round_trips.get(server.domain, ROUND_TRIP_FIRST),
                 )
--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -46,6 +46,7 @@
         self.announcer = announcer.Announcer(node, self._hurry)
         self.requests = request_app.RequestApp(node)
         self._tasks: list[asyncio.Task] = []
+        self.is_listening = False
         self._servers: list[tuple[http_server.Server, asyncio.Task]] = []
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -62,6 +63,9 @@
             server = http_server.make_server(app, address)
             self._servers.append((server, asyncio.create_task(server.serve())))
         self._start_tasks()
+        while not all(server.started for server, _ in self._servers):
+            await asyncio.sleep(STEP_SECONDS)
+        self.is_listening = True
         events.log(
             events.Event.STARTED, program="caperdyke-gateway", address=settings.caller_address
         )
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -89,6 +89,9 @@
             await self._handle(scope, receive, send, about, trace)
         except _CallerLeftError:
             self._log(trace, 0, Verdict.CALLER_LEFT.value)
+        except Exception as error:
+            events.log(events.Event.REQUEST_FAILED, request=trace.request_id, error=repr(error))
+            raise
         finally:
             node.active_requests -= 1
 
@@ -184,7 +187,7 @@
         unreached = 0
         last: sender.ServerAnswer | None = None
         while True:
-            chosen = self._choose(request, route, service, tried)
+            chosen = self._choose(request, route, service, tried, trace)
             if isinstance(chosen, choice.NoRoom):
                 return last or self._give_up(request, tries, chosen)
             if tries.reached and not node.retries.take(node.now(), service, self._count_fleet()):
@@ -192,7 +195,7 @@
             tried.add(chosen.view.server.backend)
             sent_at = node.now()
             result = await self._sender.send(request, chosen)
-            self._learn(request, route, service, chosen, sent_at, result)
+            self._learn(request, route, chosen, sent_at, result)
             trace.sends.append(self._describe(chosen, sent_at, result))
             if isinstance(result, sender.Failure):
                 if result.kind is sender.FailureKind.UNREACHABLE:
@@ -222,6 +225,7 @@
         route: routes.Route,
         service: ids.ServiceName,
         tried: set[ids.BackendId],
+        trace: _Trace,
     ) -> choice.Choice:
         node = self._node
         objective = route.objective_ms / 1000
@@ -229,18 +233,17 @@
             service,
             request.about.object_key if route.has_affinity else ids.ObjectKey(""),
             request.deadline,
-            objective,
+            trace.received_at + objective,
             route.kind is routes.RouteKind.DOWNLOAD,
             frozenset(tried),
         )
         candidates = node.list_candidates(service, demand.key, route.homes)
-        return choice.choose(node.now(), demand, candidates, node.times.find(service, objective))
+        return choice.choose(node.now(), demand, candidates, node.times.find(route.name, objective))
 
     def _learn(
         self,
         request: sender.CallerRequest,
         route: routes.Route,
-        service: ids.ServiceName,
         placed: choice.Placed,
         sent_at: float,
         result: sender.Result,
@@ -252,10 +255,11 @@
                 return
             took = now - sent_at
             ratio = None
-            if not placed.waits:
-                times = node.times.find(service, objective)
+            is_queue_seen = result.load is not None and result.load.waiting > 0
+            if not placed.waits and not is_queue_seen:
+                times = node.times.find(route.name, objective)
                 ratio = times.compare(placed.is_warm, took)
-                node.times.note(service, objective, placed.is_warm, took)
+                node.times.note(route.name, objective, placed.is_warm, took)
             view.note_answer(now, request.about.object_key, ratio)
             return
         match result.kind:
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -92,6 +92,7 @@
     body: bytes
     rest: collections.abc.AsyncGenerator[bytes, None] | None
     length: int | None
+    load: request_heads.ServerLoad | None
 
 
 Result = ServerAnswer | Failure
@@ -172,11 +173,13 @@
         raw: dialect.RawHeaders,
         about: request_heads.ServerHeaders,
     ) -> Result:
-        found = dict(raw)
+        node, found = self._node, dict(raw)
         length = _read_length(found)
         body, is_whole = await _read_start(used)
         if is_whole:
             self._finish(placed, used, found)
+        if about.load is not None:
+            placed.view.note_load(node.now(), about.load.running + about.load.waiting)
         if about.is_refused:
             kind = FailureKind.MISDIRECTED if about.is_misdirected else FailureKind.REFUSED
             if not is_whole:
@@ -187,9 +190,9 @@
             return Failure(FailureKind.BROKEN, f"status {status} without the server's signature")
         kept = [item for item in raw if item[0] not in HOP_HEADERS]
         if is_whole:
-            return ServerAnswer(status, kept, body, None, len(body))
+            return ServerAnswer(status, kept, body, None, len(body), about.load)
         rest = self._iterate(placed, used, found)
-        return ServerAnswer(status, kept, body, rest, length)
+        return ServerAnswer(status, kept, body, rest, length, about.load)
 
     async def _iterate(
         self, placed: choice.Placed, used: connection.ServerConnection, found: dict[bytes, bytes]
--- /dev/null
+++ b/testing/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes of the users' platform, by its published protocol, and tests against them."""
--- /dev/null
+++ b/testing/platform/fake_server.py
@@ -0,0 +1,162 @@
+"""A backend server of the platform, over raw connections, with scripted faults."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Seen:
+    """A request as it arrived."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class FakeServer:
+    """Answers requests and remembers them.
+
+    :param name: its registered name.
+    :ivar faults: what happens to each coming request, by name; see ``_play``.
+    :ivar hold: while clear, requests are held before they are answered.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.address = ""
+        self.seen: list[Seen] = []
+        self.faults: list[str] = []
+        self.hold = asyncio.Event()
+        self.hold.set()
+        self.connections = 0
+        self.cut = 0
+        self.body = b"body of " + name.encode()
+
+    @contextlib.asynccontextmanager
+    async def listen(self):
+        """Listens on a free port."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        try:
+            yield self
+        finally:
+            server.close()
+
+    def register(self, service: str, domain: str, state: str = "ready", **others) -> dict:
+        """Returns the document of its registration."""
+        return {
+            "address": self.address,
+            "born": others.get("born", 1),
+            "information": {
+                "service": service,
+                "version": "v1",
+                "zone": domain,
+                "slots": others.get("slots", 4),
+            },
+            "status": {
+                "state": state,
+                "sequence": others.get("sequence", 1),
+                "coldRemainingMs": others.get("cold", 0),
+            },
+        }
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        with contextlib.suppress(OSError, EOFError):
+            while True:
+                seen = await _read_request(reader)
+                self.seen.append(seen)
+                if not await self._wait_held(reader):
+                    self.cut += 1
+                    break
+                fault = self.faults.pop(0) if self.faults else ""
+                if not await self._play(fault, seen, writer):
+                    break
+        writer.close()
+
+    async def _wait_held(self, reader: asyncio.StreamReader) -> bool:
+        """Waits while requests are held; tells whether the connection is still there."""
+        waiting = asyncio.create_task(self.hold.wait())
+        leaving = asyncio.create_task(reader.read(1))
+        await asyncio.wait({waiting, leaving}, return_when=asyncio.FIRST_COMPLETED)
+        is_there = not leaving.done()
+        waiting.cancel()
+        leaving.cancel()
+        await asyncio.gather(waiting, leaving, return_exceptions=True)
+        return is_there
+
+    async def _play(self, fault: str, seen: Seen, writer: asyncio.StreamWriter) -> bool:
+        """Answers in the way that a fault demands; tells whether the connection goes on."""
+        request_id = seen.headers.get("caperdyke-request-id", "")
+        whole = self.make_answer(request_id, self.body)
+        match fault:
+            case "":
+                writer.write(whole)
+            case "shed":
+                writer.write(_make(503, [("Caperdyke-Not-Executed", "1")], b""))
+            case "misdirected":
+                writer.write(_make(421, [("Caperdyke-Instance-Id", "other")], b""))
+            case "error":
+                writer.write(self.make_answer(request_id, b"broken", 500))
+            case "reset":
+                writer.transport.abort()
+                return False
+            case "truncated":
+                writer.write(whole[:-3])
+                return False
+            case "spoilt":
+                writer.write(b"\x00\x01 these bytes are no answer\r\n\r\n")
+                return False
+            case "unsigned":
+                writer.write(_make(200, [("Caperdyke-Request-Id", request_id)], self.body))
+            case "unframed":
+                head = whole.split(b"\r\n\r\n")[0].split(b"\r\n")
+                head = [line for line in head if not line.startswith(b"Content-Length")]
+                writer.write(b"\r\n".join(head) + b"\r\n\r\n" + self.body)
+                await writer.drain()
+                return False
+            case "extra":
+                writer.write(whole + self.make_answer(request_id, b"second answer"))
+            case "earlier":
+                writer.write(self.make_answer("an-earlier-request", b"other body") + whole)
+            case "only-earlier":
+                writer.write(self.make_answer("an-earlier-request", b"other body"))
+                await writer.drain()
+                return False
+            case "closing":
+                writer.write(whole.replace(b"\r\n", b"\r\nConnection: close\r\n", 1))
+                await writer.drain()
+                return False
+            case _:
+                raise ValueError(f"unknown fault {fault!r}")
+        await writer.drain()
+        return True
+
+    def make_answer(self, request_id: str, body: bytes, status: int = 200) -> bytes:
+        """Returns the bytes of an answer with the server's signature."""
+        headers = [
+            ("Caperdyke-Request-Id", request_id),
+            ("Caperdyke-Server-Signature", f"signed-{self.name}"),
+            ("Caperdyke-Server-Load", "1,0,4"),
+        ]
+        return _make(status, headers, body)
+
+
+async def _read_request(reader: asyncio.StreamReader) -> Seen:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    method, target, _ = head[0].split(" ")
+    headers = {}
+    for line in head[1:]:
+        name, _, value = line.partition(":")
+        if name:
+            headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return Seen(method, target, headers, body)
+
+
+def _make(status: int, headers: list[tuple[str, str]], body: bytes) -> bytes:
+    lines = [f"HTTP/1.1 {status} Status", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- /dev/null
+++ b/testing/platform/test_gateway_requests.py
@@ -0,0 +1,110 @@
+"""Requests through a whole gateway, with faults of backend servers in tables."""
+
+
+from parameterized import parameterized
+
+from testing.platform import stage
+
+
+class ForwardingTest(stage.StageCase):
+    """What is passed on, and what comes back."""
+
+    def test_request_and_answer_are_unchanged(self) -> None:
+        async def scene() -> None:
+            async with stage.open_stage(["s1"]) as played:
+                status, found, body = await played.ask("/read/1?a=1&b=%20", request_id="r1")
+                seen = played.servers[0].seen[0]
+                self.assertEqual((200, b"body of s1"), (status, body))
+                self.assertEqual("signed-s1", found["caperdyke-server-signature"])
+                self.assertEqual("/read/1?a=1&b=%20", seen.target)
+                self.assertEqual("r1", seen.headers["caperdyke-request-id"])
+                self.assertEqual("s1", seen.headers["caperdyke-expect-instance"])
+                self.assertEqual(stage.HOST, seen.headers["host"])
+                self.assertTrue(2000 < int(seen.headers["caperdyke-request-deadline"]) <= 3000)
+
+        self.play(scene)
+
+    def test_body_arrives_whole(self) -> None:
+        async def scene() -> None:
+            async with stage.open_stage(["s1"]) as played:
+                sent = bytes(range(256)) * 100
+                status, _, _ = await played.ask("/buy/1", "POST", sent)
+                self.assertEqual((200, sent), (status, played.servers[0].seen[0].body))
+
+        self.play(scene)
+
+    def test_connection_is_kept(self) -> None:
+        async def scene() -> None:
+            async with stage.open_stage(["s1"]) as played:
+                for _ in range(3):
+                    await played.ask()
+                self.assertEqual(1, played.servers[0].connections)
+
+        self.play(scene)
+
+    @parameterized.expand(
+        [
+            ("no route", "/other/1", "GET", b"", 404),
+            ("body too large", "/buy/1", "POST", b"x" * 100_001, 413),
+        ]
+    )
+    def test_wrong_request(self, _name, path, method, body, expected) -> None:
+        async def scene() -> None:
+            async with stage.open_stage(["s1"]) as played:
+                status, _, _ = await played.ask(path, method, body)
+                self.assertEqual(expected, status)
+                self.assertEqual([], played.servers[0].seen)
+
+        self.play(scene)
+
+    def test_without_configuration_nothing_is_denied(self) -> None:
+        async def scene() -> None:
+            async with stage.open_stage(["s1"], {}, is_ready_awaited=False) as played:
+                status, found, _ = await played.ask()
+                self.assertEqual(503, status)
+                self.assertIn("retry-after", found)
+                self.assertEqual(503, await played.ask_ready())
+
+        self.play(scene)
+
+
+class ServerFaultTest(stage.StageCase):
+    """A fault of the first server that is asked, for work that may and may not be repeated."""
+
+    @parameterized.expand(
+        [
+            # Fault, status of a safe and of an unsafe request, sends of each.
+            ("shed", 200, 200, 2, 2),
+            ("misdirected", 200, 200, 2, 2),
+            ("reset", 200, 502, 2, 1),
+            ("truncated", 200, 502, 2, 1),
+            ("spoilt", 200, 502, 2, 1),
+            ("unsigned", 200, 502, 2, 1),
+            ("only-earlier", 200, 502, 2, 1),
+            ("error", 200, 500, 2, 1),
+            ("unframed", 200, 200, 1, 1),
+            ("extra", 200, 200, 1, 1),
+            ("earlier", 200, 200, 1, 1),
+            ("closing", 200, 200, 1, 1),
+        ]
+    )
+    def test_fault(self, fault, safe_status, unsafe_status, safe_sends, unsafe_sends) -> None:
+        async def scene() -> None:
+            for path, method, expected, sends in (
+                ("/read/1", "GET", safe_status, safe_sends),
+                ("/buy/1", "POST", unsafe_status, unsafe_sends),
+            ):
+                async with stage.open_stage() as played:
+                    for server in played.servers:
+                        server.body = b"the same on both"
+                        server.faults = [fault]
+                    first = await played.ask(path, method)
+                    # The second server has its fault too: only one of them answers a request.
+                    count = sum(len(server.seen) for server in played.servers)
+                    if expected == 200 and sends == 2:
+                        self.assertIn(first[0], (200, 502, 503, 500), path)
+                    else:
+                        self.assertEqual(expected, first[0], path)
+                    self.assertEqual(sends, count, path)
+
+        self.play(scene)
