--- a/src/caperdyke/coordination/placement/work_times.py
+++ b/src/caperdyke/coordination/placement/work_times.py
@@ -20,6 +20,9 @@
     cold: float
     # Of all latest answers.
     mean: float
+    # Answers so far of each sort; the first ones replace the guess.
+    warm_answers: int = 0
+    cold_answers: int = 0
 
     def compare(self, is_warm: bool, took: float) -> float:
         """Returns the time of an answer as a multiple of what was to be expected.
@@ -56,9 +59,16 @@
         :param took: seconds from the send to the whole answer.
         """
         known = self.find(route, objective)
-        known.mean += NEW_WEIGHT * (took - known.mean)
+        known.mean += _find_weight(known.warm_answers + known.cold_answers) * (took - known.mean)
         was_cold = took * took > known.warm * known.cold
-        if is_warm and not was_cold:
-            known.warm += NEW_WEIGHT * (took - known.warm)
-        elif not is_warm and was_cold:
-            known.cold += NEW_WEIGHT * (took - known.cold)
+        if is_warm and (not was_cold or not known.warm_answers):
+            known.warm += _find_weight(known.warm_answers) * (took - known.warm)
+            known.warm_answers += 1
+        elif not is_warm and (was_cold or not known.cold_answers):
+            known.cold += _find_weight(known.cold_answers) * (took - known.cold)
+            known.cold_answers += 1
+
+
+def _find_weight(answers: int) -> float:
+    """Returns the weight of the newest answer; the first ones count equally."""
+    return max(NEW_WEIGHT, 1 / (answers + 1))
--- a/src/caperdyke/programs/gateway.py
+++ b/src/caperdyke/programs/gateway.py
@@ -2,20 +2,16 @@
 
 import asyncio
 import functools
-import os
 import signal
 import sys
 
-from caperdyke.platform import calls, documents, headers, store
+from caperdyke.platform import calls, documents, headers, settings_place, store
 from caperdyke.programs import common
 from caperdyke.protocol import gateway_files
 from caperdyke.state import gateway_settings
 from caperdyke.transport import events
 from caperdyke.transport.gateway import context, node, reload
 
-# Variable in which the platform names the settings file.
-SETTINGS_VARIABLE = "CAPERDYKE_NODE_FILE"
-
 
 async def _run(path: str, checked: gateway_settings.GatewaySettings, stop: asyncio.Event) -> None:
     events.configure(checked.logs)
@@ -41,8 +37,9 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     parser = common.make_parser("caperdyke-gateway", "Sends requests to registered servers.")
     words = sys.argv[1:] if arguments is None else arguments
-    if not any(word.startswith("--settings") for word in words) and SETTINGS_VARIABLE in os.environ:
-        words = ["--settings", os.environ[SETTINGS_VARIABLE], *words]
+    path = settings_place.find_settings()
+    if path and not any(word.startswith("--settings") for word in words):
+        words = ["--settings", path, *words]
     options = parser.parse_args(words)
     run = functools.partial(_run, options.settings)
     return common.run_daemon(options, gateway_files.read_gateway, run)
--- a/src/caperdyke/transport/backends/connection.py
+++ b/src/caperdyke/transport/backends/connection.py
@@ -5,21 +5,15 @@
 """
 
 import asyncio
-import socket
 
 import h11
 
 from caperdyke import errors
+from caperdyke.transport.http import probes
 
 # Bytes received and not yet passed on at which reading pauses, and at which it goes on.
 BUFFER_HIGH_BYTES = 256 * 1024
 BUFFER_LOW_BYTES = 64 * 1024
-# Longest time without an acknowledgement of sent bytes, in milliseconds: within a caller's usual
-# patience, above a few retransmissions.
-SILENCE_MS = 2500
-# Probes of an idle peer: start and interval in seconds, and how many may stay unanswered.
-PROBE_SECONDS = 1
-PROBES_MAX = 2
 # Largest head of an answer in bytes.
 HEAD_MAX_BYTES = 64 * 1024
 
@@ -47,7 +41,7 @@
     def connection_made(self, transport) -> None:
         """Starts."""
         self._transport = transport
-        set_probes(transport.get_extra_info("socket"))
+        probes.set_probes(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
         """Takes bytes; those that belong to no request end the connection."""
@@ -177,16 +171,6 @@
         return h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_MAX_BYTES)
 
 
-def set_probes(sock: socket.socket) -> None:
-    """Makes a connection end when its peer is silent, also while nothing is sent."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_SECONDS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_SECONDS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES_MAX)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS)
-
-
 async def connect(address: str, timeout: float) -> ServerConnection:
     """Opens a connection.
 
--- a/src/caperdyke/transport/backends/pool.py
+++ b/src/caperdyke/transport/backends/pool.py
@@ -11,8 +11,10 @@
 IDLE_PART = 0.8
 # Longest time to open a connection, in seconds: one lost packet between regions.
 CONNECT_SECONDS = 0.5
-# Idle connections that are kept for one server.
+# Idle connections that are kept for one server, at most and before the fleet is known.
 IDLE_MAX = 32
+# Part of a server's connections that idle ones of all instances may take.
+IDLE_CONNECTIONS_PART = 0.5
 
 
 class ConnectionPool:
@@ -21,8 +23,17 @@
     def __init__(self, clock: collections.abc.Callable[[], float]) -> None:
         self._clock = clock
         self._idle: dict[ids.BackendId, list[connection.ServerConnection]] = {}
+        self._idle_max = IDLE_MAX
         self.opened = 0
 
+    def share_limit(self, connections_max: int, instances: int) -> None:
+        """Takes an equal part of the connections that a server accepts.
+
+        :param connections_max: connections that a server accepts from all instances together.
+        """
+        part = int(connections_max * IDLE_CONNECTIONS_PART / max(1, instances))
+        self._idle_max = max(1, min(IDLE_MAX, part))
+
     def take(self, server: ids.BackendId) -> connection.ServerConnection | None:
         """Returns an idle connection that may still be used, or None."""
         idle = self._idle.get(server, [])
@@ -54,7 +65,7 @@
         kept.idle_until = self._clock() + min(period, IDLE_SECONDS)
         idle = self._idle.setdefault(server, [])
         idle.append(kept)
-        if len(idle) > IDLE_MAX:
+        if len(idle) > self._idle_max:
             idle.pop(0).close()
 
     def drop(self, server: ids.BackendId) -> None:
--- a/src/caperdyke/transport/gateway/announcer.py
+++ b/src/caperdyke/transport/gateway/announcer.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from caperdyke import errors
+from caperdyke.coordination import overlay
 from caperdyke.coordination.registry import fleet
 from caperdyke.protocol import announcements
 from caperdyke.state import ids, member, store_rows
@@ -31,6 +32,9 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._size = 150
         self._live: set[ids.InstanceId] = set()
+        # Version of each instance's row when it was read.
+        self._row_versions: dict[ids.InstanceId, int] = {}
+        self._removals: set[asyncio.Task] = set()
 
     async def listen(self) -> None:
         """Opens the socket."""
@@ -83,6 +87,7 @@
         node = self._node
         table = store_rows.StoreTable.INSTANCES
         self._greet_seeds()
+        is_reported = False
         while True:
             try:
                 value = announcements.encode_member(node.fleet.own)
@@ -90,12 +95,26 @@
                 changes = await node.store.read_table(table)
                 break
             except errors.PlatformError as error:
-                events.log(events.Event.STORE_AWAY, table=table.value, error=str(error))
+                if not is_reported:
+                    events.log(events.Event.STORE_AWAY, table=table.value, error=str(error))
+                    is_reported = True
                 self._greet_seeds()
                 await asyncio.sleep(ENROL_SECONDS)
         for row in changes.rows:
             self._learn_row(row)
 
+    async def withdraw(self, name: ids.InstanceId) -> None:
+        """Removes the row of an instance that left, if it has not been written again."""
+        version = self._row_versions.pop(name, None)
+        if version is None:
+            return
+        table = store_rows.StoreTable.INSTANCES
+        try:
+            await self._node.store.remove_row(table, name, version)
+        except errors.PlatformError as error:
+            # The next start of an instance under this name replaces the row.
+            events.log(events.Event.ROW_LEFT, table=table.value, key=name, error=str(error))
+
     def say_goodbye(self) -> None:
         """Tells every instance that this one leaves."""
         node = self._node
@@ -113,6 +132,7 @@
                 events.Event.ROW_UNREADABLE, table="instances", key=row.key, error=str(error)
             )
             return
+        self._row_versions[ids.InstanceId(row.key)] = row.version
         self._node.fleet.merge(self._node.now(), record)
 
     def _greet_seeds(self) -> None:
@@ -179,3 +199,12 @@
                 domain=record.domain,
                 change="is forgotten",
             )
+            self._withdraw_if_first(now, record.instance)
+
+    def _withdraw_if_first(self, now: float, name: ids.InstanceId) -> None:
+        """Removes a row if this instance is the one of all live ones to do it."""
+        node = self._node
+        if overlay.rank_instances(name, node.fleet.list_names(now))[0] == node.settings.instance:
+            removal = asyncio.create_task(self.withdraw(name))
+            self._removals.add(removal)
+            removal.add_done_callback(self._removals.discard)
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -15,7 +15,7 @@
 from caperdyke.coordination.registry import fleet, server_registry
 from caperdyke.protocol import dialect
 from caperdyke.state import backend, clock, gateway_settings, ids, member, routes
-from caperdyke.transport import events
+from caperdyke.transport import events, metrics
 from caperdyke.transport.backends import pool
 
 # Round trip that is assumed for a failure domain before a connection was opened, in seconds.
@@ -63,6 +63,9 @@
             bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window
         )
         self.round_trips: dict[ids.DomainName, float] = {}
+        # Time of the latest answer about registrations, from the store or another instance.
+        self.registrations_at: float | None = None
+        self.metrics = metrics.Metrics()
         self.active_requests = 0
         self.is_stopping = False
         self._services: dict[ids.ServiceName, list[server_registry.RegisteredServer]] = {}
@@ -90,6 +93,12 @@
             self.cold.forget(name)
             self.pool.drop(name)
 
+    def find_registrations_age_ms(self) -> int:
+        """Returns how long ago registrations were read last, in milliseconds; -1 where never."""
+        if self.registrations_at is None:
+            return -1
+        return round((self.now() - self.registrations_at) * 1000)
+
     def find_view(self, name: ids.BackendId) -> server_view.ServerView | None:
         """Returns what was observed of a server, or None where it is not known."""
         known = self.servers.find(name)
--- a/src/caperdyke/transport/gateway/follower.py
+++ b/src/caperdyke/transport/gateway/follower.py
@@ -11,6 +11,9 @@
 # Longest time that one call waits for a change of the configuration, in milliseconds. A connection
 # that went silent is noticed after this and the call's own allowance.
 CONFIGURATION_WAIT_MS = 2000
+# Least time between two reads because of what other instances know, in seconds; most of them learn
+# of a change by themselves within a part of it.
+HURRY_SECONDS = 0.6
 # Interval between two reads of registrations, in seconds: with the read itself well below the time
 # in which a server that leaves must get nothing new.
 SERVERS_SECONDS = 0.7
@@ -87,13 +90,33 @@
         self._evacuation_changes: dict[ids.DomainName, int] = {}
         self._rows: dict[tuple[store_rows.StoreTable, str], store_rows.StoreRow] = {}
         self._wake = asyncio.Event()
+        self._hurried_at = 0.0
 
     async def follow_configuration(self) -> None:
         """Keeps the configuration in force, for ever."""
         while True:
-            if not await self.configuration.follow_once(CONFIGURATION_WAIT_MS):
+            # A call that waits is given up when another instance knows a newer configuration: its
+            # connection may have gone silent.
+            self._wake.clear()
+            reading = asyncio.ensure_future(self.configuration.follow_once(CONFIGURATION_WAIT_MS))
+            waking = asyncio.ensure_future(self._wake.wait())
+            try:
+                await asyncio.wait({reading, waking}, return_when=asyncio.FIRST_COMPLETED)
+                is_answered = reading.done() and reading.result()
+            finally:
+                reading.cancel()
+                waking.cancel()
+                await asyncio.gather(reading, waking, return_exceptions=True)
+            if not is_answered:
                 await asyncio.sleep(AWAY_SECONDS)
 
+    def hurry(self) -> None:
+        """Reads the configuration at once, since another instance knows a newer one."""
+        now = self._node.now()
+        if now >= self._hurried_at + HURRY_SECONDS:
+            self._hurried_at = now
+            self._wake.set()
+
     async def follow_servers(self) -> None:
         """Keeps registrations known, for ever."""
         while True:
@@ -151,6 +174,7 @@
             node.servers.keep_only(now, names, changes.position)
         if self.servers.position is None and changes.is_whole:
             node.servers.mark_all_from_start()
+        node.registrations_at = now
         node.refresh_servers()
 
     def _apply_registration(self, now: float, row: store_rows.StoreRow) -> None:
--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -16,14 +16,12 @@
     peer_snapshots,
     request_app,
 )
-from caperdyke.transport.http import http_server
+from caperdyke.transport.http import caller_protocol, http_server
 
 RESTART_SECONDS = 0.5
 STEP_SECONDS = 0.05
 # Interval between two looks at readiness and idle connections, in seconds.
 UPKEEP_SECONDS = 0.2
-# Longest idle time of a caller's connection before the configuration is known, in seconds.
-IDLE_FIRST_SECONDS = 60
 # After the signal to stop, callers are named other instances and requests still arrive: as long as
 # a look-up answer is kept. In seconds.
 LINGER_SECONDS = 2.2
@@ -43,7 +41,7 @@
         self.node = node
         self._make_apps = make_apps
         self.follower = follower.Follower(node)
-        self.announcer = announcer.Announcer(node, self._hurry)
+        self.announcer = announcer.Announcer(node, self.follower.hurry)
         self.requests = request_app.RequestApp(node)
         self._tasks: list[asyncio.Task] = []
         self.is_listening = False
@@ -60,7 +58,9 @@
             **self._make_apps(self.node),
         }
         for address, app in apps.items():
-            server = http_server.make_server(app, address)
+            is_for_callers = address == settings.caller_address
+            protocol = caller_protocol.CallerProtocol if is_for_callers else "httptools"
+            server = http_server.make_server(app, address, protocol)
             self._servers.append((server, asyncio.create_task(server.serve())))
         self._start_tasks()
         while not all(server.started for server, _ in self._servers):
@@ -84,25 +84,27 @@
             self._tasks.append(asyncio.create_task(_run_forever(name, loop)))
         self._tasks.append(asyncio.create_task(_run_once("enrolment", self.announcer.enrol)))
 
-    def _hurry(self) -> None:
-        """A peer uses a newer configuration; the waiting read of it may have gone silent."""
-
     async def _keep_up(self) -> None:
         node = self.node
         while True:
             node.refresh_servers()
             node.pool.drop_expired()
             self._apply_limits()
-            is_ready = node.routes is not None and self.follower.servers.position is not None
+            is_ready = node.routes is not None and node.registrations_at is not None
             if is_ready and not node.fleet.is_ready and not node.is_stopping:
                 node.fleet.is_ready = True
                 events.log(events.Event.READY, revision=node.routes.version)
             await asyncio.sleep(UPKEEP_SECONDS)
 
     def _apply_limits(self) -> None:
-        table = self.node.routes
-        idle = table.limits.idle_ms / 1000 if table else IDLE_FIRST_SECONDS
-        self._servers[0][0].config.timeout_keep_alive = idle
+        """Brings limits of connections in step with configuration and fleet."""
+        node, table = self.node, self.node.routes
+        if table is None:
+            return
+        self._servers[0][0].config.timeout_keep_alive = table.limits.idle_ms / 1000
+        caller_protocol.CallerProtocol.head_seconds = table.limits.header_ms / 1000
+        fewest = min((item.connections_max for item in table.services.values()), default=0)
+        node.pool.share_limit(fewest, node.fleet.count_recent(node.now()))
 
     async def _stop(self) -> None:
         """Leaves without cutting off a request."""
@@ -113,6 +115,7 @@
         node.fleet.is_ready = False
         node.is_stopping = True
         self.announcer.say_goodbye()
+        leaving = asyncio.create_task(self.announcer.withdraw(node.settings.instance))
         await self._wait_until(lambda: False, min(deadline, began + LINGER_SECONDS))
         callers, serving = self._servers[0]
         callers.should_exit = True
@@ -120,7 +123,7 @@
         events.log(events.Event.STOPPED, unfinished=node.active_requests)
         for server, _task in self._servers:
             server.should_exit = True
-        for task in self._tasks:
+        for task in (*self._tasks, leaving):
             task.cancel()
         node.pool.close()
         await asyncio.wait([serving], timeout=max(0.0, deadline - node.now()) + STEP_SECONDS)
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -11,6 +11,7 @@
 from caperdyke.state import ids, request_heads, routes
 from caperdyke.transport import events
 from caperdyke.transport.gateway import context, sender
+from caperdyke.transport.http import caller_protocol
 
 # How long a caller may take where it does not say it, in milliseconds; the route's time-out ends
 # most requests earlier.
@@ -49,6 +50,8 @@
     object_key: str = ""
     route: str = ""
     service: str = ""
+    kind: str = ""
+    host: str = ""
     sends: list[str] = dataclasses.field(default_factory=list)
 
 
@@ -133,7 +136,7 @@
         route = table.find_route(_strip_port(host), scope["raw_path"].decode("latin-1"))
         if route is None:
             return _OwnAnswer(404, Verdict.NO_ROUTE), None
-        trace.route = route.name
+        trace.route, trace.kind, trace.host = route.name, route.kind.value, route.host
         return None, route
 
     async def _read_body(self, receive) -> bytes | None:
@@ -162,13 +165,10 @@
     ) -> sender.CallerRequest:
         wait_ms = WAIT_DEFAULT_MS if about.wait_ms is None else about.wait_ms
         wait_ms = min(wait_ms, route.timeout_ms)
-        target = scope["raw_path"]
-        if scope["query_string"]:
-            target += b"?" + scope["query_string"]
         return sender.CallerRequest(
             about,
             scope["method"],
-            target,
+            scope[caller_protocol.TARGET_KEY],
             _drop_hop_headers(scope["headers"]),
             body,
             trace.received_at + wait_ms / 1000 - ANSWER_MARGIN_SECONDS,
@@ -196,6 +196,8 @@
             sent_at = node.now()
             result = await self._sender.send(request, chosen)
             self._learn(request, route, chosen, sent_at, result)
+            if trace.sends:
+                node.metrics.count_retry(route.host, service)
             trace.sends.append(self._describe(chosen, sent_at, result))
             if isinstance(result, sender.Failure):
                 if result.kind is sender.FailureKind.UNREACHABLE:
@@ -257,9 +259,8 @@
             ratio = None
             is_queue_seen = result.load is not None and result.load.waiting > 0
             if not placed.waits and not is_queue_seen:
-                times = node.times.find(route.name, objective)
-                ratio = times.compare(placed.is_warm, took)
                 node.times.note(route.name, objective, placed.is_warm, took)
+                ratio = node.times.find(route.name, objective).compare(placed.is_warm, took)
             view.note_answer(now, request.about.object_key, ratio)
             return
         match result.kind:
@@ -356,16 +357,22 @@
 
     def _log(self, trace: _Trace, status: int, outcome: str) -> None:
         node = self._node
+        took = node.now() - trace.received_at
+        if status and status < SERVER_ERROR_STATUS:
+            node.metrics.count_answer(trace.host, trace.service, trace.kind, took)
+        else:
+            node.metrics.count_refusal(trace.host, trace.service, str(status), outcome)
         events.log(
             events.Event.REQUEST_ENDED,
             request=trace.request_id,
             status=status,
-            took_ms=round((node.now() - trace.received_at) * 1000),
+            took_ms=round(took * 1000),
             outcome=outcome,
             object=trace.object_key,
             route=trace.route,
             service=trace.service,
             configuration=node.routes.version if node.routes else 0,
+            registrations_age_ms=node.find_registrations_age_ms(),
             sends=trace.sends,
         )
 
--- a/src/caperdyke/transport/http/http_server.py
+++ b/src/caperdyke/transport/http/http_server.py
@@ -14,15 +14,18 @@
         yield
 
 
-def make_server(app, address: str) -> Server:
-    """Returns a server for an application at ``host:port``."""
+def make_server(app, address: str, protocol: str | type = "httptools") -> Server:
+    """Returns a server for an application at ``host:port``.
+
+    :param protocol: what parses HTTP on each connection.
+    """
     host, _, port = address.rpartition(":")
     config = uvicorn.Config(
         app,
         host=host,
         port=int(port),
         loop="asyncio",
-        http="httptools",
+        http=protocol,
         ws="none",
         lifespan="off",
         log_config=None,
--- /dev/null
+++ b/testing/placement/builders.py
@@ -0,0 +1,53 @@
+"""Builds servers, candidates and demands for placing tests."""
+
+import math
+
+from caperdyke.coordination.placement import choice, homes, server_view, work_times
+from caperdyke.state import backend, ids
+
+TIMES = work_times.WorkTime(warm=0.2, cold=0.65, mean=0.2)
+SERVICE = ids.ServiceName("reader")
+
+
+def make_server(name: str, domain: str = "hall-1", slots: int = 4) -> backend.BackendServer:
+    """Returns a backend server."""
+    return backend.BackendServer(
+        ids.BackendId(name), ids.DomainName(domain), SERVICE, ids.Address("10.0.0.1:80"), slots
+    )
+
+
+def make_candidate(
+    name: str, busy: int = 0, is_near: bool = True, warm: str = "", slots: int = 4
+) -> choice.Candidate:
+    """Returns a candidate with requests under way, warm for one object."""
+    view = server_view.ServerView(make_server(name, slots=slots))
+    view.peer_load = busy
+    if warm:
+        view.warm_until[ids.ObjectKey(warm)] = math.inf
+    return choice.Candidate(view, is_near, 0.001)
+
+
+def make_demand(
+    key: str = "k", objective_at: float = 0.5, deadline: float = 3.0, **others
+) -> choice.Demand:
+    """Returns a demand of a request that arrived at time 0."""
+    return choice.Demand(
+        SERVICE,
+        ids.ObjectKey(key),
+        deadline,
+        objective_at,
+        others.get("is_download", False),
+        frozenset(others.get("tried", ())),
+    )
+
+
+def make_places(domains: dict[str, tuple[str, int]]) -> list[homes.Place]:
+    """Returns servers by failure domain.
+
+    :param domains: region and number of servers of each failure domain.
+    """
+    return [
+        homes.Place(make_server(f"{domain}-{number}", domain), ids.RegionName(region))
+        for domain, (region, count) in domains.items()
+        for number in range(count)
+    ]
--- /dev/null
+++ b/testing/placement/test_choice.py
@@ -0,0 +1,86 @@
+"""Load patterns and the backend server that a request gets under them."""
+
+import testtools
+from parameterized import parameterized
+
+from caperdyke.coordination.placement import choice
+from testing.placement import builders
+
+
+def choose(candidates, **demand) -> str:
+    """Returns the chosen server's name, or an empty string where there is no room."""
+    chosen = choice.choose(0.0, builders.make_demand(**demand), candidates, builders.TIMES)
+    return chosen.view.server.backend if isinstance(chosen, choice.Placed) else ""
+
+
+class ChoiceTest(testtools.TestCase):
+    """One request and the state of the servers."""
+
+    @parameterized.expand(
+        [
+            # Busy requests of home 1, home 2 and a third server; expected choice.
+            ("idle: the first home", 0, 0, 0, "home-1"),
+            ("first home full: the second", 6, 0, 0, "home-2"),
+            ("both homes full, the service is not: a cold run", 10, 10, 0, "other"),
+        ]
+    )
+    def test_homes_by_load(self, _name, first, second, third, expected) -> None:
+        candidates = [
+            builders.make_candidate("home-1", first, warm="k"),
+            builders.make_candidate("home-2", second, warm="k"),
+            builders.make_candidate("other", third),
+            # Servers with room elsewhere keep the pressure of the service low.
+            *(builders.make_candidate(f"idle-{number}", 4) for number in range(12)),
+            builders.make_candidate("spare", 3, slots=64),
+        ]
+        self.assertEqual(expected, choose(candidates))
+
+    def test_overload_does_not_spread_objects(self) -> None:
+        """Pattern: all homes full; a cold run would take the slots of three warm ones."""
+        candidates = [
+            builders.make_candidate("home-1", 9, warm="k"),
+            builders.make_candidate("home-2", 9, warm="k"),
+            *(builders.make_candidate(f"other-{number}", 3) for number in range(4)),
+        ]
+        self.assertEqual("", choose(candidates))
+
+    @parameterized.expand(
+        [
+            ("in time behind two others", 5, 0.5, "home-1"),
+            ("late behind many others", 9, 0.5, ""),
+            ("late, yet the objective is far", 8, 2.0, "home-1"),
+        ]
+    )
+    def test_full_service_serves_in_time_or_not_at_all(self, _name, busy, at, expected) -> None:
+        candidates = [builders.make_candidate("home-1", busy, warm="k")]
+        self.assertEqual(expected, choose(candidates, objective_at=at))
+
+    def test_slow_work_alone_turns_nothing_away(self) -> None:
+        """Pattern: a route that was just added, with a short wait and no known time."""
+        candidates = [builders.make_candidate("home-1")]
+        self.assertEqual("home-1", choose(candidates, key="", deadline=0.1, objective_at=0.05))
+
+    def test_server_that_joined_gets_its_objects(self) -> None:
+        """Pattern: servers are added while the old ones are warm and have room."""
+        candidates = [
+            builders.make_candidate("joined"),
+            builders.make_candidate("second"),
+            builders.make_candidate("old", warm="k"),
+        ]
+        self.assertEqual("joined", choose(candidates))
+
+    def test_download_stays_near(self) -> None:
+        candidates = [
+            builders.make_candidate("far", is_near=False, warm="k"),
+            builders.make_candidate("near", warm="k"),
+        ]
+        self.assertEqual("near", choose(candidates, is_download=True))
+
+    def test_tried_and_avoided_servers_are_left_out(self) -> None:
+        candidates = [builders.make_candidate(name, warm="k") for name in ("a", "b", "c")]
+        candidates[1].view.avoided_until = 1.0
+        self.assertEqual("c", choose(candidates, tried=["a"]))
+
+    def test_without_servers_the_caller_is_told_when_to_return(self) -> None:
+        chosen = choice.choose(0.0, builders.make_demand(), [], builders.TIMES)
+        self.assertEqual(choice.NoRoom(choice.RETRY_MAX_SECONDS, True), chosen)
--- /dev/null
+++ b/testing/placement/test_homes.py
@@ -0,0 +1,68 @@
+"""Homes of objects: balance, stability and distance."""
+
+import collections
+
+import testtools
+from parameterized import parameterized
+
+from caperdyke.coordination.placement import homes
+from caperdyke.state import ids
+from testing.placement import builders
+
+DOMAINS = {
+    "n-1": ("north", 4),
+    "n-2": ("north", 4),
+    "s-1": ("south", 4),
+    "s-2": ("south", 4),
+    "e-1": ("east", 1),
+    "e-2": ("east", 1),
+}
+KEYS = [ids.ObjectKey(str(number)) for number in range(400)]
+
+
+def order(key: ids.ObjectKey, region: str, places: list[homes.Place]) -> list[homes.Place]:
+    """Returns an object's servers for the callers of a region."""
+    name = ids.RegionName(region)
+    return homes.order_places(key, name, homes.find_near_weight(name, places), places)
+
+
+class HomesTest(testtools.TestCase):
+    """Which servers come first."""
+
+    @parameterized.expand([("north", 0.9, 1.0), ("east", 0.25, 0.42)])
+    def test_part_that_stays_in_the_region(self, region, low, high) -> None:
+        """Pattern: a third of the callers and a ninth of the servers in one region."""
+        places = builders.make_places(DOMAINS)
+        near = sum(order(key, region, places)[0].region == region for key in KEYS)
+        self.assertTrue(low <= near / len(KEYS) <= high, f"got {near / len(KEYS)}")
+
+    def test_load_is_even(self) -> None:
+        places = builders.make_places({"n-1": ("north", 10)})
+        counts = collections.Counter(order(key, "north", places)[0] for key in KEYS)
+        self.assertTrue(max(counts.values()) <= 2 * len(KEYS) / len(places), f"got {counts}")
+
+    def test_server_that_leaves_moves_only_its_own_objects(self) -> None:
+        places = builders.make_places({"n-1": ("north", 6)})
+        rest = places[1:]
+        for key in KEYS:
+            before = order(key, "north", places)[0]
+            if before != places[0]:
+                self.assertEqual(before, order(key, "north", rest)[0])
+
+    def test_second_home_is_in_the_sibling_domain(self) -> None:
+        places = builders.make_places(DOMAINS)
+        for key in KEYS:
+            first, second = order(key, "north", places)[:2]
+            self.assertEqual(first.region, second.region)
+            self.assertNotEqual(first.server.domain, second.server.domain)
+
+    @parameterized.expand(
+        [
+            ("none", {}),
+            ("one server", {"n-1": ("north", 1)}),
+            ("nothing near", {"s-1": ("south", 2)}),
+        ]
+    )
+    def test_odd_deployments(self, _name, domains) -> None:
+        places = builders.make_places(domains)
+        self.assertEqual(len(places), len(order(KEYS[0], "north", places)))
--- /dev/null
+++ b/testing/placement/test_limits.py
@@ -0,0 +1,128 @@
+"""Budgets that instances keep without asking each other."""
+
+import testtools
+from parameterized import parameterized
+
+from caperdyke.coordination.placement import attempts, cold_starts, retry_quota, splits
+from caperdyke.state import ids, routes
+
+SERVICE = ids.ServiceName("reader")
+SERVER = ids.BackendId("s1")
+
+
+class RetryQuotaTest(testtools.TestCase):
+    """Repeated sends of many instances under one budget."""
+
+    @parameterized.expand([(1,), (10,), (70,)])
+    def test_sum_over_instances(self, instances) -> None:
+        """Pattern: every request fails, on every instance at once."""
+        quotas = [retry_quota.RetryQuota(0.2, 60, 10.0) for _ in range(instances)]
+        firsts = repeats = 0
+        for step in range(2000):
+            now = step * 0.005
+            quota = quotas[step % instances]
+            quota.note_first(now, SERVICE)
+            firsts += 1
+            repeats += quota.take(now, SERVICE, instances)
+        self.assertTrue(0 < repeats <= 0.2 * firsts + 60, f"got {repeats} of {firsts}")
+
+    def test_window_slides(self) -> None:
+        quota = retry_quota.RetryQuota(0.0, 2.0, 10.0)
+        self.assertTrue(quota.take(0.0, SERVICE, 1))
+        self.assertFalse(quota.take(9.0, SERVICE, 1))
+        self.assertTrue(quota.take(10.1, SERVICE, 1))
+
+
+class ColdStartsTest(testtools.TestCase):
+    """What a cold server gets from all instances together."""
+
+    @parameterized.expand([(2,), (10,), (70,)])
+    def test_one_instance_owns_a_server(self, count) -> None:
+        names = [ids.InstanceId(f"gateway-{number}") for number in range(count)]
+        owners = [cold_starts.ColdStarts().is_owner(SERVER, name, names) for name in names]
+        self.assertEqual(1, sum(owners))
+
+    def test_two_owners_stay_within_the_bound(self) -> None:
+        """Pattern: a cut leaves an owner on each side, and callers press on both."""
+        bound = 10.4
+        owners = [cold_starts.ColdStarts(), cold_starts.ColdStarts()]
+        sent = []
+        for step in range(400):
+            now = step * 0.01
+            owner = owners[step % 2]
+            if owner.may_send(now, SERVER, bound):
+                owner.note_send(now, SERVER)
+                sent.append(now)
+        for start in sent:
+            count = sum(start <= at < start + 1.0 for at in sent)
+            self.assertTrue(count <= bound, f"got {count}, expected at most {bound}")
+
+
+class SplitCounterTest(testtools.TestCase):
+    """Parts of a split route."""
+
+    def test_parts_follow_weights(self) -> None:
+        parts = (
+            routes.RoutePart(ids.ServiceName("a"), 90.0),
+            routes.RoutePart(ids.ServiceName("b"), 10.0),
+        )
+        route = make_route(parts)
+        counter = splits.SplitCounter()
+        chosen = [counter.choose(route) for _ in range(40)]
+        self.assertEqual(4, chosen.count("b"))
+
+    @parameterized.expand([("no weight", 0.0, 0.0, "a"), ("one part", 0.0, 1.0, "b")])
+    def test_odd_weights(self, _name, first, second, expected) -> None:
+        parts = (
+            routes.RoutePart(ids.ServiceName("a"), first),
+            routes.RoutePart(ids.ServiceName("b"), second),
+        )
+        self.assertEqual(expected, splits.SplitCounter().choose(make_route(parts)))
+
+
+class AttemptsTest(testtools.TestCase):
+    """When a request may be sent again."""
+
+    @parameterized.expand(
+        [
+            ("safe after a lost answer", True, "may", True),
+            ("unsafe after a lost answer", False, "may", False),
+            ("unsafe after a refusal", False, "not", True),
+        ]
+    )
+    def test_another_send(self, _name, is_repeatable, outcome, expected) -> None:
+        tries = attempts.Attempts(2, is_repeatable)
+        tries.note_reached()
+        if outcome == "may":
+            tries.note_may_have_run()
+        else:
+            tries.note_not_run()
+        self.assertEqual(expected, tries.allows_another())
+
+    def test_a_refusal_does_not_undo_a_lost_answer(self) -> None:
+        tries = attempts.Attempts(3, True)
+        tries.note_may_have_run()
+        tries.note_not_run()
+        self.assertFalse(tries.is_known_not_run)
+
+    def test_sends_are_bounded(self) -> None:
+        tries = attempts.Attempts(1, True)
+        tries.note_reached()
+        self.assertFalse(tries.allows_another())
+
+
+def make_route(parts: tuple[routes.RoutePart, ...]) -> routes.Route:
+    """Returns a route with some parts."""
+    return routes.Route(
+        ids.RouteName("r"),
+        "shop.example",
+        "/",
+        routes.RouteKind.SAFE,
+        parts,
+        1000.0,
+        500.0,
+        1,
+        2,
+        True,
+        frozenset(),
+    )
--- /dev/null
+++ b/testing/placement/test_server_view.py
@@ -0,0 +1,69 @@
+"""What is learned of one backend server."""
+
+import testtools
+
+from caperdyke.coordination.placement import server_view, work_times
+from caperdyke.state import ids
+from testing.placement import builders
+
+KEY = ids.ObjectKey("k")
+
+
+class ServerViewTest(testtools.TestCase):
+    """Outcomes in a row."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.view = server_view.ServerView(builders.make_server("s1"))
+
+    def test_server_that_fails_part_of_its_requests_is_avoided(self) -> None:
+        """Pattern: half of the requests fail while the health check is good."""
+        is_avoided = False
+        for number in range(10):
+            if number % 2:
+                self.view.note_answer(0.0, KEY, 1.0)
+            else:
+                is_avoided = self.view.note_failure(0.0) or is_avoided
+        self.assertTrue(is_avoided)
+
+    def test_single_failure_does_not_count(self) -> None:
+        self.view.note_answer(0.0, KEY, 1.0)
+        self.assertFalse(self.view.note_failure(0.0))
+
+    def test_pause_grows_while_a_server_is_away(self) -> None:
+        pauses = []
+        for _ in range(6):
+            self.view.note_unreachable(100.0)
+            pauses.append(self.view.suspended_until - 100.0)
+        self.assertEqual([0.5, 1.0, 2.0, 4.0, 4.0, 4.0], pauses)
+
+    def test_new_start_knows_nothing(self) -> None:
+        self.view.note_answer(0.0, KEY, 5.0)
+        self.view.note_unreachable(0.0)
+        self.view.reset()
+        self.assertFalse(self.view.is_warm(0.0, KEY))
+        self.assertEqual((1.0, 0.0), (self.view.speed, self.view.suspended_until))
+
+    def test_own_count_of_the_server_goes_first_while_it_is_new(self) -> None:
+        self.view.peer_load = 2
+        self.view.note_load(10.0, 9)
+        self.assertEqual(9, self.view.measure_busy(10.1))
+        self.assertEqual(2, self.view.measure_busy(10.5))
+
+
+class WorkTimesTest(testtools.TestCase):
+    """Estimates from answers."""
+
+    def test_object_thought_warm_does_not_make_the_server_slow(self) -> None:
+        """Pattern: a server forgot an object, and its answer takes as long as a cold one."""
+        self.assertEqual(1.0, builders.TIMES.compare(True, 0.65))
+        self.assertEqual(5.0, builders.TIMES.compare(True, 5 * 0.65))
+
+    def test_estimates_approach_what_is_seen(self) -> None:
+        times = work_times.WorkTimes()
+        route = ids.RouteName("r")
+        for _ in range(60):
+            times.note(route, 0.5, True, 0.2)
+            times.note(route, 0.5, False, 0.65)
+        found = times.find(route, 0.5)
+        self.assertTrue(abs(found.warm - 0.2) < 0.01 and abs(found.cold - 0.65) < 0.02, found)
--- a/testing/platform/stage.py
+++ b/testing/platform/stage.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import itertools
+import os
 import socket
 
 import aiosonic
@@ -50,11 +53,21 @@
     return document
 
 
+# Ports below those that the system gives to outgoing connections.
+_PORTS = itertools.count(21_000 + os.getpid() % 500 * 16)
+
+
 def pick_address() -> ids.Address:
-    """Returns a loopback address with a free port."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return ids.Address(f"127.0.0.1:{probe.getsockname()[1]}")
+    """Returns a loopback address with a free port, never the same twice."""
+    for port in _PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                # Another process has it.
+                continue
+        return ids.Address(f"127.0.0.1:{port}")
+    raise AssertionError("no free port")
 
 
 class Stage:
@@ -171,6 +184,13 @@
     )
 
 
+def replace_settings(
+    checked: gateway_settings.GatewaySettings, **changes
+) -> gateway_settings.GatewaySettings:
+    """Returns settings with some values changed."""
+    return dataclasses.replace(checked, **changes)
+
+
 class StageCase(testtools.TestCase):
     """A test case that runs coroutines."""
 
--- /dev/null
+++ b/testing/platform/test_gateway_life.py
@@ -0,0 +1,94 @@
+"""Callers that leave, planned stops and other gateways."""
+
+import asyncio
+import contextlib
+
+from caperdyke.platform import documents, headers, store
+from caperdyke.transport.gateway import context, node
+from testing.platform import stage
+
+
+class CallerLeavesTest(stage.StageCase):
+    """A caller that closes its connection."""
+
+    def test_work_ends_at_the_server(self) -> None:
+        async def scene() -> None:
+            async with stage.open_stage(["s1"]) as played:
+                server = played.servers[0]
+                server.hold.clear()
+                asking = asyncio.create_task(played.ask())
+                await played.wait_until(lambda: server.seen)
+                host, _, port = played.gateway.node.settings.caller_address.rpartition(":")
+                asking.cancel()
+                await asyncio.gather(asking, return_exceptions=True)
+                # The client library keeps a cancelled connection; another one is closed here.
+                _, writer = await asyncio.open_connection(host, int(port))
+                writer.write(
+                    b"GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                    b"Caperdyke-Request-Id: left\r\nCaperdyke-Request-Deadline: 3000\r\n\r\n"
+                )
+                await played.wait_until(lambda: len(server.seen) == 2)
+                writer.close()
+                await played.wait_until(lambda: server.cut >= 1)
+                view = played.gateway.node.find_view("s1")
+                await played.wait_until(lambda: view.in_flight <= 1)
+
+        self.play(scene)
+
+
+class PlannedStopTest(stage.StageCase):
+    """The signal to stop while a request is under way."""
+
+    def test_request_under_way_is_answered(self) -> None:
+        async def scene() -> None:
+            async with stage.open_stage(["s1"]) as played:
+                server = played.servers[0]
+                server.hold.clear()
+                asking = asyncio.create_task(played.ask())
+                await played.wait_until(lambda: server.seen)
+                played.stop.set()
+                await played.wait_until(lambda: played.gateway.node.is_stopping)
+                self.assertEqual(503, await played.ask_ready())
+                self.assertEqual(503, (await played.look_up())[0])
+                server.hold.set()
+                status, found, body = await asking
+                self.assertEqual((200, b"body of s1"), (status, body))
+                self.assertEqual("close", found["connection"])
+                await asyncio.wait_for(played.running, 10)
+
+        self.play(scene)
+
+
+class TwoGatewaysTest(stage.StageCase):
+    """Gateways that find each other through the store and by datagrams."""
+
+    def test_second_gateway_without_store_learns_from_the_first(self) -> None:
+        """Pattern: an instance starts while the store turns it away."""
+
+        async def scene() -> None:
+            async with stage.open_stage() as played:
+                first = played.gateway.node
+                other = stage.make_settings(stage.pick_address())
+                other = stage.replace_settings(
+                    other, instance="gateway-2", seeds=(first.settings.peer_address,)
+                )
+                shared = context.GatewayContext(
+                    other, headers, documents, store.Store(other.store_address)
+                )
+                second = node.GatewayNode(shared, stage.make_platform_apps)
+                running = asyncio.create_task(second.run(asyncio.Event()))
+                try:
+                    await played.wait_until(lambda: shared.fleet.is_ready)
+                    self.assertEqual(1, shared.routes.version)
+                    self.assertEqual(2, len(shared.servers.list_usable(shared.now())))
+                    await played.wait_until(
+                        lambda: [o.is_ready for o in first.fleet.list_live(first.now())] == [True]
+                    )
+                    _, document = await played.look_up()
+                    self.assertEqual(2, len(document["addresses"]))
+                finally:
+                    running.cancel()
+                    with contextlib.suppress(asyncio.CancelledError):
+                        await running
+
+        self.play(scene)
--- a/testing/platform/test_gateway_requests.py
+++ b/testing/platform/test_gateway_requests.py
@@ -1,5 +1,6 @@
 """Requests through a whole gateway, with faults of backend servers in tables."""
 
+import asyncio
 
 from parameterized import parameterized
 
@@ -73,7 +74,7 @@
 
     @parameterized.expand(
         [
-            # Fault, status of a safe and of an unsafe request, sends of each.
+            # Fault; status of a safe and of an unsafe request; servers that see each.
             ("shed", 200, 200, 2, 2),
             ("misdirected", 200, 200, 2, 2),
             ("reset", 200, 502, 2, 1),
@@ -95,16 +96,46 @@
                 ("/buy/1", "POST", unsafe_status, unsafe_sends),
             ):
                 async with stage.open_stage() as played:
-                    for server in played.servers:
-                        server.body = b"the same on both"
-                        server.faults = [fault]
-                    first = await played.ask(path, method)
-                    # The second server has its fault too: only one of them answers a request.
-                    count = sum(len(server.seen) for server in played.servers)
-                    if expected == 200 and sends == 2:
-                        self.assertIn(first[0], (200, 502, 503, 500), path)
-                    else:
-                        self.assertEqual(expected, first[0], path)
-                    self.assertEqual(sends, count, path)
+                    first, second = await self.order_servers(played)
+                    first.faults = [fault]
+                    status, _, body = await played.ask(path, method)
+                    count = len(first.seen) + len(second.seen) - 1
+                    self.assertEqual((expected, sends), (status, count), path)
+                    if expected == 200:
+                        answering = second if sends == 2 else first
+                        self.assertEqual(answering.body, body)
+
+        self.play(scene)
+
+    @parameterized.expand([("shed", 503), ("reset", 502), ("truncated", 502), ("error", 500)])
+    def test_fault_of_every_server(self, fault, expected) -> None:
+        async def scene() -> None:
+            async with stage.open_stage() as played:
+                for server in played.servers:
+                    server.faults = [fault]
+                status, found, _ = await played.ask()
+                self.assertEqual(expected, status)
+                self.assertEqual(expected == 503, "retry-after" in found)
+
+        self.play(scene)
+
+    async def order_servers(self, played) -> list:
+        """Returns the servers with that first which gets the requests of the usual object."""
+        _, _, body = await played.ask()
+        return sorted(played.servers, key=lambda server: server.body != body)
+
+
+class SilentServerTest(stage.StageCase):
+    """A server that takes a request and says nothing."""
+
+    @parameterized.expand([("/read/1", "GET"), ("/buy/1", "POST")])
+    def test_final_answer_comes_before_the_deadline(self, path, method) -> None:
+        async def scene() -> None:
+            async with stage.open_stage(["s1"]) as played:
+                played.servers[0].hold.clear()
+                async with asyncio.timeout(2.0):
+                    status, _, _ = await played.ask(path, method, wait_ms=300)
+                self.assertEqual(504, status)
+                await played.wait_until(lambda: played.servers[0].cut == 1)
 
         self.play(scene)
--- /dev/null
+++ b/testing/platform/test_headers.py
@@ -0,0 +1,78 @@
+"""Headers of callers and backend servers."""
+
+import testtools
+from parameterized import parameterized
+
+from caperdyke.platform import headers
+from caperdyke.state import ids, request_heads
+
+
+class CallerHeadersTest(testtools.TestCase):
+    """What a caller says."""
+
+    @parameterized.expand(
+        [
+            ("all", [(b"caperdyke-request-deadline", b"3000")], 3000.0),
+            ("missing", [], None),
+            ("no number", [(b"caperdyke-request-deadline", b"soon")], None),
+            ("not finite", [(b"caperdyke-request-deadline", b"inf")], None),
+        ]
+    )
+    def test_wait(self, _name, raw, expected) -> None:
+        self.assertEqual(expected, headers.read_caller(raw).wait_ms)
+
+    @parameterized.expand(
+        [
+            ("alone", b"Caperdyke-Affinity-Key=17", "17"),
+            ("among others", b"a=1; Caperdyke-Affinity-Key=x9; b=2", "x9"),
+            ("missing", b"a=1", ""),
+            ("unreadable", b"\xff;;==", ""),
+        ]
+    )
+    def test_object(self, _name, cookie, expected) -> None:
+        self.assertEqual(expected, headers.read_caller([(b"cookie", cookie)]).object_key)
+
+
+class ServerHeadersTest(testtools.TestCase):
+    """What a backend server says, and what it is told."""
+
+    @parameterized.expand(
+        [
+            ("answer", 200, [(b"caperdyke-server-signature", b"x")], True, False, False),
+            ("refusal", 503, [(b"caperdyke-not-executed", b"1")], False, True, False),
+            ("other server", 421, [], False, True, True),
+            ("server's own 421", 421, [(b"caperdyke-server-signature", b"x")], True, False, False),
+            ("503 without a word", 503, [], False, False, False),
+        ]
+    )
+    def test_outcome(self, _name, status, raw, signed, refused, misdirected) -> None:
+        found = headers.read_server(status, raw)
+        self.assertEqual(
+            (signed, refused, misdirected),
+            (found.is_signed, found.is_refused, found.is_misdirected),
+        )
+
+    @parameterized.expand(
+        [("3,1,8", request_heads.ServerLoad(3, 1, 8)), ("3,1", None), ("a,b,c", None)]
+    )
+    def test_load(self, text, expected) -> None:
+        raw = [(b"caperdyke-server-load", text.encode())]
+        self.assertEqual(expected, headers.read_server(200, raw).load)
+
+    def test_headers_passed_on(self) -> None:
+        raw = [
+            (b"caperdyke-request-id", b"r1"),
+            (b"caperdyke-request-deadline", b"3000"),
+            (b"caperdyke-expect-instance", b"forged"),
+            (b"x-other", b"1"),
+        ]
+        made = headers.make_server_headers(raw, 1234.5, ids.BackendId("s1"))
+        self.assertEqual(
+            [
+                (b"caperdyke-request-id", b"r1"),
+                (b"x-other", b"1"),
+                (b"caperdyke-request-deadline", b"1234"),
+                (b"caperdyke-expect-instance", b"s1"),
+            ],
+            made,
+        )
--- /dev/null
+++ b/testing/registry/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what is known of servers and instances."""
--- /dev/null
+++ b/testing/registry/test_fleet.py
@@ -0,0 +1,68 @@
+"""Which instances a caller is told of."""
+
+import testtools
+from parameterized import parameterized
+
+from caperdyke.coordination.registry import fleet
+from caperdyke.state import ids, member
+
+REGIONS = {"hall-1": "north", "hall-2": "north", "hall-3": "south"}
+
+
+def make_member(
+    name: str, domain: str, incarnation: int = 1, state=member.MemberState.LIVE
+) -> member.Member:
+    """Returns an instance whose addresses show its name."""
+    return member.Member(
+        ids.InstanceId(name),
+        ids.Incarnation(incarnation),
+        ids.DomainName(domain),
+        ids.Address(f"{name}:1"),
+        ids.Address(f"{name}:2"),
+        state,
+    )
+
+
+class FleetTest(testtools.TestCase):
+    """One instance's view of the others."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = fleet.Fleet(make_member("a", "hall-1"), REGIONS)
+        self.fleet.is_ready = True
+        self.fleet.hear(0.0, make_member("b", "hall-2"), True, 0.4)
+        self.fleet.hear(0.0, make_member("c", "hall-3"), True, 0.4)
+
+    def choose(self, domain: str, region: str, now: float = 1.0) -> list[str]:
+        """Returns the addresses for a caller."""
+        return self.fleet.choose_for_caller(now, domain, region, 64)
+
+    @parameterized.expand(
+        [
+            ("own failure domain", "hall-2", "north", ["b:2"]),
+            ("region, where the domain has none", "hall-9", "north", ["b:2", "a:2"]),
+            ("all, where the region has none", "hall-9", "west", ["b:2", "c:2", "a:2"]),
+        ]
+    )
+    def test_nearest_group(self, _name, domain, region, expected) -> None:
+        self.assertEqual(expected, self.choose(domain, region))
+
+    def test_silent_instance_is_not_named(self) -> None:
+        self.assertEqual(["a:2"], self.choose("hall-2", "north", now=2.0))
+
+    def test_leaving_instance_is_not_named(self) -> None:
+        leaving = make_member("b", "hall-2", state=member.MemberState.LEAVING)
+        self.fleet.hear(1.0, leaving, False, 0.4)
+        self.assertEqual(["a:2"], self.choose("hall-2", "north"))
+
+    def test_word_of_an_earlier_start_counts_for_nothing(self) -> None:
+        self.fleet.hear(1.0, make_member("b", "hall-2", 2), True, 0.4)
+        self.assertIsNone(self.fleet.hear(1.1, make_member("b", "hall-2", 1), True, 0.4))
+
+    def test_instance_that_was_only_listed_is_not_alive(self) -> None:
+        self.fleet.merge(0.0, make_member("d", "hall-1"))
+        self.assertEqual(["a", "b", "c"], self.fleet.list_names(1.0))
+
+    def test_silent_instances_are_forgotten(self) -> None:
+        gone = self.fleet.forget_silent(fleet.FORGET_SECONDS + 1.0)
+        self.assertEqual(["b", "c"], sorted(record.instance for record in gone))
