Keep large answers in their failure domain, call the store less, avoid servers by comparison

Warm times had been learned from answers that were only hoped to be warm.

Ruled out: caching registrations in one instance for all (ten calls fewer a second at most here).

--- a/src/caperdyke/coordination/placement/homes.py
+++ b/src/caperdyke/coordination/placement/homes.py
@@ -5,7 +5,7 @@
 from caperdyke.coordination.placement import affinity
 from caperdyke.state import backend, ids
 
-# Weight of servers in the caller's region where the region has room for all of its objects.
+# Weight of near servers where they have room for all objects of the callers near them.
 NEAR_WEIGHT_MAX = 50.0
 NEAR_WEIGHT_MIN = 1.0
 
@@ -18,20 +18,45 @@
     region: ids.RegionName
 
 
-def find_near_weight(region: ids.RegionName, places: list[Place]) -> float:
-    """Returns the weight of servers in a region against 1 elsewhere.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Nearness:
+    """Whose objects are placed, and how far they should stay.
+
+    :param is_by_domain: whether near means the own failure domain rather than the region. Large
+        answers are worth it: each byte between failure domains costs the operators, and a region
+        that keeps an object twice warms it twice.
+    """
+
+    domain: ids.DomainName
+    region: ids.RegionName
+    is_by_domain: bool
+
+    def covers(self, place: Place) -> bool:
+        """Tells whether a server is near."""
+        if self.is_by_domain:
+            return place.server.domain == self.domain
+        return place.region == self.region
+
+    def count_groups(self, places: list[Place]) -> int:
+        """Returns how many failure domains or regions share the load."""
+        if self.is_by_domain:
+            return len({place.server.domain for place in places} | {self.domain})
+        return len({place.region for place in places} | {self.region})
+
+
+def find_near_weight(nearness: Nearness, places: list[Place]) -> float:
+    """Returns the weight of near servers against 1 elsewhere.
 
-    Pattern: a third of the callers, but a ninth of the servers in their region. Objects stay in
-    the region as far as its part of all slots covers an equal part of the load; the others get a
-    home elsewhere from the start, rather than by turns when the region is full.
+    Pattern: a third of the callers, but a ninth of the servers in their region. Objects stay near
+    as far as the near part of all slots covers an equal part of the load; the others get a home
+    elsewhere from the start, rather than by turns when the near servers are full.
     """
     total = sum(place.server.slots for place in places)
-    near = sum(place.server.slots for place in places if place.region == region)
-    regions = len({place.region for place in places} | {region})
+    near = sum(place.server.slots for place in places if nearness.covers(place))
     far = total - near
     if near == 0 or far == 0:
         return NEAR_WEIGHT_MIN
-    kept = min(1.0, near / total * regions)
+    kept = min(1.0, near / total * nearness.count_groups(places))
     if kept >= 1.0:
         return NEAR_WEIGHT_MAX
     weight = kept * far / ((1 - kept) * near)
@@ -39,20 +64,20 @@
 
 
 def order_places(
-    key: ids.ObjectKey, region: ids.RegionName, near_weight: float, places: list[Place]
+    key: ids.ObjectKey, nearness: Nearness, near_weight: float, places: list[Place]
 ) -> list[Place]:
-    """Returns the servers in the order in which they suit an object of a region's callers.
+    """Returns the servers in the order in which they suit an object of some callers.
 
-    The order is the same on every instance of the region. The second is the best one in another
-    failure domain of the first one's region, so that callers in both have a home nearby.
+    The order is the same on every instance near these callers. The second is the best one in
+    another failure domain of the first one's region, so that callers in both have a home nearby.
     """
 
     def weigh(place: Place) -> float:
-        weight = place.server.slots * (near_weight if place.region == region else 1.0)
+        weight = place.server.slots * (near_weight if nearness.covers(place) else 1.0)
         return affinity.weigh(key, place.server.backend, weight)
 
     order = sorted(places, key=weigh, reverse=True)
-    if len(order) < 2:
+    if len(order) < 2 or nearness.is_by_domain:
         return order
     first = order[0]
     for position, place in enumerate(order[1:], 1):
--- a/src/caperdyke/coordination/placement/retry_quota.py
+++ b/src/caperdyke/coordination/placement/retry_quota.py
@@ -5,7 +5,7 @@
 from caperdyke.state import ids
 
 # Part of the budget that is used, since instances count their windows apart.
-USED_PART = 0.7
+USED_PART = 0.85
 
 
 class RetryQuota:
--- a/src/caperdyke/coordination/placement/server_view.py
+++ b/src/caperdyke/coordination/placement/server_view.py
@@ -14,7 +14,8 @@
 # Bounds of the estimated speed, as a factor on the time that other servers of the service take.
 SPEED_MIN = 0.5
 SPEED_MAX = 20.0
-# Failed part of the latest answers above which a server is avoided, and for how long, in seconds.
+# How much larger the failed part of the latest answers may be than that of the whole service before
+# a server is avoided, and for how long, in seconds.
 FAILING_PART = 0.35
 AVOID_SECONDS = 2.0
 # Time without a new connection after the server refused one or did not answer, in seconds; it
@@ -101,14 +102,21 @@
             if len(self.warm_until) > OBJECTS_MAX:
                 self.warm_until.popitem(last=False)
 
-    def note_failure(self, now: float) -> bool:
-        """Learns from a failed answer; tells whether the server is avoided from now on."""
+    def note_failure(self, now: float, usual: float) -> bool:
+        """Learns from a failed answer; tells whether the server is avoided from now on.
+
+        Pattern: all servers of a service fail a part of their requests, so that avoiding those
+        that failed last only fills the others.
+
+        :param usual: failed part of the answers of all servers of the service.
+        """
         self._note_outcome(1.0)
-        if self.failing <= FAILING_PART or now < self.avoided_until:
+        limit = FAILING_PART + usual
+        if self.failing <= limit or now < self.avoided_until:
             return False
         self.avoided_until = now + AVOID_SECONDS
         # After the pause one more failure is enough, one good answer is not.
-        self.failing = FAILING_PART
+        self.failing = limit
         return True
 
     def note_unreachable(self, now: float) -> None:
--- a/src/caperdyke/coordination/placement/work_times.py
+++ b/src/caperdyke/coordination/placement/work_times.py
@@ -24,15 +24,37 @@
     warm_answers: int = 0
     cold_answers: int = 0
 
-    def compare(self, is_warm: bool, took: float) -> float:
+    def was_cold(self, took: float) -> bool:
+        """Tells whether an answer's time rather is that of an object that was not warm."""
+        return took * took > self.warm * self.cold
+
+    def compare(self, took: float) -> float:
         """Returns the time of an answer as a multiple of what was to be expected.
 
-        Pattern: an object is thought to be warm and is not. Such an answer says nothing of the
-        server's speed, so it is held against the time of a cold one.
+        Pattern: an object is thought to be warm and is not, or the other way round. Such an answer
+        says nothing of the server's speed, so each is held against the times of its own sort.
+        """
+        return took / max(TIME_MIN, self.cold if self.was_cold(took) else self.warm)
+
+    def learn(self, is_known_warm: bool, took: float) -> None:
+        """Takes over the time of an answer.
+
+        :param is_known_warm: whether the server answered for the object before.
         """
-        if is_warm and took * took > self.warm * self.cold:
-            return max(1.0, took / max(TIME_MIN, self.cold))
-        return took / max(TIME_MIN, self.warm if is_warm else self.cold)
+        weight = _find_weight(self.warm_answers + self.cold_answers)
+        self.mean += weight * (took - self.mean)
+        if is_known_warm and (not self.warm_answers or not self.was_cold(took)):
+            self._learn_warm(took)
+        elif not is_known_warm and (not self.cold_answers or self.was_cold(took)):
+            self.cold += _find_weight(self.cold_answers) * (took - self.cold)
+            self.cold_answers += 1
+            self.warm = min(self.warm, self.cold)
+        elif not is_known_warm:
+            self._learn_warm(took)
+
+    def _learn_warm(self, took: float) -> None:
+        self.warm += _find_weight(self.warm_answers) * (took - self.warm)
+        self.warm_answers += 1
 
 
 class WorkTimes:
@@ -53,20 +75,18 @@
             self._times[route] = known
         return known
 
-    def note(self, route: ids.RouteName, objective: float, is_warm: bool, took: float) -> None:
-        """Learns from an answer that did not wait.
+    def note(
+        self, route: ids.RouteName, objective: float, is_known_warm: bool, took: float
+    ) -> float:
+        """Learns from an answer that did not wait, and returns how it compares.
 
+        :param is_known_warm: whether the server answered for the object before.
         :param took: seconds from the send to the whole answer.
+        :returns: time of the answer as a multiple of what was to be expected.
         """
         known = self.find(route, objective)
-        known.mean += _find_weight(known.warm_answers + known.cold_answers) * (took - known.mean)
-        was_cold = took * took > known.warm * known.cold
-        if is_warm and (not was_cold or not known.warm_answers):
-            known.warm += _find_weight(known.warm_answers) * (took - known.warm)
-            known.warm_answers += 1
-        elif not is_warm and (was_cold or not known.cold_answers):
-            known.cold += _find_weight(known.cold_answers) * (took - known.cold)
-            known.cold_answers += 1
+        known.learn(is_known_warm, took)
+        return known.compare(took)
 
 
 def _find_weight(answers: int) -> float:
--- a/src/caperdyke/protocol/gateway_files.py
+++ b/src/caperdyke/protocol/gateway_files.py
@@ -51,6 +51,7 @@
         retry_window=document.read_decimal(section, "retry_window_s", 0.1, 3600.0),
         cold_factor=document.read_decimal(section, "cold_factor", 0.0, 100.0),
         cold_allowance=document.read_decimal(section, "cold_allowance", 0.0, 1e6),
+        leaving_seconds=document.read_decimal(section, "leaving_ms", 100.0, 1e6) / 1000,
         lookup_seconds=document.read_decimal(section, "lookup_s", 0.1, 3600.0),
         stop_seconds=document.read_decimal(section, "stop_s", 0.5, 3600.0),
     )
--- a/src/caperdyke/state/gateway_settings.py
+++ b/src/caperdyke/state/gateway_settings.py
@@ -14,6 +14,7 @@
     :param retry_window: length of the window that counts repeated sends, in seconds.
     :param cold_factor: how far a cold backend server's rate may be exceeded, as a factor.
     :param cold_allowance: requests in a second that a cold backend server may get besides.
+    :param leaving_seconds: time after which a backend server that leaves gets nothing new.
     :param lookup_seconds: longest time that a look-up answer may be used.
     :param stop_seconds: time from the signal to stop until the process is killed.
     """
@@ -23,6 +24,7 @@
     retry_window: float
     cold_factor: float
     cold_allowance: float
+    leaving_seconds: float
     lookup_seconds: float
     stop_seconds: float
 
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -1,6 +1,7 @@
 """What the tasks of one gateway share."""
 
 import collections.abc
+import statistics
 import time
 
 from caperdyke.coordination.placement import (
@@ -69,8 +70,9 @@
         self.active_requests = 0
         self.is_stopping = False
         self._services: dict[ids.ServiceName, list[server_registry.RegisteredServer]] = {}
-        # Order of a service's servers for each object, until the set of servers changes.
-        self._orders: dict[tuple[ids.ServiceName, ids.ObjectKey], list[homes.Place]] = {}
+        # Order of a service's servers for each object, and for large answers, until the set of
+        # servers changes.
+        self._orders: dict[tuple[ids.ServiceName, ids.ObjectKey, bool], list[homes.Place]] = {}
 
     def apply_settings(self, changed: gateway_settings.GatewaySettings) -> None:
         """Takes over changed limits and failure domains."""
@@ -120,18 +122,15 @@
             self.pool.drop(name)
 
     def list_candidates(
-        self, service: ids.ServiceName, key: ids.ObjectKey, regions: frozenset[ids.RegionName]
+        self, service: ids.ServiceName, key: ids.ObjectKey, route: routes.Route
     ) -> list[choice.Candidate]:
-        """Returns the servers of a service that a request may go to now, in the object's order.
-
-        :param regions: the only regions that may serve it; empty where all may.
-        """
+        """Returns the servers of a service that a request may go to now, in the object's order."""
         now = self.now()
         names = self.fleet.list_names(now)
         candidates = []
-        for place in self._order(service, key):
+        for place in self._order(service, key, route.kind is routes.RouteKind.DOWNLOAD):
             server = place.server
-            if server.domain in self.evacuated or (regions and place.region not in regions):
+            if server.domain in self.evacuated or (route.homes and place.region not in route.homes):
                 continue
             known = self.servers.find(server.backend)
             if known is None or not self._may_use_cold(now, known, names):
@@ -145,8 +144,10 @@
             )
         return candidates
 
-    def _order(self, service: ids.ServiceName, key: ids.ObjectKey) -> list[homes.Place]:
-        order = self._orders.get((service, key))
+    def _order(
+        self, service: ids.ServiceName, key: ids.ObjectKey, is_large: bool
+    ) -> list[homes.Place]:
+        order = self._orders.get((service, key, is_large))
         if order is None:
             places = [
                 homes.Place(
@@ -155,9 +156,10 @@
                 )
                 for known in self._services.get(service, ())
             ]
-            weight = homes.find_near_weight(self.settings.region, places)
-            order = homes.order_places(key, self.settings.region, weight, places)
-            self._orders[service, key] = order
+            nearness = homes.Nearness(self.settings.domain, self.settings.region, is_large)
+            weight = homes.find_near_weight(nearness, places)
+            order = homes.order_places(key, nearness, weight, places)
+            self._orders[service, key, is_large] = order
         return order
 
     def has_servers(self, service: ids.ServiceName) -> bool:
@@ -171,6 +173,15 @@
             return True
         return not known.is_from_start and now < known.first_seen + self._find_cold_seconds(known)
 
+    def measure_failing(self, view: server_view.ServerView) -> float:
+        """Returns the failed part of the answers of a server's whole service."""
+        others = [
+            self.views[known.registration.server.backend].failing
+            for known in self._services.get(view.server.service, ())
+            if known.registration.server.backend in self.views
+        ]
+        return statistics.median(others) if others else 0.0
+
     def note_round_trip(self, domain: ids.DomainName, seconds: float) -> None:
         """Learns from the time that a connection took to open."""
         known = self.round_trips.get(domain)
--- a/src/caperdyke/transport/gateway/follower.py
+++ b/src/caperdyke/transport/gateway/follower.py
@@ -10,13 +10,14 @@
 
 # Longest time that one call waits for a change of the configuration, in milliseconds. A connection
 # that went silent is noticed after this and the call's own allowance.
-CONFIGURATION_WAIT_MS = 2000
+CONFIGURATION_WAIT_MS = 3000
 # Least time between two reads because of what other instances know, in seconds; most of them learn
 # of a change by themselves within a part of it.
 HURRY_SECONDS = 0.6
-# Interval between two reads of registrations, in seconds: with the read itself well below the time
-# in which a server that leaves must get nothing new.
-SERVERS_SECONDS = 0.7
+# Interval between two reads of registrations: part of the time after which a server that leaves
+# must get nothing new, and at most, in seconds.
+SERVERS_PART = 0.45
+SERVERS_SECONDS_MAX = 1.2
 # Interval between two tries while the store is away, in seconds.
 AWAY_SECONDS = 0.4
 # Time without an answer after which other instances are asked instead, in seconds.
@@ -121,7 +122,9 @@
         """Keeps registrations known, for ever."""
         while True:
             is_answered = await self.servers.follow_once(0)
-            await asyncio.sleep(SERVERS_SECONDS if is_answered else AWAY_SECONDS)
+            bound = self._node.settings.bounds.leaving_seconds
+            interval = min(SERVERS_SECONDS_MAX, SERVERS_PART * bound)
+            await asyncio.sleep(interval if is_answered else AWAY_SECONDS)
 
     async def follow_peers(self) -> None:
         """Asks other instances for what the store does not tell, for ever."""
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -239,7 +239,7 @@
             route.kind is routes.RouteKind.DOWNLOAD,
             frozenset(tried),
         )
-        candidates = node.list_candidates(service, demand.key, route.homes)
+        candidates = node.list_candidates(service, demand.key, route)
         return choice.choose(node.now(), demand, candidates, node.times.find(route.name, objective))
 
     def _learn(
@@ -259,8 +259,8 @@
             ratio = None
             is_queue_seen = result.load is not None and result.load.waiting > 0
             if not placed.waits and not is_queue_seen:
-                node.times.note(route.name, objective, placed.is_warm, took)
-                ratio = node.times.find(route.name, objective).compare(placed.is_warm, took)
+                key = request.about.object_key
+                ratio = node.times.note(route.name, objective, view.is_warm(now, key), took)
             view.note_answer(now, request.about.object_key, ratio)
             return
         match result.kind:
@@ -272,7 +272,7 @@
                 node.refresh_servers()
                 node.note_unusable(view, "another server has its address")
             case _:
-                if view.note_failure(now):
+                if view.note_failure(now, node.measure_failing(view)):
                     node.note_unusable(view, result.detail)
 
     def _give_up(
--- a/testing/platform/stage.py
+++ b/testing/platform/stage.py
@@ -17,7 +17,7 @@
 from testing.platform import fake_server, fake_store
 
 HOST = "shop.example"
-BOUNDS = gateway_settings.GatewayBounds(0.2, 60, 10.0, 1.5, 5, 5.0, 6.0)
+BOUNDS = gateway_settings.GatewayBounds(0.2, 60, 10.0, 1.5, 5, 1.5, 5.0, 6.0)
 WAIT_SECONDS = 5.0
 
 
