--- a/src/caperdyke/coordination/placement/attempts.py
+++ b/src/caperdyke/coordination/placement/attempts.py
@@ -18,15 +18,24 @@
 
     :param sends_max: most servers that the request may reach.
     :param is_repeatable: whether it may run more than once.
+    :param sent: requests that arrived anywhere.
+    :param reached: those that arrived at a server of the route.
     """
 
     sends_max: int
     is_repeatable: bool
+    sent: int = 0
     reached: int = 0
     progress: Progress = Progress.NOT_SENT
 
+    def note_misdirected(self) -> None:
+        """Counts a send that reached a server of another service, which is no attempt."""
+        self.sent += 1
+        self.note_not_run()
+
     def note_reached(self) -> None:
         """Counts a send that reached a server."""
+        self.sent += 1
         self.reached += 1
 
     def note_not_run(self) -> None:
--- a/src/caperdyke/coordination/placement/choice.py
+++ b/src/caperdyke/coordination/placement/choice.py
@@ -78,10 +78,14 @@
 
     :param retry_after: seconds after which room is expected.
     :param is_empty: whether there is no server at all, rather than no room.
+    :param open_servers: servers that were weighed.
+    :param pressure: requests under way per slot of these.
     """
 
     retry_after: float
     is_empty: bool
+    open_servers: int = 0
+    pressure: float = 0.0
 
 
 Choice = Placed | NoRoom
@@ -122,7 +126,8 @@
             best, best_cost = placed, cost
     if best is not None:
         return best
-    return NoRoom(max(RETRY_MIN_SECONDS, earliest_room), False)
+    retry_after = max(RETRY_MIN_SECONDS, earliest_room)
+    return NoRoom(retry_after, False, len(open_candidates), pressure)
 
 
 def _measure_pressure(candidates: list[Candidate]) -> float:
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -24,6 +24,8 @@
 # Sends of one request that may fail before a server is reached.
 UNREACHED_MAX = 3
 SERVER_ERROR_STATUS = 500
+# Failures of sends that did not arrive at a server of the route.
+NOT_AT_SERVER = (sender.FailureKind.UNREACHABLE, sender.FailureKind.MISDIRECTED)
 
 
 class Verdict(enum.Enum):
@@ -189,18 +191,21 @@
         while True:
             chosen = self._choose(request, route, service, tried, trace)
             if isinstance(chosen, choice.NoRoom):
+                trace.sends.append(_describe_no_room(chosen))
                 return last or self._give_up(request, tries, chosen)
-            if tries.reached and not node.retries.take(node.now(), service, self._count_fleet()):
+            if tries.sent and not node.retries.take(node.now(), service, self._count_fleet()):
                 return last or self._give_up(request, tries, None)
             tried.add(chosen.view.server.backend)
             sent_at = node.now()
             result = await self._sender.send(request, chosen)
             self._learn(request, route, chosen, sent_at, result)
-            if trace.sends:
+            if tries.sent:
                 node.metrics.count_retry(route.host, service)
             trace.sends.append(self._describe(chosen, sent_at, result))
             if isinstance(result, sender.Failure):
-                if result.kind is sender.FailureKind.UNREACHABLE:
+                if result.kind in NOT_AT_SERVER:
+                    if result.kind is sender.FailureKind.MISDIRECTED:
+                        tries.note_misdirected()
                     unreached += 1
                     if unreached > UNREACHED_MAX:
                         return last or self._give_up(request, tries, None)
@@ -377,6 +382,13 @@
         )
 
 
+def _describe_no_room(chosen: choice.NoRoom) -> str:
+    return (
+        f"no server chosen: {chosen.open_servers} open, {chosen.pressure:.2f} requests per slot,"
+        f" room expected in {round(chosen.retry_after * 1000)} ms"
+    )
+
+
 async def _wait_for_leave(receive) -> None:
     while (await receive())["type"] != "http.disconnect":
         continue
--- a/testing/placement/test_limits.py
+++ b/testing/placement/test_limits.py
@@ -105,6 +105,13 @@
         tries.note_not_run()
         self.assertFalse(tries.is_known_not_run)
 
+    def test_reused_address_is_no_attempt(self) -> None:
+        """Pattern: several servers ended at once, and others have their addresses."""
+        tries = attempts.Attempts(1, False)
+        tries.note_misdirected()
+        self.assertTrue(tries.allows_another() and tries.is_known_not_run)
+        self.assertEqual((1, 0), (tries.sent, tries.reached))
+
     def test_sends_are_bounded(self) -> None:
         tries = attempts.Attempts(1, True)
         tries.note_reached()
