Expect first homes to be warm, second ones rarely

The order was weighed at 0.7 and 0.4.

Ruled out: holding requests while an object's first run is under way, which would save nothing.

--- a/src/caperdyke/coordination/placement/choice.py
+++ b/src/caperdyke/coordination/placement/choice.py
@@ -6,9 +6,9 @@
 from caperdyke.state import ids
 
 # Chance that an object is warm on its first homes, where this instance has not seen it itself.
-WARM_CHANCES = (0.7, 0.4)
+WARM_CHANCES = (0.85, 0.3)
 # Chance from which on a server counts as warm.
-WARM_MIN = 0.4
+WARM_MIN = 0.3
 # What it is worth not to leave the failure domain: bytes that leave it cost the operators, and a
 # download has many. In seconds of waiting.
 FAR_SECONDS = 0.02
