--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -326,19 +326,20 @@
             await send({"type": "http.response.body", "body": answer.body})
             self._log(trace, answer.status, "answered")
             return
+        pumping = asyncio.ensure_future(_pump(send, answer))
         try:
-            await send({"type": "http.response.body", "body": answer.body, "more_body": True})
-            async for chunk in answer.rest:
-                if leaving.done():
-                    raise _CallerLeftError
-                await send({"type": "http.response.body", "body": chunk, "more_body": True})
+            await asyncio.wait({pumping, leaving}, return_when=asyncio.FIRST_COMPLETED)
+            if not pumping.done():
+                raise _CallerLeftError
+            pumping.result()
         except errors.BackendFailedError as error:
             events.log(events.Event.ANSWER_CUT, request=trace.request_id, error=str(error))
             # The exception ends the connection without the mark of a complete answer.
             raise
         finally:
+            pumping.cancel()
+            await asyncio.gather(pumping, return_exceptions=True)
             await answer.rest.aclose()
-        await send({"type": "http.response.body", "body": b""})
         self._log(trace, answer.status, "answered in parts")
 
     async def _start(self, send, status: int, headers: dialect.RawHeaders) -> None:
@@ -389,6 +390,14 @@
     )
 
 
+async def _pump(send, answer: sender.ServerAnswer) -> None:
+    """Passes a long body on, part by part, as fast as the caller reads."""
+    await send({"type": "http.response.body", "body": answer.body, "more_body": True})
+    async for chunk in answer.rest:
+        await send({"type": "http.response.body", "body": chunk, "more_body": True})
+    await send({"type": "http.response.body", "body": b""})
+
+
 async def _wait_for_leave(receive) -> None:
     while (await receive())["type"] != "http.disconnect":
         continue
--- a/testing/platform/test_gateway_requests.py
+++ b/testing/platform/test_gateway_requests.py
@@ -43,6 +43,19 @@
 
         self.play(scene)
 
+    def test_long_answer_is_passed_on_in_parts(self) -> None:
+        async def scene() -> None:
+            async with stage.open_stage(["s1"]) as played:
+                played.servers[0].body = bytes(range(256)) * 12_000
+                status, found, body = await played.ask()
+                self.assertEqual(200, status)
+                self.assertEqual(str(len(played.servers[0].body)), found["content-length"])
+                self.assertEqual(played.servers[0].body, body)
+                self.assertEqual(200, (await played.ask())[0])
+                self.assertEqual(1, played.servers[0].connections)
+
+        self.play(scene)
+
     @parameterized.expand(
         [
             ("no route", "/other/1", "GET", b"", 404),
--- a/testing/platform/test_gateway_store.py
+++ b/testing/platform/test_gateway_store.py
@@ -119,6 +119,32 @@
         self.play(scene)
 
 
+class HomeRegionsTest(stage.StageCase):
+    """Routes that only some regions may serve."""
+
+    @parameterized.expand(
+        [("served at home", ["south"], 200, "body of s2"), ("no server at home", ["east"], 503, "")]
+    )
+    def test_homes(self, _name, homes, expected, body) -> None:
+        async def scene() -> None:
+            configuration = stage.make_configuration()
+            configuration["routes"]["r-read"]["homeRegions"] = homes
+            async with stage.open_stage(configuration=configuration) as played:
+                entry = played.servers[1].register("reader", "hall-2", sequence=2)
+                await played.store.put("servers", "s2", entry)
+                position = played.store.position
+                follower = played.gateway.follower
+                await played.wait_until(lambda: follower.servers.position >= position)
+                for number in range(6):
+                    status, _, found = await played.ask(key=f"k{number}")
+                    self.assertEqual(expected, status)
+                    if body:
+                        self.assertEqual(body, found.decode())
+                self.assertEqual([], played.servers[0].seen)
+
+        self.play(scene)
+
+
 class LookupTest(stage.StageCase):
     """What callers and the platform are told of the gateway."""
 
--- a/testing/test_layers.py
+++ b/testing/test_layers.py
@@ -7,7 +7,16 @@
 
 SOURCE = pathlib.Path(__file__).resolve().parent.parent / "src" / "caperdyke"
 # Each layer may import itself and those after it.
-LAYERS = ("programs", "loading", "standins", "transport", "protocol", "coordination", "state")
+LAYERS = (
+    "programs",
+    "platform",
+    "loading",
+    "standins",
+    "transport",
+    "protocol",
+    "coordination",
+    "state",
+)
 
 
 def list_imports(path: pathlib.Path) -> list[str]:
