--- a/src/caperdyke/coordination/placement/choice.py
+++ b/src/caperdyke/coordination/placement/choice.py
@@ -17,7 +17,7 @@
 # accident, as a part of the difference that warmth makes; brings objects to servers that joined.
 HOME_PART = 0.5
 # Requests under way per slot of a service from which on nothing waits that would be late.
-FULL_PRESSURE = 1.2
+FULL_PRESSURE = 0.9
 # Requests under way per slot of a service from which on objects stay with their homes.
 COLD_PRESSURE = 0.7
 # Requests under way for each slot beyond which a server would turn more away.
--- a/src/caperdyke/transport/gateway/announcer.py
+++ b/src/caperdyke/transport/gateway/announcer.py
@@ -12,10 +12,10 @@
 from caperdyke.transport.gateway import context
 
 # Interval between two announcements to an instance of the same region, in seconds.
-NEAR_SECONDS = 0.2
+NEAR_SECONDS = 0.4
 # Bytes a second that announcements may take: the bound for control traffic of one node, less what
 # follows the store and answers look-ups.
-BYTES_PER_SECOND = 8000
+BYTES_PER_SECOND = 2000
 # Headers of one datagram on the wire, in bytes.
 DATAGRAM_HEADER_BYTES = 42
 TICK_SECONDS = 0.1
