--- /dev/null
+++ b/bench/placing.py
@@ -0,0 +1,42 @@
+"""Compares ways of placing on replayed loads, in seconds and over many seeds."""
+
+import argparse
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
+
+from testing.placement import replay
+
+LOADS = {
+    "calm": replay.Load(per_second=70.0),
+    "busy": replay.Load(per_second=140.0),
+    "full": replay.Load(per_second=200.0),
+    "over": replay.Load(per_second=300.0),
+    "crash": replay.Load(per_second=120.0, crash=(6.0, 11.0)),
+}
+
+
+def main() -> None:
+    """Prints a table with a row for each load and way of placing."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=10, help="days for each row")
+    count = parser.parse_args().seeds
+    print("| load | placing | credit | in time | late | refused | cold runs |")
+    print("| --- | --- | ---: | ---: | ---: | ---: | ---: |")
+    for name, load in LOADS.items():
+        for policy in replay.Policy:
+            days = [replay.Replay(load, policy, seed).play() for seed in range(count)]
+            asked = sum(day.asked for day in days)
+            parts = [
+                sum(day.credit for day in days) / count,
+                sum(day.in_time for day in days) / asked,
+                sum(day.late for day in days) / asked,
+                sum(day.refused for day in days) / asked,
+                sum(day.cold_runs for day in days) / asked,
+            ]
+            print(f"| {name} | {policy.value} | " + " | ".join(f"{p:.3f}" for p in parts) + " |")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/caperdyke/coordination/placement/choice.py
+++ b/src/caperdyke/coordination/placement/choice.py
@@ -171,9 +171,8 @@
         # A server that became slow shows it before its first slow answer.
         work = max(work, now - oldest - times.cold)
     slots = view.server.slots
-    busy = view.measure_busy(now)
-    wait = max(0, busy + 1 - slots) / slots * view.speed * times.mean
-    is_waiting = busy + 1 > slots
+    wait = max(0, view.busy + 1 - slots) / slots * view.speed * times.mean
+    is_waiting = view.busy + 1 > slots
     placed = Placed(view, wait + work + candidate.round_trip, chance >= WARM_MIN, is_waiting)
     return _Estimate(placed, wait, work, candidate.round_trip)
 
--- a/src/caperdyke/coordination/placement/server_view.py
+++ b/src/caperdyke/coordination/placement/server_view.py
@@ -23,9 +23,7 @@
 SUSPEND_FIRST_SECONDS = 0.5
 SUSPEND_MAX_SECONDS = 4.0
 # How long the server's own count is used, in seconds; its requests take about as long.
-REPORT_SECONDS = 0.15
-# How long another instance's count of its requests is used, in seconds.
-PEER_LOAD_SECONDS = 2.0
+COUNT_SECONDS = 0.25
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,7 +31,8 @@
     """Observations of one backend server.
 
     :param in_flight: requests of this instance that are under way.
-    :param peer_load: requests of other instances that are under way, as far as they told.
+    :param others: requests of other instances that are under way, as far as known.
+    :param counted_at: time of the server's own latest count.
     :param speed: time that the server takes, as a multiple of what its service usually takes.
     :param failing: part of the latest answers that failed.
     :param avoided_until: time until which the server gets no work of its own account.
@@ -42,15 +41,14 @@
 
     server: backend.BackendServer
     in_flight: int = 0
-    peer_load: int = 0
+    others: int = 0
     speed: float = 1.0
     failing: float = 0.0
     answers: int = 0
     avoided_until: float = 0.0
     suspended_until: float = 0.0
     connect_failures: int = 0
-    reported_load: int = 0
-    reported_at: float = 0.0
+    counted_at: float = 0.0
     sent_at: collections.deque[float] = dataclasses.field(default_factory=collections.deque)
     warm_until: collections.OrderedDict[ids.ObjectKey, float] = dataclasses.field(
         default_factory=collections.OrderedDict
@@ -59,18 +57,17 @@
     @property
     def busy(self) -> int:
         """Requests of all instances that are under way, as far as known."""
-        return self.in_flight + self.peer_load
+        return self.in_flight + self.others
 
     def note_load(self, now: float, load: int) -> None:
-        """Learns the server's own count of its requests."""
-        self.reported_load = load
-        self.reported_at = now
-
-    def measure_busy(self, now: float) -> int:
-        """Returns the requests under way; the server's own count goes first while it is new."""
-        if now < self.reported_at + REPORT_SECONDS:
-            return max(self.busy, self.reported_load)
-        return self.busy
+        """Learns the server's own count of its requests, this instance's included."""
+        self.others = max(0, load - self.in_flight)
+        self.counted_at = now
+
+    def note_others(self, now: float, load: int) -> None:
+        """Learns what other instances tell; the server's own count goes first while it is new."""
+        if now >= self.counted_at + COUNT_SECONDS:
+            self.others = load
 
     def is_warm(self, now: float, key: ids.ObjectKey) -> bool:
         """Tells whether the server answered for an object lately."""
--- a/src/caperdyke/coordination/registry/fleet.py
+++ b/src/caperdyke/coordination/registry/fleet.py
@@ -4,8 +4,10 @@
 
 from caperdyke.state import ids, member
 
-# Announcements that may be lost in a row before an instance counts as gone.
-LOST_MAX = 4
+# Announcements that may be lost in a row before an instance counts as gone, and the shortest
+# silence that counts, in seconds: several lost datagrams of a lossy link, or a slow turn.
+LOST_MAX = 3
+SILENCE_SECONDS = 1.6
 # A silent instance that the store lists is tried again this often, in seconds.
 RETRY_SECONDS = 3.0
 # An instance that was silent for this long is forgotten, in seconds.
@@ -85,7 +87,7 @@
             return None
         known.is_ready = is_ready
         known.heard_at = now
-        known.trusted_until = now + LOST_MAX * interval
+        known.trusted_until = now + max(SILENCE_SECONDS, LOST_MAX * interval)
         return known
 
     def list_live(self, now: float) -> list[KnownInstance]:
--- a/src/caperdyke/transport/gateway/announcer.py
+++ b/src/caperdyke/transport/gateway/announcer.py
@@ -11,14 +11,18 @@
 from caperdyke.transport import events
 from caperdyke.transport.gateway import context
 
-# Interval between two announcements to an instance of the same region, in seconds.
-NEAR_SECONDS = 0.4
-# Bytes a second that announcements may take: the bound for control traffic of one node, less what
-# follows the store and answers look-ups.
-BYTES_PER_SECOND = 2000
+# Shortest interval between two announcements to an instance of the same region, and to any other,
+# in seconds: instances of a region share the homes of its objects, and with them the need to know
+# each other's load within the time of a request.
+NEAR_SECONDS = 0.15
+FAR_SECONDS = 0.8
+# Bytes a second that announcements to instances of the region, and to all others, may take: the
+# bound for control traffic of one node, less what follows the store and answers look-ups.
+NEAR_BYTES_PER_SECOND = 1900
+FAR_BYTES_PER_SECOND = 700
 # Headers of one datagram on the wire, in bytes.
 DATAGRAM_HEADER_BYTES = 42
-TICK_SECONDS = 0.1
+TICK_SECONDS = 0.05
 # Tries to write the own row at the start, and the interval between them in seconds.
 ENROL_SECONDS = 0.5
 
@@ -156,8 +160,15 @@
         """Returns the time until the next announcement to an instance, in seconds."""
         if now >= other.trusted_until and now > other.known_since + fleet.RETRY_SECONDS:
             return fleet.RETRY_SECONDS
-        count = len(self._node.fleet.list_others())
-        return max(NEAR_SECONDS, count * self._size / BYTES_PER_SECOND)
+        others = self._node.fleet.list_others()
+        near = sum(self._is_near(item) for item in others)
+        if self._is_near(other):
+            return max(NEAR_SECONDS, near * self._size / NEAR_BYTES_PER_SECOND)
+        return max(FAR_SECONDS, (len(others) - near) * self._size / FAR_BYTES_PER_SECOND)
+
+    def _is_near(self, other: fleet.KnownInstance) -> bool:
+        settings = self._node.settings
+        return settings.domains.get(other.record.domain) == settings.region
 
     def _make(self, interval_ms: int, wants_answer: bool) -> announcements.Announcement:
         node = self._node
@@ -178,7 +189,7 @@
             for mark, count in other.load.items():
                 sums[mark] = sums.get(mark, 0) + count
         for name, view in node.views.items():
-            view.peer_load = sums.get(announcements.mark_server(name), 0)
+            view.note_others(now, sums.get(announcements.mark_server(name), 0))
 
     def _log_changes(self, now: float) -> None:
         live = {other.record.instance: other for other in self._node.fleet.list_live(now)}
--- a/testing/placement/builders.py
+++ b/testing/placement/builders.py
@@ -21,7 +21,7 @@
 ) -> choice.Candidate:
     """Returns a candidate with requests under way, warm for one object."""
     view = server_view.ServerView(make_server(name, slots=slots))
-    view.peer_load = busy
+    view.others = busy
     if warm:
         view.warm_until[ids.ObjectKey(warm)] = math.inf
     return choice.Candidate(view, is_near, 0.001)
--- /dev/null
+++ b/testing/placement/replay.py
@@ -0,0 +1,248 @@
+"""Replays arrivals and work times against the placing decisions alone: no network, no processes.
+
+A load is a list of arrivals; servers have slots, a queue and objects that they keep warm; gateways
+see their own requests at once and each other's with a delay. Time is simulated.
+"""
+
+import collections
+import dataclasses
+import enum
+import heapq
+import itertools
+import math
+import random
+
+from caperdyke.coordination.placement import choice, homes, server_view, work_times
+from caperdyke.state import ids
+from testing.placement import builders
+
+# Intervals in which a gateway hears of the requests of others in its region, and of all others, in
+# seconds, as ten gateways announce themselves.
+NEAR_SECONDS = 0.25
+FAR_SECONDS = 1.4
+QUEUE_PER_SLOT = 3
+ROUTE = ids.RouteName("read")
+
+
+class Policy(enum.Enum):
+    """How a server is chosen; all but the first are baselines."""
+
+    HOMES = "homes"
+    LEAST_OUTSTANDING = "least outstanding"
+    RANDOM_TWO = "random two"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """A load pattern.
+
+    :param per_second: requests a second at each moment of the day.
+    :param warm: seconds of work for a warm object; ``cold`` for any other.
+    :param crash: time at which a third of the servers end, and at which they are back, cold.
+    """
+
+    per_second: float
+    seconds: float = 20.0
+    regions: tuple[str, ...] = ("north", "south", "east")
+    objects: int = 26
+    servers: tuple[tuple[str, int], ...] = (("north", 8), ("south", 8), ("east", 2))
+    slots: int = 3
+    kept_warm: int = 18
+    warm: float = 0.2
+    cold: float = 0.64
+    objective: float = 0.4
+    deadline: float = 3.0
+    crash: tuple[float, float] = (math.inf, math.inf)
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """What callers got."""
+
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    cold_runs: int = 0
+
+    @property
+    def credit(self) -> float:
+        """Part of the worth that was earned; a late answer is worth a fifth."""
+        return (self.in_time + 0.2 * self.late) / max(1, self.asked)
+
+
+@dataclasses.dataclass(slots=True)
+class _Server:
+    place: homes.Place
+    is_up: bool = True
+    running: int = 0
+    waiting: collections.deque = dataclasses.field(default_factory=collections.deque)
+    warm: collections.OrderedDict = dataclasses.field(default_factory=collections.OrderedDict)
+
+
+@dataclasses.dataclass(slots=True)
+class _Request:
+    gateway: "_Gateway"
+    server: _Server
+    key: ids.ObjectKey
+    arrived: float
+    sent: float
+    waits: bool
+    is_known_warm: bool
+
+
+class _Gateway:
+    """One gateway: its own views of all servers."""
+
+    def __init__(self, region: str, servers: list[_Server]) -> None:
+        self.region = ids.RegionName(region)
+        self.servers = {server.place.server.backend: server for server in servers}
+        self.views = {
+            name: server_view.ServerView(server.place.server)
+            for name, server in self.servers.items()
+        }
+        self.times = work_times.WorkTimes()
+        places = [server.place for server in servers]
+        self.nearness = homes.Nearness(ids.DomainName(""), self.region, False)
+        self.weight = homes.find_near_weight(self.nearness, places)
+        self.places = places
+        self.heard: dict[int, dict[ids.BackendId, int]] = {}
+        self.orders: dict[ids.ObjectKey, list[homes.Place]] = {}
+
+    def order(self, key: ids.ObjectKey) -> list[homes.Place]:
+        """Returns the servers in the object's order."""
+        if key not in self.orders:
+            self.orders[key] = homes.order_places(key, self.nearness, self.weight, self.places)
+        return self.orders[key]
+
+
+class Replay:
+    """Plays one load under one policy."""
+
+    def __init__(self, load: Load, policy: Policy, seed: int) -> None:
+        self._load = load
+        self._policy = policy
+        self._random = random.Random(seed)
+        self._servers = [
+            _Server(
+                homes.Place(
+                    builders.make_server(f"{region}-{n}", f"{region}-1", load.slots),
+                    ids.RegionName(region),
+                )
+            )
+            for region, count in load.servers
+            for n in range(count)
+        ]
+        self._gateways = [_Gateway(region, self._servers) for region in load.regions for _ in "123"]
+        self._order = itertools.count()
+        self._events: list[tuple] = []
+        self.outcome = Outcome()
+
+    def play(self) -> Outcome:
+        """Returns what callers got."""
+        self._plan()
+        while self._events:
+            now, _, action, argument = heapq.heappop(self._events)
+            action(now, argument)
+        return self.outcome
+
+    def _plan(self) -> None:
+        load, now = self._load, 0.0
+        while now < load.seconds:
+            now += self._random.expovariate(load.per_second)
+            self._at(now, self._arrive, self._random.choice(self._gateways))
+        for interval, is_near in ((NEAR_SECONDS, True), (FAR_SECONDS, False)):
+            for step in range(int(load.seconds / interval)):
+                self._at(step * interval, self._spread, is_near)
+        if load.crash[0] < load.seconds:
+            self._at(load.crash[0], self._set_third, False)
+            self._at(load.crash[1], self._set_third, True)
+
+    def _at(self, time: float, action, argument) -> None:
+        heapq.heappush(self._events, (time, next(self._order), action, argument))
+
+    def _arrive(self, now: float, gateway: _Gateway) -> None:
+        self.outcome.asked += 1
+        number = self._random.randrange(self._load.objects)
+        key = ids.ObjectKey(f"{gateway.region}-{number}")
+        view, waits = self._choose(now, gateway, key)
+        if view is None:
+            self.outcome.refused += 1
+            return
+        server = gateway.servers[view.server.backend]
+        is_full = len(server.waiting) >= QUEUE_PER_SLOT * self._load.slots
+        if not server.is_up or is_full:
+            view.note_unreachable(now)
+            self.outcome.refused += 1
+            return
+        view.note_send(now)
+        known = view.is_warm(now, key)
+        request = _Request(gateway, server, key, now, now, waits, known)
+        if server.running < self._load.slots:
+            self._run(now, request)
+        else:
+            server.waiting.append(request)
+
+    def _choose(self, now: float, gateway: _Gateway, key: ids.ObjectKey):
+        open_views = [view for view in gateway.views.values() if now >= view.suspended_until]
+        match self._policy:
+            case Policy.LEAST_OUTSTANDING:
+                return min(open_views, key=lambda view: view.busy, default=None), False
+            case Policy.RANDOM_TWO:
+                pair = self._random.choices(open_views, k=2) if open_views else []
+                return min(pair, key=lambda view: view.busy, default=None), False
+        candidates = [
+            choice.Candidate(gateway.views[place.server.backend], place.region == gateway.region, 0)
+            for place in gateway.order(key)
+        ]
+        load = self._load
+        demand = choice.Demand(
+            builders.SERVICE, key, now + load.deadline, now + load.objective, False
+        )
+        chosen = choice.choose(now, demand, candidates, gateway.times.find(ROUTE, load.objective))
+        if isinstance(chosen, choice.NoRoom):
+            return None, False
+        return chosen.view, chosen.waits
+
+    def _run(self, now: float, request: _Request) -> None:
+        server, load = request.server, self._load
+        server.running += 1
+        is_warm = request.key in server.warm
+        self.outcome.cold_runs += not is_warm
+        server.warm[request.key] = True
+        server.warm.move_to_end(request.key)
+        if len(server.warm) > load.kept_warm:
+            server.warm.popitem(last=False)
+        work = (load.warm if is_warm else load.cold) * self._random.uniform(0.85, 1.15)
+        self._at(now + work, self._finish, request)
+
+    def _finish(self, now: float, request: _Request) -> None:
+        server, gateway, load = request.server, request.gateway, self._load
+        server.running -= 1
+        view = gateway.views[server.place.server.backend]
+        view.note_end(request.sent)
+        view.note_load(now, server.running + len(server.waiting))
+        took = now - request.arrived
+        self.outcome.in_time += took <= load.objective
+        self.outcome.late += load.objective < took <= load.deadline
+        ratio = None
+        if not request.waits:
+            ratio = gateway.times.note(ROUTE, load.objective, request.is_known_warm, took)
+        view.note_answer(now, request.key, ratio)
+        if server.waiting:
+            self._run(now, server.waiting.popleft())
+
+    def _spread(self, now: float, is_near: bool) -> None:
+        for gateway in self._gateways:
+            for other in self._gateways:
+                if other is not gateway and (other.region == gateway.region) is is_near:
+                    gateway.heard[id(other)] = {
+                        name: view.in_flight for name, view in other.views.items()
+                    }
+            for name, view in gateway.views.items():
+                view.note_others(now, sum(item[name] for item in gateway.heard.values()))
+
+    def _set_third(self, _now: float, is_up: bool) -> None:
+        for server in self._servers[::3]:
+            server.is_up = is_up
+            server.warm.clear()
--- a/testing/placement/test_server_view.py
+++ b/testing/placement/test_server_view.py
@@ -53,10 +53,12 @@
         self.assertEqual((1.0, 0.0), (self.view.speed, self.view.suspended_until))
 
     def test_own_count_of_the_server_goes_first_while_it_is_new(self) -> None:
-        self.view.peer_load = 2
+        self.view.in_flight = 1
         self.view.note_load(10.0, 9)
-        self.assertEqual(9, self.view.measure_busy(10.1))
-        self.assertEqual(2, self.view.measure_busy(10.5))
+        self.view.note_others(10.1, 2)
+        self.assertEqual(9, self.view.busy)
+        self.view.note_others(10.5, 2)
+        self.assertEqual(3, self.view.busy)
 
 
 class WorkTimesTest(testtools.TestCase):
