Split sending from answering in the gateway, and refuse requests with two hosts

Dispatcher now sends until a server answers, verdicts holds what callers and logs are told, Attempts counts every way in which a send ends. A request that cannot be written as HTTP ended in a 500, one with two hosts took the last, and a caller could take the host away by naming it in Connection.

Before and after: 498 tests, 500 now.

--- a/src/caperdyke/coordination/placement/attempts.py
+++ b/src/caperdyke/coordination/placement/attempts.py
@@ -12,6 +12,10 @@
     MAY_HAVE_RUN = "may have run"
 
 
+# Sends of one request that may end before they reach a server of the route.
+UNREACHED_MAX = 3
+
+
 @dataclasses.dataclass(slots=True)
 class Attempts:
     """The sends of one request.
@@ -20,17 +24,24 @@
     :param is_repeatable: whether it may run more than once.
     :param sent: requests that arrived anywhere.
     :param reached: those that arrived at a server of the route.
+    :param unreached: sends that did not.
     """
 
     sends_max: int
     is_repeatable: bool
     sent: int = 0
     reached: int = 0
+    unreached: int = 0
     progress: Progress = Progress.NOT_SENT
 
+    def note_unreached(self) -> None:
+        """Counts a send that ended before its first byte."""
+        self.unreached += 1
+
     def note_misdirected(self) -> None:
         """Counts a send that reached a server of another service, which is no attempt."""
         self.sent += 1
+        self.unreached += 1
         self.note_not_run()
 
     def note_reached(self) -> None:
@@ -53,7 +64,7 @@
         Pattern: answers are lost after the server did its work. A request that may not be repeated
         is sent again only while every server so far is known not to have run it.
         """
-        if self.reached >= self.sends_max:
+        if self.reached >= self.sends_max or self.unreached > UNREACHED_MAX:
             return False
         return self.is_repeatable or self.progress is not Progress.MAY_HAVE_RUN
 
--- a/src/caperdyke/transport/backends/connection.py
+++ b/src/caperdyke/transport/backends/connection.py
@@ -73,13 +73,20 @@
         self._lost = self._lost or ConnectionAbortedError("closed here")
 
     def send(self, method: str, target: bytes, headers: Headers, body: bytes) -> None:
-        """Writes a whole request."""
+        """Writes a whole request.
+
+        :raises errors.ProtocolError: where it cannot be written as HTTP; nothing was sent.
+        """
         self._is_busy = True
         self._sent = [h11.Request(method=method, target=target, headers=headers)]
         if body:
             self._sent.append(h11.Data(data=body))
         self._sent.append(h11.EndOfMessage())
-        self._transport.write(b"".join(self._replay()))
+        try:
+            data = b"".join(self._replay())
+        except h11.LocalProtocolError as error:
+            raise errors.ProtocolError(f"request: {error}") from error
+        self._transport.write(data)
 
     async def read_head(self) -> h11.Response:
         """Returns status and headers of the answer.
--- /dev/null
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -0,0 +1,171 @@
+"""Sends one request to backend servers until one answers or nothing more can be done."""
+
+import random
+
+from caperdyke.coordination.placement import attempts, choice
+from caperdyke.state import ids, routes
+from caperdyke.transport.gateway import context, sender, verdicts
+
+# A caller returns no later than this part of the time that it has left.
+RETRY_PART_MAX = 0.3
+SERVER_ERROR_STATUS = 500
+
+
+class Dispatcher:
+    """Chooses servers, learns from what they do, and decides when to give up."""
+
+    def __init__(self, node: context.GatewayContext) -> None:
+        self._node = node
+        self._sender = sender.Sender(node)
+        self._random = random.Random()
+
+    async def serve(
+        self, request: sender.CallerRequest, route: routes.Route, trace: verdicts.RequestTrace
+    ) -> sender.ServerAnswer | verdicts.OwnAnswer:
+        """Sends a request until a server answers or nothing more can be done."""
+        node = self._node
+        service = trace.service = node.splits.choose(route)
+        node.retries.note_first(node.now(), service)
+        tries = attempts.Attempts(route.attempts_max, route.kind.is_repeatable)
+        tried: set[ids.BackendId] = set()
+        failed: sender.ServerAnswer | None = None
+        while True:
+            chosen = self._choose(request, route, service, tried, trace)
+            if isinstance(chosen, choice.NoRoom):
+                trace.sends.append(_describe_no_room(chosen))
+                return failed or self._give_up(request, tries, chosen)
+            if tries.sent and not self._take_repeat(route, service):
+                return failed or self._give_up(request, tries, None)
+            tried.add(chosen.view.server.backend)
+            sent_at = node.now()
+            result = await self._sender.send(request, chosen)
+            self._learn(request, route, chosen, sent_at, result)
+            trace.sends.append(self._describe(chosen, sent_at, result))
+            match result:
+                case sender.ServerAnswer() if result.status < SERVER_ERROR_STATUS:
+                    return result
+                case sender.ServerAnswer():
+                    tries.note_reached()
+                    tries.note_may_have_run()
+                    if failed is not None and failed.rest is not None:
+                        await failed.rest.aclose()
+                    failed = result
+                case sender.Failure():
+                    _note_failure(tries, result)
+            if not tries.allows_another() or node.now() >= request.deadline:
+                return failed or self._give_up(request, tries, None)
+
+    def _take_repeat(self, route: routes.Route, service: ids.ServiceName) -> bool:
+        """Counts a repeated send if the budget has room; tells whether it has."""
+        node = self._node
+        instances = node.fleet.count_recent(node.now())
+        if not node.retries.take(node.now(), service, instances):
+            return False
+        node.metrics.count_retry(route.host, service)
+        return True
+
+    def _choose(
+        self,
+        request: sender.CallerRequest,
+        route: routes.Route,
+        service: ids.ServiceName,
+        tried: set[ids.BackendId],
+        trace: verdicts.RequestTrace,
+    ) -> choice.Choice:
+        node = self._node
+        objective = route.objective_ms / 1000
+        demand = choice.Demand(
+            service,
+            request.about.object_key if route.has_affinity else ids.ObjectKey(""),
+            request.deadline,
+            trace.received_at + objective,
+            route.kind is routes.RouteKind.DOWNLOAD,
+            frozenset(tried),
+        )
+        candidates = node.list_candidates(service, demand.key, route)
+        return choice.choose(node.now(), demand, candidates, node.times.find(route.name, objective))
+
+    def _learn(
+        self,
+        request: sender.CallerRequest,
+        route: routes.Route,
+        placed: choice.Placed,
+        sent_at: float,
+        result: sender.Result,
+    ) -> None:
+        node, view, now = self._node, placed.view, self._node.now()
+        objective = route.objective_ms / 1000
+        if isinstance(result, sender.ServerAnswer):
+            if result.status >= SERVER_ERROR_STATUS:
+                return
+            took = now - sent_at
+            ratio = None
+            is_queue_seen = result.load is not None and result.load.waiting > 0
+            if not placed.waits and not is_queue_seen:
+                key = request.about.object_key
+                ratio = node.times.note(route.name, objective, view.is_warm(now, key), took)
+            view.note_answer(now, request.about.object_key, ratio)
+            return
+        match result.kind:
+            case sender.FailureKind.UNREACHABLE:
+                view.note_unreachable(now)
+                node.note_unusable(view, result.detail)
+            case sender.FailureKind.MISDIRECTED:
+                node.servers.mark_misdirected(view.server.backend)
+                node.refresh_servers()
+                node.note_unusable(view, "another server has its address")
+            case _:
+                if view.note_failure(now, node.measure_failing(view)):
+                    node.note_unusable(view, result.detail)
+
+    def _give_up(
+        self,
+        request: sender.CallerRequest,
+        tries: attempts.Attempts,
+        no_room: choice.NoRoom | None,
+    ) -> verdicts.OwnAnswer:
+        left = request.deadline - self._node.now()
+        if not tries.is_known_not_run:
+            if left <= 0:
+                return verdicts.OwnAnswer(504, verdicts.Verdict.TIMED_OUT)
+            return verdicts.OwnAnswer(502, verdicts.Verdict.FAILED)
+        if no_room is None:
+            verdict, wanted = verdicts.Verdict.REFUSED, choice.RETRY_MIN_SECONDS
+        else:
+            verdict = verdicts.Verdict.NO_SERVER if no_room.is_empty else verdicts.Verdict.NO_ROOM
+            wanted = no_room.retry_after
+        # Spread over time, so that callers who were refused together do not return together.
+        spread = wanted * self._random.uniform(1.0, 1.5)
+        return verdicts.OwnAnswer(503, verdict, max(0.0, min(spread, left * RETRY_PART_MAX)))
+
+    def _describe(self, placed: choice.Placed, sent_at: float, result: sender.Result) -> str:
+        took = round((self._node.now() - sent_at) * 1000)
+        is_failed = isinstance(result, sender.Failure)
+        what = f"{result.kind.value} ({result.detail})" if is_failed else str(result.status)
+        view = placed.view
+        return (
+            f"{view.server.backend} in {view.server.domain}: {what} after {took} ms, expected"
+            f" {round(placed.expected * 1000)}, busy {view.busy}/{view.server.slots},"
+            f" warm {placed.is_warm}"
+        )
+
+
+def _note_failure(tries: attempts.Attempts, failure: sender.Failure) -> None:
+    match failure.kind:
+        case sender.FailureKind.UNREACHABLE:
+            tries.note_unreached()
+        case sender.FailureKind.MISDIRECTED:
+            tries.note_misdirected()
+        case sender.FailureKind.REFUSED:
+            tries.note_reached()
+            tries.note_not_run()
+        case sender.FailureKind.BROKEN | sender.FailureKind.LATE:
+            tries.note_reached()
+            tries.note_may_have_run()
+
+
+def _describe_no_room(chosen: choice.NoRoom) -> str:
+    return (
+        f"no server chosen: {chosen.open_servers} open, {chosen.pressure:.2f} requests per slot,"
+        f" room expected in {round(chosen.retry_after * 1000)} ms"
+    )
--- a/testing/platform/test_gateway_requests.py
+++ b/testing/platform/test_gateway_requests.py
@@ -71,6 +71,26 @@
 
         self.play(scene)
 
+    @parameterized.expand(
+        [
+            ("host named as a header of the connection", b"Connection: host\r\n", b" 200 "),
+            ("two hosts", b"Host: other.example\r\n", b" 400 "),
+        ]
+    )
+    def test_odd_headers(self, _name, line, expected) -> None:
+        async def scene() -> None:
+            async with stage.open_stage(["s1"]) as played:
+                host, _, port = played.gateway.node.settings.caller_address.rpartition(":")
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(b"GET /read/1? HTTP/1.1\r\nHost: shop.example\r\n" + line + b"\r\n")
+                head = await reader.readuntil(b"\r\n")
+                writer.close()
+                self.assertIn(expected, head)
+                targets = [seen.target for seen in played.servers[0].seen]
+                self.assertEqual(["/read/1?"] if expected == b" 200 " else [], targets)
+
+        self.play(scene)
+
     def test_without_configuration_nothing_is_denied(self) -> None:
         async def scene() -> None:
             async with stage.open_stage(["s1"], {}, is_ready_awaited=False) as played:
