Use servers at once that a starting gateway hears of from another one

Servers counted as there from the start only in a first reading from the store, so these gateways held every server for one that had just started: for the time of a cold start each sent only to the few that it owned, and turned the rest away.

Test: TwoGatewaysTest failed before (servers cold), passes now.

Conclusion: a server that really started lately says so in its registration, which still counts.

--- a/src/caperdyke/transport/gateway/follower.py
+++ b/src/caperdyke/transport/gateway/follower.py
@@ -175,7 +175,8 @@
             self._apply_registration(now, row)
         if changes.is_whole:
             node.servers.keep_only(now, names, changes.position)
-        if self.servers.position is None and changes.is_whole:
+        if node.registrations_at is None:
+            # Servers in the first reading, from the store or another instance, served before.
             node.servers.mark_all_from_start()
         node.registrations_at = now
         node.refresh_servers()
--- a/testing/platform/test_gateway_life.py
+++ b/testing/platform/test_gateway_life.py
@@ -80,7 +80,10 @@
                 try:
                     await played.wait_until(lambda: shared.fleet.is_ready)
                     self.assertEqual(1, shared.routes.version)
-                    self.assertEqual(2, len(shared.servers.list_usable(shared.now())))
+                    usable = shared.servers.list_usable(shared.now())
+                    self.assertEqual(2, len(usable))
+                    # They served before this gateway started, so nothing holds them back.
+                    self.assertFalse(any(shared.is_cold(shared.now(), item) for item in usable))
                     await played.wait_until(
                         lambda: [o.is_ready for o in first.fleet.list_live(first.now())] == [True]
                     )
