--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,8 @@
 	$(BIN)/python -m pytest
 
 lint: setup
-	$(BIN)/black --check --quiet src testing bench demo
-	$(BIN)/ruff check --quiet src testing bench demo
+	$(BIN)/black --check --quiet src testing bench demo deploy
+	$(BIN)/ruff check --quiet src testing bench demo deploy
 
 demo: setup
 	$(BIN)/python demo/run_demo.py
