Write log lines without waiting for their reader

Event 1006 was missing in the catalogue.

Test: a pipe that nobody reads; the writer would have waited for ever, now it goes on, a line that was cut is ended before the next one, and what was left out is counted.

--- a/src/caperdyke/transport/events.py
+++ b/src/caperdyke/transport/events.py
@@ -22,6 +22,7 @@
     STOPPING = (1003, "INFO", "planned stop began; deadline {deadline}")
     STOPPED = (1004, "INFO", "stopped; {unfinished} requests were unfinished")
     TASK_FAILED = (1005, "ERROR", "task {task} failed and is restarted: {error}")
+    LINES_LEFT_OUT = (1006, "INFO", "{count} log lines were left out")
     LINK_OPENED = (2001, "INFO", "link to {peer} opened")
     LINK_CLOSED = (2002, "INFO", "link to {peer} closed: {cause}")
     FRAME_REJECTED = (2003, "WARNING", "bad frame from {peer}; link closed: {error}")
@@ -68,6 +69,7 @@
     """Sends log events to standard output as JSON, or to standard error as text."""
     loguru.logger.remove()
     if log_settings.format is settings.LogFormat.JSON:
+        _SINK.stop_waiting()
         loguru.logger.add(_write_json, level=log_settings.level)
         return
     form = "{time:YYYY-MM-DDTHH:mm:ss.SSS!UTC}Z {level} {extra[event]} {message}"
