Leave the retry allowance alone after a restart

Cause: an instance counts its repeated sends in memory. One that is killed and starts again took its part of the allowance anew, and one that starts behind a cut knew nobody and took all of it. Ruled out: keeping counts in the store (a call each few seconds for each instance); dealing a part by time since the start (two thirds of a window still add up to more than the bound). Conclusion: no allowance in the first window after a start, none while no other instance is known and the store has not listed them; instances that the store lists count although not heard.

--- a/src/caperdyke/coordination/placement/retry_quota.py
+++ b/src/caperdyke/coordination/placement/retry_quota.py
@@ -1,6 +1,7 @@
 """Holds repeated sends of all instances together under one budget."""
 
 import collections
+import math
 
 from caperdyke.state import ids
 
@@ -13,15 +14,21 @@
 
     Pattern: a service fails many requests at once, and every instance would send them again. Each
     instance may use the ratio of its own first sends and an equal part of the fixed allowance, so
-    the sum over instances stays under the budget without asking each other.
+    the sum over instances stays under the budget without asking each other. An instance that was
+    killed and starts again does not know what it sent before, so it leaves the allowance alone
+    until its earlier sends have left the window.
 
     :param ratio: repeats allowed for each request.
     :param allowance: repeats allowed to all instances together besides.
     :param window: length of the window that counts, in seconds.
+    :param started_at: time at which the instance started.
     """
 
-    def __init__(self, ratio: float, allowance: float, window: float) -> None:
+    def __init__(
+        self, ratio: float, allowance: float, window: float, started_at: float = -math.inf
+    ) -> None:
         self.apply_limits(ratio, allowance, window)
+        self._started_at = started_at
         self._firsts: dict[ids.ServiceName, collections.deque[float]] = {}
         self._repeats: dict[ids.ServiceName, collections.deque[float]] = {}
 
@@ -35,14 +42,15 @@
         """Counts a caller's request."""
         self._append(self._firsts, now, service)
 
-    def take(self, now: float, service: ids.ServiceName, instances: int) -> bool:
+    def take(self, now: float, service: ids.ServiceName, part: float) -> bool:
         """Counts a repeated send if the budget has room; tells whether it has.
 
-        :param instances: instances that share the allowance.
+        :param part: this instance's part of the allowance, 0 to 1.
         """
         firsts = self._count(self._firsts, now, service)
         repeats = self._count(self._repeats, now, service)
-        limit = USED_PART * (self._ratio * firsts + self._allowance / max(1, instances))
+        allowance = part * self._allowance if now >= self._started_at + self._window else 0.0
+        limit = USED_PART * (self._ratio * firsts + allowance)
         if repeats + 1 > limit:
             return False
         self._append(self._repeats, now, service)
--- a/src/caperdyke/coordination/registry/fleet.py
+++ b/src/caperdyke/coordination/registry/fleet.py
@@ -51,6 +51,7 @@
         self.is_ready = False
         self._regions = regions
         self._others: dict[ids.InstanceId, KnownInstance] = {}
+        self._is_listed = False
 
     def apply_regions(self, regions: dict[ids.DomainName, ids.RegionName]) -> None:
         """Takes over a changed map of failure domains."""
@@ -76,6 +77,10 @@
             known.record = record
         return True
 
+    def note_listed(self) -> None:
+        """Records that the store has told which instances there are."""
+        self._is_listed = True
+
     def hear(
         self, now: float, record: member.Member, is_ready: bool, interval: float
     ) -> KnownInstance | None:
@@ -105,13 +110,21 @@
         return sorted([self.own.instance, *(o.record.instance for o in self.list_live(now))])
 
     def count_recent(self, now: float) -> int:
-        """Returns how many instances lived lately, this one included.
+        """Returns how many instances were heard of lately, this one included.
 
         Parts of a limit are dealt by this count, which falls only a while after an instance died.
         """
-        others = self._others.values()
-        recent = [item for item in others if item.heard_at and now < item.heard_at + SHARE_SECONDS]
-        return 1 + len(recent)
+        since = now - SHARE_SECONDS
+        return 1 + sum(max(o.heard_at, o.known_since) > since for o in self._others.values())
+
+    def find_part(self, now: float) -> float:
+        """Returns the part of a limit of all instances that this one may use, 0 to 1.
+
+        Pattern: an instance starts behind a cut, hears of nobody, and is not the only one.
+        """
+        if not self._is_listed and not self._others:
+            return 0.0
+        return 1 / self.count_recent(now)
 
     def forget_silent(self, now: float) -> list[member.Member]:
         """Forgets instances that were silent for long, or that left, and returns them."""
--- a/src/caperdyke/transport/gateway/announcer.py
+++ b/src/caperdyke/transport/gateway/announcer.py
@@ -106,6 +106,7 @@
                 await asyncio.sleep(ENROL_SECONDS)
         for row in changes.rows:
             self._learn_row(row)
+        node.fleet.note_listed()
 
     async def withdraw(self, name: ids.InstanceId) -> None:
         """Removes the row of an instance that left, if it has not been written again."""
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -58,8 +58,8 @@
     def _take_repeat(self, route: routes.Route, service: ids.ServiceName) -> bool:
         """Counts a repeated send if the budget has room; tells whether it has."""
         node = self._node
-        instances = node.fleet.count_recent(node.now())
-        if not node.retries.take(node.now(), service, instances):
+        now = node.now()
+        if not node.retries.take(now, service, node.fleet.find_part(now)):
             return False
         node.metrics.count_retry(route.host, service)
         return True
--- a/testing/placement/test_limits.py
+++ b/testing/placement/test_limits.py
@@ -23,7 +23,7 @@
             quota = quotas[step % instances]
             quota.note_first(now, SERVICE)
             firsts += 1
-            repeats += quota.take(now, SERVICE, instances)
+            repeats += quota.take(now, SERVICE, 1 / instances)
         self.assertTrue(0 < repeats <= 0.2 * firsts + 60, f"got {repeats} of {firsts}")
 
     def test_window_slides(self) -> None:
@@ -32,6 +32,32 @@
         self.assertFalse(quota.take(9.0, SERVICE, 1))
         self.assertTrue(quota.take(10.1, SERVICE, 1))
 
+    @parameterized.expand([(1,), (10,)])
+    def test_sum_over_a_restart(self, instances) -> None:
+        """Pattern: every request fails while all instances are killed and start again."""
+        ratio, allowance, window = 0.2, 60, 10.0
+        firsts, repeats = [], []
+        quotas = []
+        for step in range(400):
+            now = step / 20
+            if now in (0.0, 10.0, 13.0):
+                # Known from before the first start, as at the start of a day.
+                begun = now if step else -window
+                quotas = [
+                    retry_quota.RetryQuota(ratio, allowance, window, begun)
+                    for _ in range(instances)
+                ]
+            quota = quotas[step % instances]
+            quota.note_first(now, SERVICE)
+            firsts.append(now)
+            if quota.take(now, SERVICE, 1 / instances):
+                repeats.append(now)
+        for start in (at * 0.5 for at in range(21)):
+            sent = sum(start <= at < start + window for at in repeats)
+            asked = sum(start <= at < start + window for at in firsts)
+            bound = ratio * asked + allowance
+            self.assertTrue(sent <= bound, f"from {start}: got {sent}, expected at most {bound}")
+
 
 class ColdStartsTest(testtools.TestCase):
     """What a cold server gets from all instances together."""
--- a/testing/platform/stage.py
+++ b/testing/platform/stage.py
@@ -17,7 +17,8 @@
 from testing.platform import fake_server, fake_store
 
 HOST = "shop.example"
-BOUNDS = gateway_settings.GatewayBounds(0.2, 60, 10.0, 1.5, 5, 1.5, 5.0, 6.0)
+# Without a window the allowance for repeated sends holds from the start of an instance on.
+BOUNDS = gateway_settings.GatewayBounds(0.2, 60, 0.0, 1.5, 5, 1.5, 5.0, 6.0)
 WAIT_SECONDS = 5.0
 
 
@@ -128,8 +129,13 @@
 
 
 @contextlib.asynccontextmanager
-async def open_stage(server_names=("s1", "s2"), configuration=None, is_ready_awaited=True):
-    """Yields a stage whose gateway runs and knows configuration and servers."""
+async def open_stage(
+    server_names=("s1", "s2"), configuration=None, is_ready_awaited=True, prepare_store=None
+):
+    """Yields a stage whose gateway runs and knows configuration and servers.
+
+    :param prepare_store: called with the store before the gateway starts.
+    """
     stage = Stage()
     async with contextlib.AsyncExitStack() as stack:
         store_address = await stack.enter_async_context(servers.serve_app(stage.store.make_app()))
@@ -141,6 +147,8 @@
             server = fake_server.FakeServer(name)
             stage.servers.append(await stack.enter_async_context(server.listen()))
             await stage.store.put("servers", name, server.register("reader", "hall-1"))
+        if prepare_store is not None:
+            prepare_store(stage.store)
         checked = make_settings(store_address)
         shared = context.GatewayContext(
             checked, headers, documents, store.Store(checked.store_address)
--- a/testing/registry/test_fleet.py
+++ b/testing/registry/test_fleet.py
@@ -63,6 +63,18 @@
         self.fleet.merge(0.0, make_member("d", "hall-1"))
         self.assertEqual(["a", "b", "c"], self.fleet.list_names(1.0))
 
+    def test_part_of_a_limit(self) -> None:
+        self.assertEqual(1 / 3, self.fleet.find_part(1.0))
+        self.fleet.merge(1.0, make_member("d", "hall-1"))
+        self.assertEqual(1 / 4, self.fleet.find_part(1.0))
+        self.assertEqual(1.0, self.fleet.find_part(1.0 + fleet.SHARE_SECONDS))
+
+    def test_instance_behind_a_cut_takes_no_part(self) -> None:
+        alone = fleet.Fleet(make_member("a", "hall-1"), REGIONS)
+        self.assertEqual(0.0, alone.find_part(1.0))
+        alone.note_listed()
+        self.assertEqual(1.0, alone.find_part(1.0))
+
     def test_silent_instances_are_forgotten(self) -> None:
         gone = self.fleet.forget_silent(fleet.FORGET_SECONDS + 1.0)
         self.assertEqual(["b", "c"], sorted(record.instance for record in gone))
