Let requests wait for the first reads of a starting gateway

Ruled out: listening later (callers find no gateway at all); waiting while the store is known to be away (rejected at once, since nobody knows when it returns).

--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -1,5 +1,6 @@
 """What the tasks of one gateway share."""
 
+import asyncio
 import collections.abc
 import statistics
 import time
@@ -13,7 +14,7 @@
     splits,
     work_times,
 )
-from caperdyke.coordination.registry import fleet, server_registry
+from caperdyke.coordination.registry import first_reads, fleet, server_registry
 from caperdyke.protocol import dialect
 from caperdyke.state import backend, clock, gateway_settings, ids, member, routes
 from caperdyke.transport import events, metrics
@@ -61,9 +62,11 @@
         self.cold = cold_starts.ColdStarts()
         bounds = checked.bounds
         self.retries = retry_quota.RetryQuota(
-            bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window
+            bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window, now()
         )
         self.round_trips: dict[ids.DomainName, float] = {}
+        self.first_reads = first_reads.FirstReads()
+        self.first_reads_settled = asyncio.Event()
         # Time of the latest answer about registrations, from the store or another instance.
         self.registrations_at: float | None = None
         self.metrics = metrics.Metrics()
@@ -82,6 +85,20 @@
         self.retries.apply_limits(bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window)
         self._orders.clear()
 
+    def note_first_read(self, read: first_reads.FirstRead) -> None:
+        """Records that one of the first reads has an answer."""
+        self.first_reads.note_read(read)
+        self._publish_first_reads()
+
+    def note_first_failure(self) -> None:
+        """Records that a read failed."""
+        self.first_reads.note_failure()
+        self._publish_first_reads()
+
+    def _publish_first_reads(self) -> None:
+        if self.first_reads.is_settled:
+            self.first_reads_settled.set()
+
     def refresh_servers(self) -> None:
         """Groups the usable servers anew after a change."""
         now = self.now()
--- a/src/caperdyke/transport/gateway/follower.py
+++ b/src/caperdyke/transport/gateway/follower.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from caperdyke import errors
+from caperdyke.coordination.registry import first_reads
 from caperdyke.protocol import announcements, dialect
 from caperdyke.state import ids, routes, store_rows
 from caperdyke.transport import events
@@ -28,6 +29,8 @@
     """Keeps one table in step with the store.
 
     :param apply: gets each set of changes.
+    :param on_failure: called when the store stops to answer.
+    :param on_return: called when it answers again.
     """
 
     def __init__(
@@ -36,6 +39,7 @@
         table: store_rows.StoreTable,
         apply,
         now,
+        on_failure,
         on_return=None,
     ) -> None:
         self._store = store
@@ -43,6 +47,7 @@
         self._apply = apply
         self._now = now
         self._on_return = on_return
+        self._on_failure = on_failure
         self.position: int | None = None
         self.away_since: float | None = None
 
@@ -54,6 +59,7 @@
             if self.away_since is None:
                 self.away_since = self._now()
                 events.log(events.Event.STORE_AWAY, table=self.table.value, error=str(error))
+                self._on_failure()
             return False
         if self.away_since is not None:
             away = round(self._now() - self.away_since, 2)
@@ -82,10 +88,19 @@
         self._node = node
         tables = store_rows.StoreTable
         self.configuration = TableFollower(
-            node.store, tables.CONFIGURATION, self.apply_configuration, node.now
+            node.store,
+            tables.CONFIGURATION,
+            self.apply_configuration,
+            node.now,
+            node.note_first_failure,
         )
         self.servers = TableFollower(
-            node.store, tables.SERVERS, self.apply_servers, node.now, self._note_return
+            node.store,
+            tables.SERVERS,
+            self.apply_servers,
+            node.now,
+            node.note_first_failure,
+            self._note_return,
         )
         self._evacuations: dict[ids.DomainName, int] = {}
         self._evacuation_changes: dict[ids.DomainName, int] = {}
@@ -159,6 +174,7 @@
         if changes.is_whole:
             for domain in set(self._evacuations) - seen:
                 self._end_evacuation(domain, changes.position)
+        self._node.note_first_read(first_reads.FirstRead.CONFIGURATION)
 
     def apply_servers(self, changes: store_rows.StoreChanges) -> None:
         """Takes over changes of registrations."""
@@ -180,6 +196,7 @@
             node.servers.mark_all_from_start()
         node.registrations_at = now
         node.refresh_servers()
+        node.note_first_read(first_reads.FirstRead.SERVERS)
 
     def _apply_registration(self, now: float, row: store_rows.StoreRow) -> None:
         node = self._node
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -1,6 +1,7 @@
 """HTTP application for callers' requests."""
 
 import asyncio
+import contextlib
 
 from caperdyke import errors
 from caperdyke.protocol import dialect
@@ -53,6 +54,7 @@
             node.active_requests -= 1
 
     async def _handle(self, scope, receive, send, about, trace: verdicts.RequestTrace) -> None:
+        await self._wait_for_first_reads(about)
         refusal, route = self._check(scope, trace)
         if refusal is None:
             body = await self._read_body(receive)
@@ -79,6 +81,16 @@
             leaving.cancel()
             await asyncio.gather(serving, leaving, return_exceptions=True)
 
+    async def _wait_for_first_reads(self, about: request_heads.CallerHeaders) -> None:
+        """Waits, for a bounded time, while the instance has just started."""
+        node, now = self._node, self._node.now()
+        wait_ms = WAIT_DEFAULT_MS if about.wait_ms is None else about.wait_ms
+        hold_until = node.first_reads.find_hold_until(now, now + wait_ms / 1000)
+        if hold_until > now:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(hold_until - now):
+                    await node.first_reads_settled.wait()
+
     def _check(
         self, scope, trace: verdicts.RequestTrace
     ) -> tuple[verdicts.OwnAnswer | None, routes.Route | None]:
--- a/testing/platform/fake_store.py
+++ b/testing/platform/fake_store.py
@@ -15,6 +15,7 @@
 
     :ivar is_down: whether every call is refused with 503.
     :ivar is_silent: whether calls get no answer.
+    :ivar is_open: clear while calls wait for their answer.
     :ivar loses_answers: whether writes are done and not answered.
     :ivar history_from: position before which the history is forgotten.
     """
@@ -26,6 +27,8 @@
         self.calls: list[str] = []
         self.is_down = False
         self.is_silent = False
+        self.is_open = asyncio.Event()
+        self.is_open.set()
         self.loses_answers = False
         self.history_from = 0
         self._changed = asyncio.Condition()
@@ -71,6 +74,7 @@
         self.calls.append(request.url.path)
         if self.is_silent:
             await asyncio.Event().wait()
+        await self.is_open.wait()
         if self.is_down:
             return starlette.responses.Response(status_code=503)
         return None
--- a/testing/platform/test_gateway_life.py
+++ b/testing/platform/test_gateway_life.py
@@ -37,6 +37,38 @@
         self.play(scene)
 
 
+class StartTest(stage.StageCase):
+    """Requests that arrive while a gateway still reads what it needs."""
+
+    def test_request_waits_for_the_first_reads(self) -> None:
+        """Pattern: all gateways were killed, and callers come back as soon as one listens."""
+
+        async def scene() -> None:
+            async with stage.open_stage(
+                is_ready_awaited=False, prepare_store=lambda store: store.is_open.clear()
+            ) as played:
+                asking = asyncio.create_task(played.ask())
+                await played.wait_until(lambda: played.gateway.node.active_requests)
+                played.store.is_open.set()
+                self.assertEqual(200, (await asking)[0])
+
+        self.play(scene)
+
+    def test_request_does_not_wait_for_a_store_that_refuses(self) -> None:
+        def shut(store) -> None:
+            store.is_down = True
+
+        async def scene() -> None:
+            async with stage.open_stage(is_ready_awaited=False, prepare_store=shut) as played:
+                node = played.gateway.node
+                await played.wait_until(node.first_reads_settled.is_set)
+                now = node.now()
+                self.assertEqual(now, node.first_reads.find_hold_until(now, now + 3.0))
+                self.assertEqual(503, (await played.ask())[0])
+
+        self.play(scene)
+
+
 class PlannedStopTest(stage.StageCase):
     """The signal to stop while a request is under way."""
 
