--- a/src/caperdyke/transport/gateway/announcer.py
+++ b/src/caperdyke/transport/gateway/announcer.py
@@ -191,7 +191,6 @@
                 sums[mark] = sums.get(mark, 0) + count
         for name, view in node.views.items():
             view.note_others(now, sums.get(announcements.mark_server(name), 0))
-        node.rooms.note_change()
 
     def _log_changes(self, now: float) -> None:
         live = {other.record.instance: other for other in self._node.fleet.list_live(now)}
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -19,7 +19,6 @@
 from caperdyke.state import backend, clock, gateway_settings, ids, member, routes
 from caperdyke.transport import events, metrics
 from caperdyke.transport.backends import pool
-from caperdyke.transport.gateway import rooms
 
 # Round trip that is assumed for a failure domain before a connection was opened, in seconds.
 ROUND_TRIP_FIRST = 0.005
@@ -58,7 +57,6 @@
         self.cold_domains: dict[ids.DomainName, float] = {}
         self.views: dict[ids.BackendId, server_view.ServerView] = {}
         self.pool = pool.ConnectionPool(now)
-        self.rooms = rooms.Rooms()
         self.splits = splits.SplitCounter()
         self.times = work_times.WorkTimes()
         self.cold = cold_starts.ColdStarts()
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -1,10 +1,8 @@
 """Sends one request to backend servers until one answers or nothing more can be done."""
 
-import asyncio
-import contextlib
 import random
 
-from caperdyke.coordination.placement import attempts, choice, entry_queue
+from caperdyke.coordination.placement import attempts, choice
 from caperdyke.state import ids, routes
 from caperdyke.transport.gateway import context, sender, verdicts
 
@@ -32,7 +30,7 @@
         tried: set[ids.BackendId] = set()
         failed: sender.ServerAnswer | None = None
         while True:
-            chosen = await self._find_server(request, route, service, tried, trace)
+            chosen = self._choose(request, route, service, tried, trace)
             if isinstance(chosen, choice.NoRoom):
                 trace.sends.append(_describe_no_room(chosen))
                 return failed or self._give_up(request, tries, chosen)
@@ -66,34 +64,6 @@
         node.metrics.count_retry(route.host, service)
         return True
 
-    async def _find_server(
-        self,
-        request: sender.CallerRequest,
-        route: routes.Route,
-        service: ids.ServiceName,
-        tried: set[ids.BackendId],
-        trace: verdicts.RequestTrace,
-    ) -> choice.Choice:
-        """Chooses a server; waits for room as long as the objective can still be met."""
-        node = self._node
-        began = node.now()
-        objective = route.objective_ms / 1000
-        objective_at = trace.received_at + objective
-        times = node.times.find(route.name, objective)
-        wait_until = min(request.deadline, entry_queue.find_wait_until(objective_at, times))
-        chosen = self._choose(request, route, service, tried, trace)
-        if not _is_full(chosen) or began >= wait_until:
-            return chosen
-        with node.rooms.join(service, route.priority, objective_at) as signal:
-            while _is_full(chosen) and node.now() < wait_until:
-                signal.clear()
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(wait_until - node.now()):
-                        await signal.wait()
-                chosen = self._choose(request, route, service, tried, trace)
-        trace.sends.append(f"waited {round((node.now() - began) * 1000)} ms for room")
-        return chosen
-
     def _choose(
         self,
         request: sender.CallerRequest,
@@ -180,11 +150,6 @@
         )
 
 
-def _is_full(chosen: choice.Choice) -> bool:
-    """Tells whether there are servers and none has room."""
-    return isinstance(chosen, choice.NoRoom) and not chosen.is_empty
-
-
 def _note_failure(tries: attempts.Attempts, failure: sender.Failure) -> None:
     match failure.kind:
         case sender.FailureKind.UNREACHABLE:
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -114,7 +114,6 @@
             return await self._exchange(request, placed)
         finally:
             view.note_end(sent_at)
-            node.rooms.note_room(view.server.service)
 
     async def _exchange(self, request: CallerRequest, placed: choice.Placed) -> Result:
         node, server = self._node, placed.view.server
--- a/testing/placement/replay.py
+++ b/testing/placement/replay.py
@@ -12,13 +12,7 @@
 import math
 import random
 
-from caperdyke.coordination.placement import (
-    choice,
-    entry_queue,
-    homes,
-    server_view,
-    work_times,
-)
+from caperdyke.coordination.placement import choice, homes, server_view, work_times
 from caperdyke.state import ids
 from testing.placement import builders
 
@@ -26,17 +20,14 @@
 # seconds, as ten gateways announce themselves.
 NEAR_SECONDS = 0.25
 FAR_SECONDS = 1.4
-# Interval in which a gateway looks for room again without a word from any server, in seconds.
-LOOK_SECONDS = 0.05
 QUEUE_PER_SLOT = 3
 ROUTE = ids.RouteName("read")
 
 
 class Policy(enum.Enum):
-    """How a server is chosen; all but the second are baselines."""
+    """How a server is chosen; all but the first are baselines."""
 
     HOMES = "homes"
-    HOMES_AND_WAITING = "homes, and waiting for room"
     LEAST_OUTSTANDING = "least outstanding"
     RANDOM_TWO = "random two"
 
@@ -115,9 +106,6 @@
         self.nearness = homes.Nearness(ids.DomainName(""), self.region, False)
         self.weight = homes.find_near_weight(self.nearness, places)
         self.places = places
-        self.queue = entry_queue.EntryQueue()
-        # What waits, with the object and the time of arrival.
-        self.waiting: dict[entry_queue.Waiting, tuple[ids.ObjectKey, float]] = {}
         self.heard: dict[int, dict[ids.BackendId, int]] = {}
         self.orders: dict[ids.ObjectKey, list[homes.Place]] = {}
 
@@ -166,9 +154,6 @@
         for interval, is_near in ((NEAR_SECONDS, True), (FAR_SECONDS, False)):
             for step in range(int(load.seconds / interval)):
                 self._at(step * interval, self._spread, is_near)
-        for step in range(int(load.seconds / LOOK_SECONDS)):
-            for gateway in self._gateways:
-                self._at(step * LOOK_SECONDS, self._look_for_room, gateway)
         if load.crash[0] < load.seconds:
             self._at(load.crash[0], self._set_third, False)
             self._at(load.crash[1], self._set_third, True)
@@ -180,57 +165,25 @@
         self.outcome.asked += 1
         number = self._random.randrange(self._load.objects)
         key = ids.ObjectKey(f"{gateway.region}-{number}")
-        if self._place(now, gateway, key, now):
-            return
-        objective_at = now + self._load.objective
-        times = gateway.times.find(ROUTE, self._load.objective)
-        wait_until = entry_queue.find_wait_until(objective_at, times)
-        if self._policy is not Policy.HOMES_AND_WAITING or wait_until <= now:
+        view, waits = self._choose(now, gateway, key)
+        if view is None:
             self.outcome.refused += 1
             return
-        waiting = gateway.queue.join(builders.SERVICE, 0, objective_at)
-        gateway.waiting[waiting] = key, now
-        self._at(wait_until, self._give_up, (gateway, waiting))
-
-    def _give_up(self, now: float, waiter: tuple[_Gateway, entry_queue.Waiting]) -> None:
-        gateway, waiting = waiter
-        if waiting in gateway.waiting and not self._place_waiting(now, gateway, waiting):
-            gateway.queue.leave(waiting)
-            del gateway.waiting[waiting]
-            self.outcome.refused += 1
-
-    def _look_for_room(self, now: float, gateway: _Gateway) -> None:
-        for waiting in gateway.queue.list_next(builders.SERVICE):
-            self._place_waiting(now, gateway, waiting)
-
-    def _place_waiting(self, now: float, gateway: _Gateway, waiting: entry_queue.Waiting) -> bool:
-        key, arrived = gateway.waiting[waiting]
-        if not self._place(now, gateway, key, arrived):
-            return False
-        gateway.queue.leave(waiting)
-        del gateway.waiting[waiting]
-        return True
-
-    def _place(self, now: float, gateway: _Gateway, key: ids.ObjectKey, arrived: float) -> bool:
-        """Sends a request if a server has room; tells whether one has."""
-        view, waits = self._choose(now, gateway, key, arrived)
-        if view is None:
-            return False
         server = gateway.servers[view.server.backend]
         is_full = len(server.waiting) >= QUEUE_PER_SLOT * self._load.slots
         if not server.is_up or is_full:
             view.note_unreachable(now)
-            return False
+            self.outcome.refused += 1
+            return
         view.note_send(now)
         known = view.is_warm(now, key)
-        request = _Request(gateway, server, key, arrived, now, waits, known)
+        request = _Request(gateway, server, key, now, now, waits, known)
         if server.running < self._load.slots:
             self._run(now, request)
         else:
             server.waiting.append(request)
-        return True
 
-    def _choose(self, now: float, gateway: _Gateway, key: ids.ObjectKey, arrived: float):
+    def _choose(self, now: float, gateway: _Gateway, key: ids.ObjectKey):
         open_views = [view for view in gateway.views.values() if now >= view.suspended_until]
         match self._policy:
             case Policy.LEAST_OUTSTANDING:
@@ -244,7 +197,7 @@
         ]
         load = self._load
         demand = choice.Demand(
-            builders.SERVICE, key, arrived + load.deadline, arrived + load.objective, False
+            builders.SERVICE, key, now + load.deadline, now + load.objective, False
         )
         chosen = choice.choose(now, demand, candidates, gateway.times.find(ROUTE, load.objective))
         if isinstance(chosen, choice.NoRoom):
@@ -274,12 +227,10 @@
         self.outcome.late += load.objective < took <= load.deadline
         ratio = None
         if not request.waits:
-            worked = now - request.sent
-            ratio = gateway.times.note(ROUTE, load.objective, request.is_known_warm, worked)
+            ratio = gateway.times.note(ROUTE, load.objective, request.is_known_warm, took)
         view.note_answer(now, request.key, ratio)
         if server.waiting:
             self._run(now, server.waiting.popleft())
-        self._look_for_room(now, gateway)
 
     def _spread(self, now: float, is_near: bool) -> None:
         for gateway in self._gateways:
