--- a/bench/placing.py
+++ b/bench/placing.py
@@ -13,6 +13,8 @@
     "busy": replay.Load(per_second=140.0),
     "full": replay.Load(per_second=200.0),
     "over": replay.Load(per_second=300.0),
+    "hot": replay.Load(per_second=104.0, parts=(3.0, 1.0, 1.0)),
+    "slow": replay.Load(per_second=104.0, slow=(6.0, 13.0)),
     "crash": replay.Load(per_second=120.0, crash=(6.0, 11.0)),
 }
 
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -99,10 +99,22 @@
         if self.first_reads.is_settled:
             self.first_reads_settled.set()
 
+    def evacuate(self, domains: frozenset[ids.DomainName]) -> None:
+        """Takes the servers of failure domains out of use, and those of all others back.
+
+        They leave the order of homes too: what is left of their region counts as less room there.
+        """
+        self.evacuated = domains
+        self.refresh_servers()
+
     def refresh_servers(self) -> None:
         """Groups the usable servers anew after a change."""
         now = self.now()
-        usable = self.servers.list_usable(now)
+        usable = [
+            known
+            for known in self.servers.list_usable(now)
+            if known.registration.server.domain not in self.evacuated
+        ]
         services = server_registry.list_services(usable)
         if _list_names(services) != _list_names(self._services):
             self._orders.clear()
@@ -147,7 +159,7 @@
         candidates = []
         for place in self._order(service, key, route.kind is routes.RouteKind.DOWNLOAD):
             server = place.server
-            if server.domain in self.evacuated or (route.homes and place.region not in route.homes):
+            if route.homes and place.region not in route.homes:
                 continue
             known = self.servers.find(server.backend)
             if known is None or not self._may_use_cold(now, known, names):
--- a/src/caperdyke/transport/gateway/follower.py
+++ b/src/caperdyke/transport/gateway/follower.py
@@ -253,7 +253,7 @@
         self._publish_evacuations()
 
     def _publish_evacuations(self) -> None:
-        self._node.evacuated = frozenset(self._evacuations)
+        self._node.evacuate(frozenset(self._evacuations))
         events.log(events.Event.EVACUATION_CHANGED, domains=sorted(self._evacuations))
 
     def _remember(self, row: store_rows.StoreRow) -> None:
--- a/testing/placement/replay.py
+++ b/testing/placement/replay.py
@@ -21,6 +21,9 @@
 NEAR_SECONDS = 0.25
 FAR_SECONDS = 1.4
 QUEUE_PER_SLOT = 3
+SLOW_FACTOR = 5.0
+# A caller comes back no later than this part of the time that it has left.
+RETRY_PART = 0.3
 ROUTE = ids.RouteName("read")
 
 
@@ -37,13 +40,17 @@
     """A load pattern.
 
     :param per_second: requests a second at each moment of the day.
+    :param parts: how the callers are spread over the regions.
     :param warm: seconds of work for a warm object; ``cold`` for any other.
     :param crash: time at which a third of the servers end, and at which they are back, cold.
+    :param slow: time from which on, and until which, a sixth of the servers takes ``SLOW_FACTOR``
+        times as long.
     """
 
     per_second: float
     seconds: float = 20.0
     regions: tuple[str, ...] = ("north", "south", "east")
+    parts: tuple[float, ...] = (1.0, 1.0, 1.0)
     objects: int = 26
     servers: tuple[tuple[str, int], ...] = (("north", 8), ("south", 8), ("east", 2))
     slots: int = 3
@@ -53,6 +60,7 @@
     objective: float = 0.4
     deadline: float = 3.0
     crash: tuple[float, float] = (math.inf, math.inf)
+    slow: tuple[float, float] = (math.inf, math.inf)
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,17 +83,34 @@
 class _Server:
     place: homes.Place
     is_up: bool = True
+    factor: float = 1.0
     running: int = 0
     waiting: collections.deque = dataclasses.field(default_factory=collections.deque)
     warm: collections.OrderedDict = dataclasses.field(default_factory=collections.OrderedDict)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Caller:
+    """A caller; it comes back once after it was turned away.
+
+    :param first_at: time of its first request, from which its objective and its deadline count.
+    :param received_at: time of this one, from which a gateway counts.
+    """
+
+    key: ids.ObjectKey
+    first_at: float
+    received_at: float
+
+    @property
+    def is_back(self) -> bool:
+        return self.received_at > self.first_at
+
+
 @dataclasses.dataclass(slots=True)
 class _Request:
     gateway: "_Gateway"
     server: _Server
-    key: ids.ObjectKey
-    arrived: float
+    caller: _Caller
     sent: float
     waits: bool
     is_known_warm: bool
@@ -150,13 +175,18 @@
         load, now = self._load, 0.0
         while now < load.seconds:
             now += self._random.expovariate(load.per_second)
-            self._at(now, self._arrive, self._random.choice(self._gateways))
+            region = self._random.choices(load.regions, load.parts)[0]
+            near = [item for item in self._gateways if item.region == region]
+            self._at(now, self._arrive, self._random.choice(near))
         for interval, is_near in ((NEAR_SECONDS, True), (FAR_SECONDS, False)):
             for step in range(int(load.seconds / interval)):
                 self._at(step * interval, self._spread, is_near)
         if load.crash[0] < load.seconds:
             self._at(load.crash[0], self._set_third, False)
             self._at(load.crash[1], self._set_third, True)
+        if load.slow[0] < load.seconds:
+            self._at(load.slow[0], self._set_sixth, SLOW_FACTOR)
+            self._at(load.slow[1], self._set_sixth, 1.0)
 
     def _at(self, time: float, action, argument) -> None:
         heapq.heappush(self._events, (time, next(self._order), action, argument))
@@ -165,55 +195,80 @@
         self.outcome.asked += 1
         number = self._random.randrange(self._load.objects)
         key = ids.ObjectKey(f"{gateway.region}-{number}")
-        view, waits = self._choose(now, gateway, key)
-        if view is None:
+        self._ask(now, (gateway, _Caller(key, now, now)))
+
+    def _ask(self, now: float, asking: tuple[_Gateway, _Caller]) -> None:
+        gateway, caller = asking
+        retry_after = self._place(now, gateway, caller)
+        if retry_after is not None:
+            self._refuse(now, caller, retry_after, gateway)
+
+    def _refuse(self, now: float, caller: _Caller, retry_after: float, gateway: _Gateway) -> None:
+        if caller.is_back:
             self.outcome.refused += 1
             return
+        left = caller.first_at + self._load.deadline - now
+        back_at = now + min(retry_after * self._random.uniform(1.0, 1.5), left * RETRY_PART)
+        self._at(back_at, self._ask, (gateway, _Caller(caller.key, caller.first_at, back_at)))
+
+    def _place(self, now: float, gateway: _Gateway, caller: _Caller) -> float | None:
+        """Sends a request if a server has room; returns when to come back if none has."""
+        view, waits, retry_after = self._choose(now, gateway, caller)
+        if view is None:
+            return retry_after
         server = gateway.servers[view.server.backend]
         is_full = len(server.waiting) >= QUEUE_PER_SLOT * self._load.slots
         if not server.is_up or is_full:
             view.note_unreachable(now)
-            self.outcome.refused += 1
-            return
+            return choice.RETRY_MIN_SECONDS
         view.note_send(now)
-        known = view.is_warm(now, key)
-        request = _Request(gateway, server, key, now, now, waits, known)
+        known = view.is_warm(now, caller.key)
+        request = _Request(gateway, server, caller, now, waits, known)
         if server.running < self._load.slots:
             self._run(now, request)
         else:
             server.waiting.append(request)
+        return None
 
-    def _choose(self, now: float, gateway: _Gateway, key: ids.ObjectKey):
+    def _choose(self, now: float, gateway: _Gateway, caller: _Caller):
         open_views = [view for view in gateway.views.values() if now >= view.suspended_until]
+        retry_after = choice.RETRY_MIN_SECONDS
         match self._policy:
             case Policy.LEAST_OUTSTANDING:
-                return min(open_views, key=lambda view: view.busy, default=None), False
+                best = min(open_views, key=lambda view: view.busy, default=None)
+                return best, False, retry_after
             case Policy.RANDOM_TWO:
                 pair = self._random.choices(open_views, k=2) if open_views else []
-                return min(pair, key=lambda view: view.busy, default=None), False
+                return min(pair, key=lambda view: view.busy, default=None), False, retry_after
         candidates = [
             choice.Candidate(gateway.views[place.server.backend], place.region == gateway.region, 0)
-            for place in gateway.order(key)
+            for place in gateway.order(caller.key)
         ]
         load = self._load
         demand = choice.Demand(
-            builders.SERVICE, key, now + load.deadline, now + load.objective, False
+            builders.SERVICE,
+            caller.key,
+            caller.first_at + load.deadline,
+            caller.received_at + load.objective,
+            False,
         )
         chosen = choice.choose(now, demand, candidates, gateway.times.find(ROUTE, load.objective))
         if isinstance(chosen, choice.NoRoom):
-            return None, False
-        return chosen.view, chosen.waits
+            return None, False, chosen.retry_after
+        return chosen.view, chosen.waits, retry_after
 
     def _run(self, now: float, request: _Request) -> None:
         server, load = request.server, self._load
         server.running += 1
-        is_warm = request.key in server.warm
+        key = request.caller.key
+        is_warm = key in server.warm
         self.outcome.cold_runs += not is_warm
-        server.warm[request.key] = True
-        server.warm.move_to_end(request.key)
+        server.warm[key] = True
+        server.warm.move_to_end(key)
         if len(server.warm) > load.kept_warm:
             server.warm.popitem(last=False)
         work = (load.warm if is_warm else load.cold) * self._random.uniform(0.85, 1.15)
+        work *= server.factor
         self._at(now + work, self._finish, request)
 
     def _finish(self, now: float, request: _Request) -> None:
@@ -222,13 +277,14 @@
         view = gateway.views[server.place.server.backend]
         view.note_end(request.sent)
         view.note_load(now, server.running + len(server.waiting))
-        took = now - request.arrived
+        took = now - request.caller.first_at
         self.outcome.in_time += took <= load.objective
         self.outcome.late += load.objective < took <= load.deadline
         ratio = None
         if not request.waits:
-            ratio = gateway.times.note(ROUTE, load.objective, request.is_known_warm, took)
-        view.note_answer(now, request.key, ratio)
+            worked = now - request.sent
+            ratio = gateway.times.note(ROUTE, load.objective, request.is_known_warm, worked)
+        view.note_answer(now, request.caller.key, ratio)
         if server.waiting:
             self._run(now, server.waiting.popleft())
 
@@ -246,3 +302,7 @@
         for server in self._servers[::3]:
             server.is_up = is_up
             server.warm.clear()
+
+    def _set_sixth(self, _now: float, factor: float) -> None:
+        for server in self._servers[::6]:
+            server.factor = factor
--- /dev/null
+++ b/testing/platform/test_gateway_context.py
@@ -0,0 +1,70 @@
+"""What one gateway may use, without any connection."""
+
+import testtools
+
+from caperdyke.platform import documents, headers
+from caperdyke.state import backend, ids, registration, routes
+from caperdyke.transport.gateway import context
+from testing.platform import stage
+
+SERVICE = ids.ServiceName("reader")
+ROUTE = routes.Route(
+    ids.RouteName("r-read"),
+    stage.HOST,
+    "/read/",
+    routes.RouteKind.SAFE,
+    (routes.RoutePart(SERVICE, 1.0),),
+    4000.0,
+    600.0,
+    1,
+    3,
+    True,
+    frozenset(),
+)
+# Three regions with as much room each; the first gateway's has two failure domains.
+DOMAINS = {"hall-1": "north", "hall-2": "north", "hall-3": "south", "hall-4": "east"}
+SERVERS = {"hall-1": 3, "hall-2": 3, "hall-3": 6, "hall-4": 6}
+
+
+class EvacuationTest(testtools.TestCase):
+    """Servers of a failure domain that the operator empties."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        checked = stage.replace_settings(stage.make_settings("127.0.0.1:1"), domains=DOMAINS)
+        self.node = context.GatewayContext(checked, headers, documents, None, lambda: 10.0)
+        for domain, count in SERVERS.items():
+            for number in range(count):
+                name = ids.BackendId(f"{domain}-{number}")
+                server = backend.BackendServer(name, domain, SERVICE, ids.Address("h:1"), 8)
+                entry = registration.Registration(
+                    server, registration.RegistrationState.READY, 1, 1, 0.0
+                )
+                self.node.servers.merge(10.0, entry, 1)
+        self.node.servers.mark_all_from_start()
+        self.node.refresh_servers()
+
+    def find_first_domains(self) -> list[str]:
+        """Returns the failure domain of the first home of many objects."""
+        keys = [ids.ObjectKey(f"k{number}") for number in range(60)]
+        found = [self.node.list_candidates(SERVICE, key, ROUTE) for key in keys]
+        return [candidates[0].view.server.domain for candidates in found]
+
+    def test_evacuated_servers_are_no_candidates(self) -> None:
+        self.node.evacuate(frozenset({"hall-2"}))
+        names = self.node.list_candidates(SERVICE, ids.ObjectKey("k"), ROUTE)
+        self.assertEqual(15, len(names))
+        self.node.evacuate(frozenset())
+        self.assertEqual(18, len(self.node.list_candidates(SERVICE, ids.ObjectKey("k"), ROUTE)))
+
+    def test_objects_leave_a_region_that_lost_half_of_its_room(self) -> None:
+        """Pattern: half of a region is evacuated while its callers stay.
+
+        Three of fifteen servers are left for a third of the load, so they cover three fifths of it.
+        """
+        far = {"hall-3", "hall-4"}
+        moved = sum(domain in far for domain in self.find_first_domains())
+        self.assertTrue(moved <= 6, f"got {moved} of 60 far away")
+        self.node.evacuate(frozenset({"hall-2"}))
+        kept = self.find_first_domains().count("hall-1") / 60
+        self.assertTrue(0.4 <= kept <= 0.8, f"got {kept:.2f}, expected about 0.6")
