Send an instance's record only to those who do not know it

Cause: announcements of 232 bytes, 130 of them the sender's record, are sent as often as 1,900 B/s allow. At 68 instances in three regions that is each 2.7 s, so a killed instance was missed after 8.1 s; look-ups may name it for 7 s (docs/OPERATIONS.md). At 10 instances the load of others was 0.25 s old. Ruled out: a tree that adds loads up on the way (needed at 750 instances, docs/CAPACITY.md; its parents change with every death); marks of 16 bits for servers (two of 300 share one). An instance that hears a mark it does not know introduces itself and asks for the record.

--- a/src/caperdyke/coordination/registry/fleet.py
+++ b/src/caperdyke/coordination/registry/fleet.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from caperdyke.state import ids, member
+from caperdyke.state import ids, marks, member
 
 # Announcements that may be lost in a row before an instance counts as gone, and the shortest
 # silence that counts, in seconds: several lost datagrams of a lossy link, or a slow turn.
@@ -51,6 +51,8 @@
         self.is_ready = False
         self._regions = regions
         self._others: dict[ids.InstanceId, KnownInstance] = {}
+        # Names by the mark that stands for them in announcements.
+        self._names: dict[int, ids.InstanceId] = {}
         self._is_listed = False
 
     def apply_regions(self, regions: dict[ids.DomainName, ids.RegionName]) -> None:
@@ -67,6 +69,7 @@
             return False
         known = self._others.get(record.instance)
         if known is None:
+            self._names[marks.make_mark(record.instance)] = record.instance
             self._others[record.instance] = KnownInstance(record, known_since=now)
             return True
         if record.rank <= known.record.rank:
@@ -82,15 +85,15 @@
         self._is_listed = True
 
     def hear(
-        self, now: float, record: member.Member, is_ready: bool, interval: float
+        self, now: float, mark: int, incarnation: ids.Incarnation, is_ready: bool, interval: float
     ) -> KnownInstance | None:
-        """Records an announcement, or returns None where it comes from an earlier start.
+        """Records an announcement, or returns None where this start of its sender is not known.
 
+        :param mark: mark of the sender's name.
         :param interval: time until the sender's next announcement, in seconds.
         """
-        self.merge(now, record)
-        known = self._others.get(record.instance)
-        if known is None or record.incarnation < known.record.incarnation:
+        known = self._others.get(self._names.get(mark, ids.InstanceId("")))
+        if known is None or incarnation != known.record.incarnation:
             return None
         known.is_ready = is_ready
         known.heard_at = now
@@ -135,6 +138,7 @@
         ]
         for other in gone:
             del self._others[other.record.instance]
+            del self._names[marks.make_mark(other.record.instance)]
         return [other.record for other in gone]
 
     def choose_for_caller(
--- a/src/caperdyke/protocol/announcements.py
+++ b/src/caperdyke/protocol/announcements.py
@@ -1,7 +1,6 @@
 """Datagrams and snapshots between gateways, in msgpack."""
 
 import dataclasses
-import zlib
 
 import msgpack
 
@@ -9,20 +8,27 @@
 from caperdyke.state import ids, member, store_rows
 
 # Raised with every change of the layout; others are left unread.
-LAYOUT = 1
+LAYOUT = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Announcement:
     """What an instance tells others of itself.
 
+    Most of them go to instances that know the sender's record, which is the larger part; these
+    carry the mark of its name alone.
+
+    :param mark: mark of the sender's name.
+    :param record: the sender's record; None for a receiver that knows it.
     :param interval_ms: time until the next announcement to the same receiver, in milliseconds.
     :param configuration: version of the configuration that the sender uses; 0 where it has none.
-    :param load: requests under way, by mark of the backend server.
+    :param load: requests under way, by mark of the backend server's name.
     :param wants_answer: whether the receiver should announce itself at once.
     """
 
-    record: member.Member
+    mark: int
+    incarnation: ids.Incarnation
+    record: member.Member | None
     is_ready: bool
     interval_ms: int
     configuration: int
@@ -30,17 +36,14 @@
     wants_answer: bool
 
 
-def mark_server(name: ids.BackendId) -> int:
-    """Returns a short number for a backend server."""
-    return zlib.crc32(name.encode())
-
-
 def encode_announcement(item: Announcement) -> bytes:
     """Returns the bytes of a datagram."""
     return msgpack.packb(
         [
             LAYOUT,
-            _list_member(item.record),
+            item.mark,
+            item.incarnation,
+            _list_member(item.record) if item.record else None,
             item.is_ready,
             item.interval_ms,
             item.configuration,
@@ -56,13 +59,14 @@
     :raises errors.ProtocolError: where it holds none.
     """
     try:
-        layout, record, is_ready, interval_ms, configuration, load, wants_answer = msgpack.unpackb(
-            data, strict_map_key=False
-        )
+        layout, *fields = msgpack.unpackb(data, strict_map_key=False)
         if layout != LAYOUT:
             raise ValueError(f"layout {layout}, expected {LAYOUT}")
+        mark, incarnation, record, is_ready, interval_ms, configuration, load, wants_answer = fields
         return Announcement(
-            _read_member(record),
+            int(mark),
+            ids.Incarnation(int(incarnation)),
+            _read_member(record) if record is not None else None,
             bool(is_ready),
             int(interval_ms),
             int(configuration),
--- a/src/caperdyke/transport/gateway/announcer.py
+++ b/src/caperdyke/transport/gateway/announcer.py
@@ -5,21 +5,12 @@
 
 from caperdyke import errors
 from caperdyke.coordination import overlay
-from caperdyke.coordination.registry import fleet
+from caperdyke.coordination.registry import fleet, intervals
 from caperdyke.protocol import announcements
-from caperdyke.state import ids, member, store_rows
+from caperdyke.state import ids, marks, member, store_rows
 from caperdyke.transport import events
 from caperdyke.transport.gateway import context
 
-# Shortest interval between two announcements to an instance of the same region, and to any other,
-# in seconds: instances of a region share the homes of its objects, and with them the need to know
-# each other's load within the time of a request.
-NEAR_SECONDS = 0.15
-FAR_SECONDS = 0.8
-# Bytes a second that announcements to instances of the region, and to all others, may take: the
-# bound for control traffic of one node, less what follows the store and answers look-ups.
-NEAR_BYTES_PER_SECOND = 1900
-FAR_BYTES_PER_SECOND = 700
 # Headers of one datagram on the wire, in bytes.
 DATAGRAM_HEADER_BYTES = 42
 TICK_SECONDS = 0.05
@@ -62,13 +53,19 @@
             events.log(events.Event.FRAME_REJECTED, peer=address[0], error=str(error))
             return
         node, now = self._node, self._node.now()
-        known = node.fleet.hear(now, item.record, item.is_ready, item.interval_ms / 1000)
+        if item.record is not None:
+            node.fleet.merge(now, item.record)
+        interval = item.interval_ms / 1000
+        known = node.fleet.hear(now, item.mark, item.incarnation, item.is_ready, interval)
         if known is None:
+            if item.record is None:
+                # The sender started before this instance heard of it; asks for its record.
+                self._introduce(ids.Address(f"{address[0]}:{address[1]}"))
             return
         known.load = item.load
         known.configuration = item.configuration
         if item.wants_answer:
-            self._send(now, known, False)
+            self._send(now, known, False, True)
         if item.configuration > (node.routes.version if node.routes else 0):
             self._on_newer_configuration()
 
@@ -78,7 +75,8 @@
             now = self._node.now()
             for other in self._node.fleet.list_others():
                 if now >= other.announce_at:
-                    self._send(now, other, now >= other.trusted_until)
+                    is_stranger = now >= other.trusted_until
+                    self._send(now, other, is_stranger, is_stranger)
             self._log_changes(now)
             self._spread_load(now)
             await asyncio.sleep(TICK_SECONDS)
@@ -125,7 +123,7 @@
         node = self._node
         node.fleet.own = dataclasses.replace(node.fleet.own, state=member.MemberState.LEAVING)
         for other in node.fleet.list_others():
-            self._send(node.now(), other, False)
+            self._send(node.now(), other, False, True)
 
     def _learn_row(self, row: store_rows.StoreRow) -> None:
         if row.value is None:
@@ -141,16 +139,24 @@
         self._node.fleet.merge(self._node.now(), record)
 
     def _greet_seeds(self) -> None:
-        data = announcements.encode_announcement(self._make(int(NEAR_SECONDS * 1000), True))
         for seed in self._node.settings.seeds:
             if seed != self._node.settings.peer_address:
-                self._send_to(seed, data)
+                self._introduce(seed)
 
-    def _send(self, now: float, other: fleet.KnownInstance, wants_answer: bool) -> None:
+    def _introduce(self, address: ids.Address) -> None:
+        """Tells an instance that may not know this one, and asks for its record."""
+        item = self._make(int(intervals.NEAR_SECONDS * 1000), True, True)
+        self._send_to(address, announcements.encode_announcement(item))
+
+    def _send(
+        self, now: float, other: fleet.KnownInstance, wants_answer: bool, has_record: bool
+    ) -> None:
         interval = self._find_interval(now, other)
         other.announce_at = now + interval
-        data = announcements.encode_announcement(self._make(int(interval * 1000), wants_answer))
-        self._size = len(data) + DATAGRAM_HEADER_BYTES
+        item = self._make(int(interval * 1000), wants_answer, has_record)
+        data = announcements.encode_announcement(item)
+        if not has_record:
+            self._size = len(data) + DATAGRAM_HEADER_BYTES
         self._send_to(other.record.peer_address, data)
 
     def _send_to(self, address: ids.Address, data: bytes) -> None:
@@ -163,24 +169,35 @@
             return fleet.RETRY_SECONDS
         others = self._node.fleet.list_others()
         near = sum(self._is_near(item) for item in others)
-        if self._is_near(other):
-            return max(NEAR_SECONDS, near * self._size / NEAR_BYTES_PER_SECOND)
-        return max(FAR_SECONDS, (len(others) - near) * self._size / FAR_BYTES_PER_SECOND)
+        is_near = self._is_near(other)
+        count = near if is_near else len(others) - near
+        return intervals.find_interval(is_near, count, self._size)
 
     def _is_near(self, other: fleet.KnownInstance) -> bool:
         settings = self._node.settings
         return settings.domains.get(other.record.domain) == settings.region
 
-    def _make(self, interval_ms: int, wants_answer: bool) -> announcements.Announcement:
-        node = self._node
+    def _make(
+        self, interval_ms: int, wants_answer: bool, has_record: bool
+    ) -> announcements.Announcement:
+        node, own = self._node, self._node.fleet.own
+        # An instance that leaves says so until it is gone.
+        is_told = has_record or own.state is not member.MemberState.LIVE
         load = {
-            announcements.mark_server(name): view.in_flight
+            marks.make_mark(name): view.in_flight
             for name, view in node.views.items()
             if view.in_flight
         }
         version = node.routes.version if node.routes else 0
         return announcements.Announcement(
-            node.fleet.own, node.fleet.is_ready, interval_ms, version, load, wants_answer
+            marks.make_mark(own.instance),
+            own.incarnation,
+            own if is_told else None,
+            node.fleet.is_ready,
+            interval_ms,
+            version,
+            load,
+            wants_answer,
         )
 
     def _spread_load(self, now: float) -> None:
@@ -190,7 +207,7 @@
             for mark, count in other.load.items():
                 sums[mark] = sums.get(mark, 0) + count
         for name, view in node.views.items():
-            view.note_others(now, sums.get(announcements.mark_server(name), 0))
+            view.note_others(now, sums.get(marks.make_mark(name), 0))
 
     def _log_changes(self, now: float) -> None:
         live = {other.record.instance: other for other in self._node.fleet.list_live(now)}
--- a/testing/platform/test_gateway_life.py
+++ b/testing/platform/test_gateway_life.py
@@ -133,3 +133,31 @@
                         await running
 
         self.play(scene)
+
+    def test_instance_whose_record_was_lost_is_asked_for_it(self) -> None:
+        """Pattern: the datagram that carries an instance's record is lost; later ones are short."""
+
+        async def scene() -> None:
+            async with stage.open_stage() as played:
+                first = played.gateway.node
+                other = stage.make_settings(first.settings.store_address)
+                other = stage.replace_settings(other, instance="gateway-2")
+                shared = context.GatewayContext(
+                    other, headers, documents, store.Store(other.store_address)
+                )
+                running = asyncio.create_task(
+                    node.GatewayNode(shared, stage.make_platform_apps).run(asyncio.Event())
+                )
+                try:
+                    await played.wait_until(lambda: first.fleet.list_live(first.now()))
+                    await played.wait_until(lambda: shared.fleet.list_live(shared.now()))
+                    # More than the time after which silent instances are forgotten.
+                    first.fleet.forget_silent(first.now() + 1000.0)
+                    self.assertEqual([], first.fleet.list_others())
+                    await played.wait_until(lambda: first.fleet.list_live(first.now()))
+                finally:
+                    running.cancel()
+                    with contextlib.suppress(asyncio.CancelledError):
+                        await running
+
+        self.play(scene)
--- /dev/null
+++ b/testing/registry/test_announcements.py
@@ -0,0 +1,61 @@
+"""What instances tell each other, and how often."""
+
+import testtools
+from parameterized import parameterized
+
+from caperdyke import errors
+from caperdyke.coordination.registry import fleet, intervals
+from caperdyke.protocol import announcements
+from caperdyke.state import ids, marks, member
+from testing.registry import test_fleet
+
+# Instances of the largest deployment that is known so far, in three regions, and the time after
+# which no look-up there may name an instance that was killed, in seconds.
+INSTANCES = 68
+NAMED_SECONDS = 4.0 + 3.0
+# Backend servers that one of its instances has requests at.
+USED_SERVERS = 12
+DATAGRAM_HEADER_BYTES = 42
+
+
+def make_announcement(record: member.Member | None) -> announcements.Announcement:
+    """Returns an announcement of an instance that uses some servers."""
+    load = {marks.make_mark(f"server-{number}"): 3 for number in range(USED_SERVERS)}
+    mark = marks.make_mark("front-failure-domain-12")
+    started = ids.Incarnation(1_700_000_000_000)
+    return announcements.Announcement(mark, started, record, True, 250, 17, load, False)
+
+
+class AnnouncementTest(testtools.TestCase):
+    """Datagrams between instances."""
+
+    @parameterized.expand([("with the record", True), ("for those who know it", False)])
+    def test_fields(self, _name, has_record) -> None:
+        record = test_fleet.make_member("a", "hall-1") if has_record else None
+        item = make_announcement(record)
+        data = announcements.encode_announcement(item)
+        self.assertEqual(item, announcements.decode_announcement(data))
+
+    @parameterized.expand([("empty", b""), ("text", b"\xa5hello"), ("short", b"\x93\x02\x01\x01")])
+    def test_other_bytes(self, _name, data) -> None:
+        self.assertRaises(errors.ProtocolError, announcements.decode_announcement, data)
+
+
+class IntervalTest(testtools.TestCase):
+    """How often instances announce themselves."""
+
+    def test_killed_instance_is_missed_in_time(self) -> None:
+        """Pattern: dozens of instances, each of which tells all others that it lives."""
+        data = announcements.encode_announcement(make_announcement(None))
+        size = len(data) + DATAGRAM_HEADER_BYTES
+        interval = intervals.find_interval(True, INSTANCES // 3, size)
+        silence = fleet.LOST_MAX * interval
+        self.assertTrue(silence <= NAMED_SECONDS, f"got {silence:.1f} s, {size} bytes")
+
+    @parameterized.expand([(10,), (68,), (300,)])
+    def test_bytes_do_not_grow_with_the_fleet(self, instances) -> None:
+        near, far, size = instances // 3, instances - instances // 3 - 1, 140
+        sent = near * size / intervals.find_interval(True, near, size)
+        sent += far * size / intervals.find_interval(False, far, size)
+        bound = intervals.NEAR_BYTES_PER_SECOND + intervals.FAR_BYTES_PER_SECOND
+        self.assertTrue(sent <= bound + 1, f"got {sent:.0f} bytes a second")
--- a/testing/registry/test_fleet.py
+++ b/testing/registry/test_fleet.py
@@ -4,7 +4,7 @@
 from parameterized import parameterized
 
 from caperdyke.coordination.registry import fleet
-from caperdyke.state import ids, member
+from caperdyke.state import ids, marks, member
 
 REGIONS = {"hall-1": "north", "hall-2": "north", "hall-3": "south"}
 
@@ -23,6 +23,15 @@
     )
 
 
+def hear(
+    known: fleet.Fleet, now: float, record: member.Member, is_ready: bool, interval: float = 0.4
+) -> fleet.KnownInstance | None:
+    """Takes an announcement that carries its sender's record."""
+    known.merge(now, record)
+    mark = marks.make_mark(record.instance)
+    return known.hear(now, mark, record.incarnation, is_ready, interval)
+
+
 class FleetTest(testtools.TestCase):
     """One instance's view of the others."""
 
@@ -30,8 +39,8 @@
         super().setUp()
         self.fleet = fleet.Fleet(make_member("a", "hall-1"), REGIONS)
         self.fleet.is_ready = True
-        self.fleet.hear(0.0, make_member("b", "hall-2"), True, 0.4)
-        self.fleet.hear(0.0, make_member("c", "hall-3"), True, 0.4)
+        hear(self.fleet, 0.0, make_member("b", "hall-2"), True)
+        hear(self.fleet, 0.0, make_member("c", "hall-3"), True)
 
     def choose(self, domain: str, region: str, now: float = 1.0) -> list[str]:
         """Returns the addresses for a caller."""
@@ -52,12 +61,19 @@
 
     def test_leaving_instance_is_not_named(self) -> None:
         leaving = make_member("b", "hall-2", state=member.MemberState.LEAVING)
-        self.fleet.hear(1.0, leaving, False, 0.4)
+        hear(self.fleet, 1.0, leaving, False)
         self.assertEqual(["a:2"], self.choose("hall-2", "north"))
 
     def test_word_of_an_earlier_start_counts_for_nothing(self) -> None:
-        self.fleet.hear(1.0, make_member("b", "hall-2", 2), True, 0.4)
-        self.assertIsNone(self.fleet.hear(1.1, make_member("b", "hall-2", 1), True, 0.4))
+        hear(self.fleet, 1.0, make_member("b", "hall-2", 2), True)
+        self.assertIsNone(hear(self.fleet, 1.1, make_member("b", "hall-2", 1), True))
+
+    def test_word_of_a_later_start_needs_its_record(self) -> None:
+        """Pattern: an instance was killed, and the datagram with its new record was lost."""
+        mark = marks.make_mark("b")
+        self.assertIsNone(self.fleet.hear(1.0, mark, ids.Incarnation(2), True, 0.4))
+        self.assertIsNone(self.fleet.hear(1.0, marks.make_mark("d"), ids.Incarnation(1), True, 0.4))
+        self.assertIsNotNone(self.fleet.hear(1.0, mark, ids.Incarnation(1), True, 0.4))
 
     def test_instance_that_was_only_listed_is_not_alive(self) -> None:
         self.fleet.merge(0.0, make_member("d", "hall-1"))
