Bring objects to a server that joined beside their former home

The former first home becomes the second, is known to be warm, and went before the new one for ever. With several domains the second home stands elsewhere, so it did not show. Conclusion: a second home costs while the first has not had the object, less the fuller the service is.

--- a/src/caperdyke/coordination/placement/choice.py
+++ b/src/caperdyke/coordination/placement/choice.py
@@ -16,6 +16,9 @@
 # What it is worth to use one of an object's homes rather than another server that is warm by
 # accident, as a part of the difference that warmth makes; brings objects to servers that joined.
 HOME_PART = 0.5
+# The same for the first home rather than the second, on an idle service, where the first home has
+# not had the object yet.
+SECOND_PART = 0.35
 # Requests under way per slot of a service from which on nothing waits that would be late.
 FULL_PRESSURE = 0.9
 # Requests under way per slot of a service from which on objects stay with their homes.
@@ -108,6 +111,7 @@
     if not open_candidates:
         return NoRoom(RETRY_MAX_SECONDS if not candidates else RETRY_MIN_SECONDS * 3, True)
     pressure = _measure_pressure(open_candidates)
+    second_cost = _find_second_cost(now, demand, open_candidates[0], times, pressure)
     best: Placed | None = None
     best_cost = 0.0
     earliest_room = RETRY_MAX_SECONDS
@@ -117,11 +121,9 @@
         if not _is_worth_sending(now, demand, estimate, pressure):
             earliest_room = min(earliest_room, max(0.0, estimate.wait))
             continue
-        cost = (
-            placed.expected
-            + pressure * estimate.work
-            + _find_place_cost(demand, candidate, place, times)
-        )
+        cost = placed.expected + pressure * estimate.work
+        cost += second_cost if place == 1 else 0.0
+        cost += _find_place_cost(demand, candidate, place, times)
         if best is None or cost < best_cost:
             best, best_cost = placed, cost
     if best is not None:
@@ -207,6 +209,19 @@
     return WARM_CHANCES[place] if place < len(WARM_CHANCES) else 0.0
 
 
+def _find_second_cost(
+    now: float, demand: Demand, first: Candidate, times: work_times.WorkTime, pressure: float
+) -> float:
+    """Returns what an object's second home costs beyond its time, in seconds.
+
+    Pattern: a server joins, becomes the first home of some objects, and their former first home is
+    now the second. While there is room, one cold run brings them to the new one.
+    """
+    if first.view.is_warm(now, demand.key):
+        return 0.0
+    return SECOND_PART * (1 - pressure) * max(0.0, times.cold - times.warm)
+
+
 def _find_place_cost(
     demand: Demand, candidate: Candidate, place: int, times: work_times.WorkTime
 ) -> float:
--- a/testing/placement/test_choice.py
+++ b/testing/placement/test_choice.py
@@ -69,6 +69,18 @@
         ]
         self.assertEqual("joined", choose(candidates))
 
+    @parameterized.expand([("idle", 0, "joined"), ("with half of its slots busy", 2, "joined")])
+    def test_server_that_joined_goes_before_the_former_first_home(
+        self, _name, busy, expected
+    ) -> None:
+        """Pattern: a server joins a service in one failure domain, where two homes stand together."""
+        candidates = [
+            builders.make_candidate("joined"),
+            builders.make_candidate("old", busy, warm="k"),
+            builders.make_candidate("other", busy),
+        ]
+        self.assertEqual(expected, choose(candidates))
+
     def test_download_stays_near(self) -> None:
         candidates = [
             builders.make_candidate("far", is_near=False, warm="k"),
