--- a/testing/placement/test_choice.py
+++ b/testing/placement/test_choice.py
@@ -73,7 +73,7 @@
     def test_server_that_joined_goes_before_the_former_first_home(
         self, _name, busy, expected
     ) -> None:
-        """Pattern: a server joins a service in one failure domain, where two homes stand together."""
+        """Pattern: a server joins in the only failure domain, where both homes stand together."""
         candidates = [
             builders.make_candidate("joined"),
             builders.make_candidate("old", busy, warm="k"),
--- a/testing/platform/test_gateway_life.py
+++ b/testing/platform/test_gateway_life.py
@@ -97,6 +97,23 @@
         self.assertEqual(20.0, server.config.timeout_graceful_shutdown)
 
 
+@contextlib.asynccontextmanager
+async def open_second(store_address: str, seeds: tuple[str, ...] = ()):
+    """Yields the state of another gateway, which runs."""
+    checked = stage.replace_settings(
+        stage.make_settings(store_address), instance="gateway-2", seeds=seeds
+    )
+    shared = context.GatewayContext(checked, headers, documents, store.Store(store_address))
+    second = node.GatewayNode(shared, stage.make_platform_apps)
+    running = asyncio.create_task(second.run(asyncio.Event()))
+    try:
+        yield shared
+    finally:
+        running.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await running
+
+
 class TwoGatewaysTest(stage.StageCase):
     """Gateways that find each other through the store and by datagrams."""
 
@@ -106,31 +123,19 @@
         async def scene() -> None:
             async with stage.open_stage() as played:
                 first = played.gateway.node
-                other = stage.make_settings(stage.pick_address())
-                other = stage.replace_settings(
-                    other, instance="gateway-2", seeds=(first.settings.peer_address,)
-                )
-                shared = context.GatewayContext(
-                    other, headers, documents, store.Store(other.store_address)
-                )
-                second = node.GatewayNode(shared, stage.make_platform_apps)
-                running = asyncio.create_task(second.run(asyncio.Event()))
-                try:
-                    await played.wait_until(lambda: shared.fleet.is_ready)
-                    self.assertEqual(1, shared.routes.version)
-                    usable = shared.servers.list_usable(shared.now())
+                seeds = (first.settings.peer_address,)
+                async with open_second(stage.pick_address(), seeds) as second:
+                    await played.wait_until(lambda: second.fleet.is_ready)
+                    self.assertEqual(1, second.routes.version)
+                    usable = second.servers.list_usable(second.now())
                     self.assertEqual(2, len(usable))
                     # They served before this gateway started, so nothing holds them back.
-                    self.assertFalse(any(shared.is_cold(shared.now(), item) for item in usable))
+                    self.assertFalse(any(second.is_cold(second.now(), item) for item in usable))
                     await played.wait_until(
                         lambda: [o.is_ready for o in first.fleet.list_live(first.now())] == [True]
                     )
                     _, document = await played.look_up()
                     self.assertEqual(2, len(document["addresses"]))
-                finally:
-                    running.cancel()
-                    with contextlib.suppress(asyncio.CancelledError):
-                        await running
 
         self.play(scene)
 
@@ -140,24 +145,12 @@
         async def scene() -> None:
             async with stage.open_stage() as played:
                 first = played.gateway.node
-                other = stage.make_settings(first.settings.store_address)
-                other = stage.replace_settings(other, instance="gateway-2")
-                shared = context.GatewayContext(
-                    other, headers, documents, store.Store(other.store_address)
-                )
-                running = asyncio.create_task(
-                    node.GatewayNode(shared, stage.make_platform_apps).run(asyncio.Event())
-                )
-                try:
+                async with open_second(first.settings.store_address) as second:
                     await played.wait_until(lambda: first.fleet.list_live(first.now()))
-                    await played.wait_until(lambda: shared.fleet.list_live(shared.now()))
+                    await played.wait_until(lambda: second.fleet.list_live(second.now()))
                     # More than the time after which silent instances are forgotten.
                     first.fleet.forget_silent(first.now() + 1000.0)
                     self.assertEqual([], first.fleet.list_others())
                     await played.wait_until(lambda: first.fleet.list_live(first.now()))
-                finally:
-                    running.cancel()
-                    with contextlib.suppress(asyncio.CancelledError):
-                        await running
 
         self.play(scene)
