--- a/src/caperdyke/coordination/registry/first_reads.py
+++ b/src/caperdyke/coordination/registry/first_reads.py
@@ -5,8 +5,8 @@
 # Longest wait in seconds: two reads one after the other from the region farthest from the store,
 # each with a new connection, on a machine where everything starts at once.
 HOLD_SECONDS = 0.8
-# Part of the time that a caller has left which the wait may take.
-HOLD_PART = 0.2
+# Part of the time that a caller has left which the wait may take; the rest is for the work.
+HOLD_PART = 0.5
 
 
 class FirstRead(enum.Enum):
--- a/testing/registry/test_first_reads.py
+++ b/testing/registry/test_first_reads.py
@@ -14,8 +14,16 @@
 
     def test_wait_is_a_part_of_the_callers_time(self) -> None:
         self.assertEqual(10.0 + first_reads.HOLD_SECONDS, self.reads.find_hold_until(10.0, 99.0))
-        expected = 10.0 + first_reads.HOLD_PART * 2.0
-        self.assertEqual(expected, self.reads.find_hold_until(10.0, 12.0))
+        expected = 10.0 + first_reads.HOLD_PART * 1.5
+        self.assertEqual(expected, self.reads.find_hold_until(10.0, 11.5))
+
+    def test_caller_who_waited_through_an_outage(self) -> None:
+        """Pattern: a caller comes back for the last time with a second left.
+
+        Goal: it waits for reads that take 0.4 s, as from far regions, and has as much left.
+        """
+        until = self.reads.find_hold_until(10.0, 11.0)
+        self.assertTrue(10.4 <= until <= 10.6, f"got {until}")
 
     def test_late_request_does_not_wait(self) -> None:
         self.assertEqual(10.0, self.reads.find_hold_until(10.0, 9.0))
