Let the order of homes decide between equal costs

After the first answer of a route the warm and the cold estimate are equal, so both homes cost the same, and 0.3 w + 0.7 w may be one rounding step less than w. Conclusion: an earlier server is left only for one that costs a microsecond less.

--- a/src/caperdyke/coordination/placement/choice.py
+++ b/src/caperdyke/coordination/placement/choice.py
@@ -25,6 +25,9 @@
 COLD_PRESSURE = 0.7
 # Requests under way for each slot beyond which a server would turn more away.
 OVERFILL = 2.5
+# Costs that differ by less are equal but for rounding; the object's order decides then, so that it
+# does not leave its first home by chance. In seconds.
+TIE_SECONDS = 1e-6
 # Part of the remaining time that must be left when the answer is expected.
 SPARE_PART = 0.05
 # How long a caller is asked to stay away at least and at most, in seconds.
@@ -124,7 +127,7 @@
         cost = placed.expected + pressure * estimate.work
         cost += second_cost if place == 1 else 0.0
         cost += _find_place_cost(demand, candidate, place, times)
-        if best is None or cost < best_cost:
+        if best is None or cost < best_cost - TIE_SECONDS:
             best, best_cost = placed, cost
     if best is not None:
         return best
--- a/testing/placement/test_choice.py
+++ b/testing/placement/test_choice.py
@@ -3,7 +3,7 @@
 import testtools
 from parameterized import parameterized
 
-from caperdyke.coordination.placement import choice
+from caperdyke.coordination.placement import choice, work_times
 from testing.placement import builders
 
 
@@ -60,6 +60,18 @@
         candidates = [builders.make_candidate("home-1")]
         self.assertEqual("home-1", choose(candidates, key="", deadline=0.1, objective_at=0.05))
 
+    def test_rounding_does_not_move_an_object(self) -> None:
+        """Pattern: after one answer the warm and cold times are equal, so servers cost the same."""
+        for took in range(1, 400):
+            times = work_times.WorkTime(warm=0.3, cold=0.72, mean=0.3)
+            times.learn(False, took / 30_011)
+            candidates = [
+                builders.make_candidate("home", warm="k"),
+                builders.make_candidate("other"),
+            ]
+            chosen = choice.choose(0.0, builders.make_demand(), candidates, times)
+            self.assertEqual("home", chosen.view.server.backend, f"{took / 30_011} s")
+
     def test_server_that_joined_gets_its_objects(self) -> None:
         """Pattern: servers are added while the old ones are warm and have room."""
         candidates = [
