Order what an instance knows by the store's era and position

Whole readings also ended every evacuation and server that they lacked, however old they were; and nothing knew of a store that comes back from an older copy.

Change: positions carry the era; a table image moves forward only and works out removals; a whole reading that passes nothing is no answer; instances tell the position of their newest change, and one that stays behind asks for the rows after its own position.

Ruled out: asking all others at once (a datagram names the newest change already); holding every removal (that is for the store's return only).

--- a/src/caperdyke/coordination/registry/fleet.py
+++ b/src/caperdyke/coordination/registry/fleet.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from caperdyke.state import ids, marks, member
+from caperdyke.state import ids, marks, member, store_rows
 
 # Announcements that may be lost in a row before an instance counts as gone, and the shortest
 # silence that counts, in seconds: several lost datagrams of a lossy link, or a slow turn.
@@ -24,7 +24,7 @@
     :param trusted_until: time until which it counts as alive without further word.
     :param announce_at: time at which this instance tells it of itself again.
     :param load: requests that it has in flight, by mark of the backend server.
-    :param configuration: version of the configuration that it uses.
+    :param changed: position of the newest change that it knows of each table.
     """
 
     record: member.Member
@@ -33,7 +33,9 @@
     heard_at: float = 0.0
     known_since: float = 0.0
     announce_at: float = 0.0
-    configuration: int = 0
+    changed: dict[store_rows.StoreTable, store_rows.Position] = dataclasses.field(
+        default_factory=dict
+    )
     load: dict[int, int] = dataclasses.field(default_factory=dict)
 
 
--- a/src/caperdyke/platform/documents.py
+++ b/src/caperdyke/platform/documents.py
@@ -34,7 +34,9 @@
             ),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise errors.ProtocolError(f"configuration, change {row.version}: {error!r}") from error
+        raise errors.ProtocolError(
+            f"configuration, change {row.changed.number}: {error!r}"
+        ) from error
 
 
 def read_evacuation(row: store_rows.StoreRow) -> store_rows.Evacuation | None:
--- a/src/caperdyke/platform/store.py
+++ b/src/caperdyke/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's store."""
 
 import base64
+import dataclasses
 import json
 import urllib.parse
 
@@ -13,6 +14,9 @@
 CALL_SECONDS = 1.5
 CONNECTIONS_MAX = 4
 ROWS_MAX = 500
+# In every answer; rises by one each time that the store comes back from an older copy.
+ERA_HEADER = "store-era"
+GONE_STATUS = 410
 
 _TABLES = {
     # Holds the configuration and orders of the operator.
@@ -23,6 +27,18 @@
 }
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """An answer of the store.
+
+    :param era: how often the store came back from an older copy before it answered.
+    """
+
+    status: int
+    era: int
+    content: bytes
+
+
 class Store:
     """Calls the store and tells failures apart by what they say about a write."""
 
@@ -36,35 +52,46 @@
         :raises errors.PlatformUnavailableError: where the store did not answer.
         """
         rows: list[store_rows.StoreRow] = []
-        position = None
+        position: store_rows.Position | None = None
         start = ""
         while True:
             query = {"table": _TABLES[table], "part": "", "limit": ROWS_MAX}
             if start:
                 query["from"] = start
-            document = await self._read("/caperdyke/rows-get", query, CALL_SECONDS)
-            rows += [_read_row(table, item) for item in document["rows"]]
+            target, answer = await self._read("/caperdyke/rows-get", query, CALL_SECONDS)
+            document = _decode(target, answer)
+            page = store_rows.Position(answer.era, document["dataVersion"])
+            rows += [_read_row(table, answer.era, item) for item in document["rows"]]
             # Changes during the later pages are seen again by whoever follows from the first.
-            position = document["dataVersion"] if position is None else position
+            position = page if position is None else position
+            if page < position or page.era != position.era:
+                raise errors.PlatformUnavailableError(
+                    f"{target}: got a page at {page}, expected none before {position}"
+                )
             if not document.get("hasMore") or not document["rows"]:
                 return store_rows.StoreChanges(table, tuple(rows), position, True)
             start = rows[-1].key + "\0"
 
     async def read_changes(
-        self, table: store_rows.StoreTable, position: int, wait_ms: int
+        self, table: store_rows.StoreTable, position: store_rows.Position, wait_ms: int
     ) -> store_rows.StoreChanges | None:
-        """Returns the changes after a position, or None where the store has forgotten them.
+        """Returns the changes after a position, or None where the store has no such history.
 
         :param wait_ms: how long the store may wait for a first change, in milliseconds.
         :raises errors.PlatformUnavailableError: where the store did not answer.
         """
-        query = {"table": _TABLES[table], "after": position, "waitMs": wait_ms}
+        query = {"table": _TABLES[table], "after": position.number, "waitMs": wait_ms}
         timeout = wait_ms / 1000 + CALL_SECONDS
-        document = await self._read("/caperdyke/rows-feed", query, timeout)
-        if document is None:
+        target, answer = await self._read("/caperdyke/rows-feed", query, timeout)
+        if answer.status == GONE_STATUS:
+            return None
+        document = _decode(target, answer)
+        if answer.era != position.era:
+            # The number counts in the era in which it was given out; another era has its own.
             return None
-        rows = tuple(_read_row(table, item) for item in document["rows"])
-        return store_rows.StoreChanges(table, rows, document["dataVersion"], False)
+        rows = tuple(_read_row(table, answer.era, item) for item in document["rows"])
+        reached = store_rows.Position(answer.era, document["dataVersion"])
+        return store_rows.StoreChanges(table, rows, reached, False)
 
     async def write_row(self, table: store_rows.StoreTable, key: str, value: bytes) -> None:
         """Writes one row of the system's own, whatever it held.
@@ -76,47 +103,46 @@
         row = {"table": _TABLES[table], "part": "", "key": key, "value": text}
         await self._write({"expectedRevision": [], "writes": [row], "remove": []})
 
-    async def remove_row(self, table: store_rows.StoreTable, key: str, version: int) -> None:
-        """Removes a row of the system's own if it has not changed since a version.
+    async def remove_row(
+        self, table: store_rows.StoreTable, key: str, changed: store_rows.Position
+    ) -> None:
+        """Removes a row of the system's own if it has not changed since a position.
+
+        The caller leaves rows alone that it knows from an earlier era of the store, which may have
+        given out the same number again.
 
         :raises errors.VersionConflictError: where it has changed.
         :raises errors.PlatformUnavailableError: where nothing was removed.
         :raises errors.OutcomeUnknownError: where the answer was lost.
         """
         row = {"table": _TABLES[table], "part": "", "key": key}
-        expected = {**row, "dataVersion": version}
+        expected = {**row, "dataVersion": changed.number}
         await self._write({"expectedRevision": [expected], "writes": [], "remove": [row]})
 
     async def close(self) -> None:
         """Closes the kept connections."""
         await self._client.close()
 
-    async def _read(self, path: str, query: dict, timeout: float) -> dict | None:
+    async def _read(self, path: str, query: dict, timeout: float) -> tuple[str, _Answer]:
         target = f"{path}?{urllib.parse.urlencode(query)}"
         try:
-            status, content = await self._call("GET", target, b"", timeout)
+            return target, await self._call("GET", target, b"", timeout)
         except errors.OutcomeUnknownError as error:
             raise errors.PlatformUnavailableError(str(error)) from error
-        if status == 410:
-            return None
-        return _decode(target, status, content)
 
     async def _write(self, document: dict) -> None:
         path = "/caperdyke/rows-tx"
-        status, content = await self._call(
-            "POST", path, json.dumps(document).encode(), CALL_SECONDS
-        )
-        if status == 412:
+        answer = await self._call("POST", path, json.dumps(document).encode(), CALL_SECONDS)
+        if answer.status == 412:
             expected = document["expectedRevision"][0]
-            actual = next(iter(_decode(path, 200, content).get("rows", ())), {})
+            found = _decode(path, dataclasses.replace(answer, status=200))
+            actual = next(iter(found.get("rows", ())), {})
             raise errors.VersionConflictError(
                 expected["key"], actual.get("dataVersion", 0), expected["dataVersion"]
             )
-        _decode(path, status, content)
+        _decode(path, answer)
 
-    async def _call(
-        self, method: str, target: str, body: bytes, timeout: float
-    ) -> tuple[int, bytes]:
+    async def _call(self, method: str, target: str, body: bytes, timeout: float) -> _Answer:
         exchange = http_client.Exchange()
         headers = [("Content-Type", "application/json")] if body else []
         try:
@@ -128,21 +154,29 @@
             if exchange.is_sent:
                 raise errors.OutcomeUnknownError(message) from error
             raise errors.PlatformUnavailableError(message) from error
-        return response.status_code, content
+        return _Answer(response.status_code, _read_era(response.headers), content)
+
+
+def _read_era(headers) -> int:
+    """Returns the era in an answer's headers; 0 for a store that does not tell it."""
+    found = {name.lower(): value for name, value in headers.items()}
+    text = found.get(ERA_HEADER, "0")
+    return int(text) if text.isdecimal() else 0
 
 
-def _decode(target: str, status: int, content: bytes) -> dict:
-    if status != 200:
-        raise errors.PlatformUnavailableError(f"{target}: got status {status}, expected 200")
+def _decode(target: str, answer: _Answer) -> dict:
+    if answer.status != 200:
+        raise errors.PlatformUnavailableError(f"{target}: got status {answer.status}, expected 200")
     try:
-        return json.loads(content)
+        return json.loads(answer.content)
     except ValueError as error:
         raise errors.PlatformUnavailableError(f"{target}: {error}") from error
 
 
-def _read_row(table: store_rows.StoreTable, item: dict) -> store_rows.StoreRow:
+def _read_row(table: store_rows.StoreTable, era: int, item: dict) -> store_rows.StoreRow:
     value = None if item.get("tombstone") else _decode_value(item.get("value", ""))
-    return store_rows.StoreRow(table, item["key"], item["dataVersion"], value)
+    changed = store_rows.Position(era, item["dataVersion"])
+    return store_rows.StoreRow(table, item["key"], changed, value)
 
 
 def _decode_value(text: str) -> bytes:
--- a/src/caperdyke/protocol/announcements.py
+++ b/src/caperdyke/protocol/announcements.py
@@ -8,7 +8,9 @@
 from caperdyke.state import ids, member, store_rows
 
 # Raised with every change of the layout; others are left unread.
-LAYOUT = 2
+LAYOUT = 3
+# Tables that every instance follows, in the order in which an announcement names their positions.
+FOLLOWED = (store_rows.StoreTable.CONFIGURATION, store_rows.StoreTable.SERVERS)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -21,7 +23,7 @@
     :param mark: mark of the sender's name.
     :param record: the sender's record; None for a receiver that knows it.
     :param interval_ms: time until the next announcement to the same receiver, in milliseconds.
-    :param configuration: version of the configuration that the sender uses; 0 where it has none.
+    :param changed: position of the newest change that the sender knows of each table it follows.
     :param load: requests under way, by mark of the backend server's name.
     :param wants_answer: whether the receiver should announce itself at once.
     """
@@ -31,7 +33,7 @@
     record: member.Member | None
     is_ready: bool
     interval_ms: int
-    configuration: int
+    changed: dict[store_rows.StoreTable, store_rows.Position]
     load: dict[int, int]
     wants_answer: bool
 
@@ -46,7 +48,7 @@
             _list_member(item.record) if item.record else None,
             item.is_ready,
             item.interval_ms,
-            item.configuration,
+            [_list_position(item.changed[table]) for table in FOLLOWED],
             item.load,
             item.wants_answer,
         ]
@@ -62,14 +64,14 @@
         layout, *fields = msgpack.unpackb(data, strict_map_key=False)
         if layout != LAYOUT:
             raise ValueError(f"layout {layout}, expected {LAYOUT}")
-        mark, incarnation, record, is_ready, interval_ms, configuration, load, wants_answer = fields
+        mark, incarnation, record, is_ready, interval_ms, changed, load, wants_answer = fields
         return Announcement(
             int(mark),
             ids.Incarnation(int(incarnation)),
             _read_member(record) if record is not None else None,
             bool(is_ready),
             int(interval_ms),
-            int(configuration),
+            {table: _read_position(item) for table, item in zip(FOLLOWED, changed, strict=True)},
             {int(mark): int(count) for mark, count in load.items()},
             bool(wants_answer),
         )
@@ -96,27 +98,56 @@
         raise errors.ProtocolError(f"instance: {error!r}") from error
 
 
-def encode_rows(rows: list[store_rows.StoreRow]) -> bytes:
-    """Returns the bytes of a snapshot."""
-    items = [[row.table.value, row.key, row.version, row.value] for row in rows]
+def encode_readings(readings: list[store_rows.StoreChanges]) -> bytes:
+    """Returns the bytes of what an instance tells another one of its tables."""
+    items = [
+        [
+            item.table.value,
+            _list_position(item.position),
+            item.is_whole,
+            [[row.key, _list_position(row.changed), row.value] for row in item.rows],
+        ]
+        for item in readings
+    ]
     return msgpack.packb([LAYOUT, items])
 
 
-def decode_rows(data: bytes) -> list[store_rows.StoreRow]:
-    """Returns the rows in a snapshot.
+def decode_readings(data: bytes) -> list[store_rows.StoreChanges]:
+    """Returns what another instance told of its tables.
 
-    :raises errors.ProtocolError: where it holds none.
+    :raises errors.ProtocolError: where the bytes hold something else.
     """
     try:
         layout, items = msgpack.unpackb(data)
         if layout != LAYOUT:
             raise ValueError(f"layout {layout}, expected {LAYOUT}")
-        return [
-            store_rows.StoreRow(store_rows.StoreTable(table), str(key), int(version), value)
-            for table, key, version, value in items
-        ]
+        return [_read_changes(*item) for item in items]
     except (ValueError, TypeError, msgpack.UnpackException) as error:
-        raise errors.ProtocolError(f"snapshot: {error!r}") from error
+        raise errors.ProtocolError(f"rows of another instance: {error!r}") from error
+
+
+def _read_changes(
+    table: str, position: list, is_whole: bool, rows: list
+) -> store_rows.StoreChanges:
+    kind = store_rows.StoreTable(table)
+    return store_rows.StoreChanges(
+        kind,
+        tuple(
+            store_rows.StoreRow(kind, str(key), _read_position(changed), value)
+            for key, changed, value in rows
+        ),
+        _read_position(position),
+        bool(is_whole),
+    )
+
+
+def _list_position(position: store_rows.Position) -> list[int]:
+    return [position.era, position.number]
+
+
+def _read_position(item: list) -> store_rows.Position:
+    era, number = item
+    return store_rows.Position(int(era), int(number))
 
 
 def _list_member(record: member.Member) -> list:
--- a/src/caperdyke/protocol/dialect.py
+++ b/src/caperdyke/protocol/dialect.py
@@ -46,12 +46,14 @@
         """Returns all rows of a table."""
 
     async def read_changes(
-        self, table: store_rows.StoreTable, position: int, wait_ms: int
+        self, table: store_rows.StoreTable, position: store_rows.Position, wait_ms: int
     ) -> store_rows.StoreChanges | None:
-        """Returns the changes after a position, or None where the store has forgotten them."""
+        """Returns the changes after a position, or None where the store has no such history."""
 
     async def write_row(self, table: store_rows.StoreTable, key: str, value: bytes) -> None:
         """Writes one row of the system's own."""
 
-    async def remove_row(self, table: store_rows.StoreTable, key: str, version: int) -> None:
-        """Removes a row of the system's own if it has not changed since a version."""
+    async def remove_row(
+        self, table: store_rows.StoreTable, key: str, changed: store_rows.Position
+    ) -> None:
+        """Removes a row of the system's own if it has not changed since a position."""
--- a/src/caperdyke/state/store_rows.py
+++ b/src/caperdyke/state/store_rows.py
@@ -14,17 +14,36 @@
     INSTANCES = "instances"
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Position:
+    """A place in the order of all changes of the store.
+
+    :param era: counts how often the store came back from an older copy of itself. Positions of an
+        earlier era come before all of a later one, whatever their numbers.
+    :param number: counts changes within an era; a later era gives out numbers again.
+    """
+
+    era: int
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.era}.{self.number}"
+
+
+FIRST_POSITION = Position(0, 0)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreRow:
     """One row.
 
-    :param version: position of the row's last change in the order of all changes of the store.
+    :param changed: position of the row's last change.
     :param value: None where the row was removed.
     """
 
     table: StoreTable
     key: str
-    version: int
+    changed: Position
     value: bytes | None
 
 
@@ -32,13 +51,13 @@
 class StoreChanges:
     """Rows of a table that changed after a position, or all of them.
 
-    :param position: position in the order of changes up to which the table is now known.
+    :param position: position up to which the table is known with these rows.
     :param is_whole: whether the rows are all rows of the table, so that others are gone.
     """
 
     table: StoreTable
     rows: tuple[StoreRow, ...]
-    position: int
+    position: Position
     is_whole: bool
 
 
--- a/src/caperdyke/transport/gateway/announcer.py
+++ b/src/caperdyke/transport/gateway/announcer.py
@@ -1,7 +1,9 @@
 """Tells other instances of this one by datagrams, and hears of them."""
 
 import asyncio
+import collections.abc
 import dataclasses
+import random
 
 from caperdyke import errors
 from caperdyke.coordination import overlay
@@ -9,27 +11,31 @@
 from caperdyke.protocol import announcements
 from caperdyke.state import ids, marks, member, store_rows
 from caperdyke.transport import events
-from caperdyke.transport.gateway import context
+from caperdyke.transport.gateway import context, follower
 
 # Headers of one datagram on the wire, in bytes.
 DATAGRAM_HEADER_BYTES = 42
 TICK_SECONDS = 0.05
-# Tries to write the own row at the start, and the interval between them in seconds.
+# Interval between two tries to write the own row, and two looks at the era, in seconds.
 ENROL_SECONDS = 0.5
+# Longest wait before the own row is looked for in a later era of the store, in seconds: the calls
+# of 750 instances, three each, stay under what the store serves.
+ENROL_SPREAD_SECONDS = 2.0
 
 
 class Announcer(asyncio.DatagramProtocol):
     """Sends and receives announcements."""
 
-    def __init__(self, node: context.GatewayContext, on_newer_configuration) -> None:
+    def __init__(self, node: context.GatewayContext, tables: follower.Follower) -> None:
         self._node = node
-        self._on_newer_configuration = on_newer_configuration
+        self._tables = tables
         self._transport: asyncio.DatagramTransport | None = None
         self._size = 150
         self._live: set[ids.InstanceId] = set()
-        # Version of each instance's row when it was read.
-        self._row_versions: dict[ids.InstanceId, int] = {}
+        # Position of the last change of each instance's row when it was read.
+        self._row_changes: dict[ids.InstanceId, store_rows.Position] = {}
         self._removals: set[asyncio.Task] = set()
+        self._random = random.Random()
 
     async def listen(self) -> None:
         """Opens the socket."""
@@ -63,11 +69,11 @@
                 self._introduce(ids.Address(f"{address[0]}:{address[1]}"))
             return
         known.load = item.load
-        known.configuration = item.configuration
+        known.changed = item.changed
         if item.wants_answer:
             self._send(now, known, False, True)
-        if item.configuration > (node.routes.version if node.routes else 0):
-            self._on_newer_configuration()
+        if self._tables.is_behind(known, store_rows.StoreTable.CONFIGURATION):
+            self._tables.hurry()
 
     async def announce(self) -> None:
         """Announces this instance, for ever."""
@@ -82,42 +88,76 @@
             await asyncio.sleep(TICK_SECONDS)
 
     async def enrol(self) -> None:
-        """Writes this instance's row and learns of the others, once.
+        """Keeps this instance's row in the store and learns of the others, for ever.
 
-        Every instance writes before it reads, so of any two at least one knows the other.
+        Every instance writes before it reads, so of any two at least one knows the other. A store
+        that comes back from an older copy may have lost the row.
         """
-        node = self._node
-        table = store_rows.StoreTable.INSTANCES
         self._greet_seeds()
-        is_reported = False
+        era = await self._call_until_done(self._write_and_read)
         while True:
-            try:
-                value = announcements.encode_member(node.fleet.own)
-                await node.store.write_row(table, node.settings.instance, value)
-                changes = await node.store.read_table(table)
-                break
-            except errors.PlatformError as error:
-                if not is_reported:
-                    events.log(events.Event.STORE_AWAY, table=table.value, error=str(error))
-                    is_reported = True
-                self._greet_seeds()
-                await asyncio.sleep(ENROL_SECONDS)
-        for row in changes.rows:
-            self._learn_row(row)
-        node.fleet.note_listed()
+            await asyncio.sleep(ENROL_SECONDS)
+            if self._tables.find_era() > era:
+                await asyncio.sleep(self._random.uniform(0.0, ENROL_SPREAD_SECONDS))
+                era = await self._call_until_done(self._read_and_restore)
 
     async def withdraw(self, name: ids.InstanceId) -> None:
         """Removes the row of an instance that left, if it has not been written again."""
-        version = self._row_versions.pop(name, None)
-        if version is None:
+        changed = self._row_changes.pop(name, None)
+        if changed is None:
             return
         table = store_rows.StoreTable.INSTANCES
         try:
-            await self._node.store.remove_row(table, name, version)
+            if changed.era < self._tables.find_era():
+                raise errors.PlatformUnavailableError(f"{name}: known from era {changed.era} only")
+            await self._node.store.remove_row(table, name, changed)
         except errors.PlatformError as error:
             # The next start of an instance under this name replaces the row.
             events.log(events.Event.ROW_LEFT, table=table.value, key=name, error=str(error))
 
+    async def _call_until_done(
+        self, call: collections.abc.Callable[[], collections.abc.Awaitable[int]]
+    ) -> int:
+        """Repeats calls of the store until they succeed."""
+        is_reported = False
+        while True:
+            try:
+                return await call()
+            except errors.PlatformError as error:
+                if not is_reported:
+                    table = store_rows.StoreTable.INSTANCES.value
+                    events.log(events.Event.STORE_AWAY, table=table, error=str(error))
+                    is_reported = True
+                self._greet_seeds()
+                await asyncio.sleep(ENROL_SECONDS)
+
+    async def _write_and_read(self) -> int:
+        await self._write_own_row()
+        return (await self._read_instances()).position.era
+
+    async def _read_and_restore(self) -> int:
+        """Reads the rows of a later era and writes the own one where it is gone."""
+        node = self._node
+        changes = await self._read_instances()
+        is_lost = all(row.key != node.settings.instance for row in changes.rows)
+        if is_lost and not node.is_stopping:
+            await self._write_own_row()
+        return changes.position.era
+
+    async def _write_own_row(self) -> None:
+        node = self._node
+        value = announcements.encode_member(node.fleet.own)
+        table = store_rows.StoreTable.INSTANCES
+        await node.store.write_row(table, node.settings.instance, value)
+
+    async def _read_instances(self) -> store_rows.StoreChanges:
+        changes = await self._node.store.read_table(store_rows.StoreTable.INSTANCES)
+        self._row_changes.clear()
+        for row in changes.rows:
+            self._learn_row(row)
+        self._node.fleet.note_listed()
+        return changes
+
     def say_goodbye(self) -> None:
         """Tells every instance that this one leaves."""
         node = self._node
@@ -135,7 +175,7 @@
                 events.Event.ROW_UNREADABLE, table="instances", key=row.key, error=str(error)
             )
             return
-        self._row_versions[ids.InstanceId(row.key)] = row.version
+        self._row_changes[ids.InstanceId(row.key)] = row.changed
         self._node.fleet.merge(self._node.now(), record)
 
     def _greet_seeds(self) -> None:
@@ -188,14 +228,13 @@
             for name, view in node.views.items()
             if view.in_flight
         }
-        version = node.routes.version if node.routes else 0
         return announcements.Announcement(
             marks.make_mark(own.instance),
             own.incarnation,
             own if is_told else None,
             node.fleet.is_ready,
             interval_ms,
-            version,
+            self._tables.find_changed(),
             load,
             wants_answer,
         )
--- a/src/caperdyke/transport/gateway/follower.py
+++ b/src/caperdyke/transport/gateway/follower.py
@@ -4,8 +4,14 @@
 import random
 
 from caperdyke import errors
-from caperdyke.coordination.registry import first_reads, intervals
-from caperdyke.protocol import announcements, dialect
+from caperdyke.coordination.registry import (
+    evacuations,
+    first_reads,
+    fleet,
+    intervals,
+    table_image,
+)
+from caperdyke.protocol import dialect
 from caperdyke.state import ids, routes, store_rows
 from caperdyke.transport import events
 from caperdyke.transport.gateway import context, peer_snapshots
@@ -22,12 +28,21 @@
 SERVERS_SECONDS_MAX = 1.2
 # Time without an answer after which other instances are asked instead, in seconds.
 PEERS_AFTER_SECONDS = 1.0
+# Time for which another instance may know a newer change of the configuration before it is asked
+# for the rows, in seconds; the store was asked at once.
+CONFIGURATION_BEHIND_SECONDS = 0.5
+# The same for registrations, beyond the interval at which they are read.
+SERVERS_BEHIND_SECONDS = 0.1
+# Interval between two looks at whether another instance knows more, in seconds.
+COMPARE_SECONDS = 0.1
+# Least time between two readings of rows from other instances, in seconds.
+ASK_SECONDS = 0.5
 
 
 class TableFollower:
     """Keeps one table in step with the store.
 
-    :param apply: gets each set of changes.
+    :param apply: gets the rows of each reading that are news.
     :param on_failure: called when the store stops to answer.
     :param on_return: called when it answers again.
     """
@@ -43,46 +58,76 @@
     ) -> None:
         self._store = store
         self.table = table
+        self.image = table_image.TableImage(table)
         self._apply = apply
         self._now = now
         self._on_return = on_return
         self._on_failure = on_failure
-        self.position: int | None = None
         self.away_since: float | None = None
         self._failures = 0
 
+    @property
+    def position(self) -> store_rows.Position | None:
+        """Position up to which the table is known."""
+        return self.image.position
+
     async def follow_once(self, wait_ms: int) -> bool:
-        """Reads what changed; tells whether the store answered."""
+        """Reads what changed; tells whether the store answered with something that holds."""
         try:
             changes = await self._read(wait_ms)
         except errors.PlatformUnavailableError as error:
-            self._failures += 1
-            if self.away_since is None:
-                self.away_since = self._now()
-                events.log(events.Event.STORE_AWAY, table=self.table.value, error=str(error))
-                self._on_failure()
+            self._note_failure(str(error))
+            return False
+        known = self.position
+        if not self.take(changes):
+            # The store answers with a state from before a change that it has told of.
+            events.log(
+                events.Event.READING_STALE,
+                table=self.table.value,
+                position=str(changes.position),
+                known=str(known),
+            )
+            self._note_failure(f"reading at {changes.position}, expected one after {known}")
             return False
         self._failures = 0
         if self.away_since is not None:
             away = round(self._now() - self.away_since, 2)
             self.away_since = None
             events.log(events.Event.STORE_BACK, table=self.table.value, away_s=away)
-            if self._on_return is not None:
-                self._on_return()
-        self._apply(changes)
-        self.position = changes.position
+        return True
+
+    def take(self, changes: store_rows.StoreChanges) -> bool:
+        """Takes over a reading, from the store or another instance; tells whether it holds."""
+        known = self.position
+        rows = self.image.take(changes)
+        if rows is None:
+            return False
+        is_new_era = known is not None and changes.position.era > known.era
+        if is_new_era:
+            events.log(events.Event.ERA_CHANGED, table=self.table.value, era=changes.position.era)
+        if self._on_return is not None and (is_new_era or self.away_since is not None):
+            self._on_return()
+        self._apply(rows)
         return True
 
     def find_away_delay(self) -> float:
         """Returns the seconds until the next try after one without an answer."""
         return intervals.find_away_delay(self._failures, random.random())
 
+    def _note_failure(self, error: str) -> None:
+        self._failures += 1
+        if self.away_since is None:
+            self.away_since = self._now()
+            events.log(events.Event.STORE_AWAY, table=self.table.value, error=error)
+            self._on_failure()
+
     async def _read(self, wait_ms: int) -> store_rows.StoreChanges:
         if self.position is None:
             return await self._store.read_table(self.table)
-        changes = await self._store.read_changes(self.table, self.position, wait_ms)
+        position = self.position
+        changes = await self._store.read_changes(self.table, position, wait_ms)
         if changes is None:
-            events.log(events.Event.HISTORY_LOST, table=self.table.value, position=self.position)
+            events.log(events.Event.HISTORY_LOST, table=self.table.value, position=str(position))
             return await self._store.read_table(self.table)
         return changes
 
@@ -108,11 +153,13 @@
             node.note_first_failure,
             self._note_return,
         )
-        self._evacuations: dict[ids.DomainName, int] = {}
-        self._evacuation_changes: dict[ids.DomainName, int] = {}
-        self._rows: dict[tuple[store_rows.StoreTable, str], store_rows.StoreRow] = {}
+        self._tables = {item.table: item for item in (self.configuration, self.servers)}
+        self._evacuations = evacuations.Evacuations()
         self._wake = asyncio.Event()
         self._hurried_at = 0.0
+        # Since when another instance knows a newer change of a table.
+        self._behind_since: dict[store_rows.StoreTable, float] = {}
+        self._asked_at = 0.0
 
     async def follow_configuration(self) -> None:
         """Keeps the configuration in force, for ever."""
@@ -143,60 +190,91 @@
         """Keeps registrations known, for ever."""
         while True:
             is_answered = await self.servers.follow_once(0)
-            bound = self._node.settings.bounds.leaving_seconds
-            interval = min(SERVERS_SECONDS_MAX, SERVERS_PART * bound)
+            interval = self._find_servers_interval()
             await asyncio.sleep(interval if is_answered else self.servers.find_away_delay())
 
     async def follow_peers(self) -> None:
         """Asks other instances for what the store does not tell, for ever."""
         turn = 0
         while True:
-            await asyncio.sleep(PEERS_AFTER_SECONDS)
-            if not self._is_cut_off():
-                continue
-            others = self._node.fleet.list_live(self._node.now())
-            addresses = [other.record.peer_address for other in others]
-            if not others:
-                addresses = list(self._node.settings.seeds)
-            if not addresses:
+            await asyncio.sleep(COMPARE_SECONDS)
+            now = self._node.now()
+            live = self._node.fleet.list_live(now)
+            address = self._find_ahead(now, live)
+            if now < self._asked_at + ASK_SECONDS:
                 continue
-            turn += 1
-            await self._learn_from(addresses[turn % len(addresses)])
-
-    def make_snapshot(self) -> bytes:
-        """Returns every row that is known, for another instance."""
-        return announcements.encode_rows(list(self._rows.values()))
-
-    def apply_configuration(self, changes: store_rows.StoreChanges) -> None:
+            if (
+                address is None
+                and self._is_cut_off()
+                and now >= self._asked_at + PEERS_AFTER_SECONDS
+            ):
+                addresses = [other.record.peer_address for other in live]
+                addresses = addresses or list(self._node.settings.seeds)
+                if addresses:
+                    turn += 1
+                    address = addresses[turn % len(addresses)]
+            if address is not None:
+                self._asked_at = now
+                await self._learn_from(address)
+
+    def list_readings(self, after: peer_snapshots.Positions) -> list[store_rows.StoreChanges]:
+        """Returns what another instance lacks that knows tables up to some positions."""
+        readings = [
+            item.image.list_changes(after.get(table, store_rows.FIRST_POSITION))
+            for table, item in self._tables.items()
+        ]
+        return [reading for reading in readings if reading is not None]
+
+    def find_changed(self) -> peer_snapshots.Positions:
+        """Returns the position of the newest change that is known of each table."""
+        return {table: item.image.changed for table, item in self._tables.items()}
+
+    def find_era(self) -> int:
+        """Returns the newest era of the store that is known."""
+        positions = [item.position for item in self._tables.values() if item.position]
+        return max((position.era for position in positions), default=0)
+
+    def is_behind(self, other: fleet.KnownInstance, table: store_rows.StoreTable) -> bool:
+        """Tells whether another instance knows a newer change of a table."""
+        changed = other.changed.get(table, store_rows.FIRST_POSITION)
+        return changed > store_rows.FIRST_POSITION and self._tables[table].image.is_behind(changed)
+
+    def apply_configuration(self, rows: list[store_rows.StoreRow]) -> None:
         """Takes over changes of the configuration and of evacuations."""
-        seen = set()
-        for row in changes.rows:
-            self._remember(row)
-            domain = self._apply_evacuation(row)
-            if domain is not None:
-                seen.add(domain)
+        now = self._node.now()
+        for row in rows:
+            evacuation = self._node.documents.read_evacuation(row)
+            if evacuation is not None:
+                is_ordered = row.value is not None
+                self._evacuations.note(now, evacuation.domain, row.changed, is_ordered)
                 continue
             self._apply_route_table(row)
-        if changes.is_whole:
-            for domain in set(self._evacuations) - seen:
-                self._end_evacuation(domain, changes.position)
+        self.update_evacuations()
         self._node.note_first_read(first_reads.FirstRead.CONFIGURATION)
 
-    def apply_servers(self, changes: store_rows.StoreChanges) -> None:
+    def update_evacuations(self) -> None:
+        """Brings the servers in use in step with evacuations, of which some end at a set time."""
+        node, now = self._node, self._node.now()
+        active, ended = self._evacuations.update(now)
+        table = node.routes
+        cold_ms = max((item.cold_ms for item in table.services.values()), default=0) if table else 0
+        for domain in ended:
+            # Servers that stood idle are cold when their failure domain is taken back.
+            node.cold_domains[domain] = now + cold_ms / 1000
+        if active != node.evacuated:
+            node.evacuate(active)
+            events.log(events.Event.EVACUATION_CHANGED, domains=sorted(active))
+
+    def apply_servers(self, rows: list[store_rows.StoreRow]) -> None:
         """Takes over changes of registrations."""
         node, now = self._node, self._node.now()
-        names = set()
-        for row in changes.rows:
-            self._remember(row)
+        for row in rows:
             name = ids.BackendId(row.key)
             if row.value is None:
-                if node.servers.remove(now, name, row.version):
+                if node.servers.remove(now, name, row.changed):
                     self._log_server(name, "removed")
                 continue
-            names.add(name)
             self._apply_registration(now, row)
-        if changes.is_whole:
-            node.servers.keep_only(now, names, changes.position)
         if node.registrations_at is None:
             # Servers in the first reading, from the store or another instance, served before.
             node.servers.mark_all_from_start()
@@ -204,6 +282,32 @@
         node.refresh_servers()
         node.note_first_read(first_reads.FirstRead.SERVERS)
 
+    def _find_servers_interval(self) -> float:
+        """Returns the seconds between two reads of registrations."""
+        bound = self._node.settings.bounds.leaving_seconds
+        return min(SERVERS_SECONDS_MAX, SERVERS_PART * bound)
+
+    def _find_ahead(self, now: float, live: list[fleet.KnownInstance]) -> ids.Address | None:
+        """Returns an instance to ask, as this one has been behind it for too long, or None.
+
+        Pattern: the store forgets its history and hands out states that are seconds old to some
+        instances, while others have read what is newer.
+        """
+        patience = {
+            store_rows.StoreTable.CONFIGURATION: CONFIGURATION_BEHIND_SECONDS,
+            store_rows.StoreTable.SERVERS: self._find_servers_interval() + SERVERS_BEHIND_SECONDS,
+        }
+        chosen = None
+        for table, seconds in patience.items():
+            ahead = [other for other in live if self.is_behind(other, table)]
+            if not ahead:
+                self._behind_since.pop(table, None)
+                continue
+            since = self._behind_since.setdefault(table, now)
+            if now >= since + seconds:
+                chosen = max(ahead, key=lambda other: other.changed[table])
+        return chosen.record.peer_address if chosen is not None else None
+
     def _apply_registration(self, now: float, row: store_rows.StoreRow) -> None:
         node = self._node
         try:
@@ -211,11 +315,11 @@
         except errors.ProtocolError as error:
             events.log(events.Event.ROW_UNREADABLE, table="servers", key=row.key, error=str(error))
             # A row that cannot be read names no server to use.
-            node.servers.remove(now, ids.BackendId(row.key), row.version)
+            node.servers.remove(now, ids.BackendId(row.key), row.changed)
             return
         known = node.servers.find(entry.server.backend)
         before = known.registration.state if known else None
-        if node.servers.merge(now, entry, row.version):
+        if node.servers.merge(now, entry, row.changed):
             node.restart_view(entry.server.backend)
             self._log_server(entry.server.backend, f"started, cold for {entry.cold_ms} ms")
         elif before is not entry.state:
@@ -234,40 +338,6 @@
             node.routes = table
             events.log(events.Event.ROUTES_ADOPTED, version=table.version, routes=len(table.routes))
 
-    def _apply_evacuation(self, row: store_rows.StoreRow) -> ids.DomainName | None:
-        evacuation = self._node.documents.read_evacuation(row)
-        if evacuation is None:
-            return None
-        domain = evacuation.domain
-        if row.version > self._evacuation_changes.get(domain, 0):
-            if row.value is None:
-                self._end_evacuation(domain, row.version)
-            else:
-                self._evacuation_changes[domain] = row.version
-                self._evacuations[domain] = row.version
-                self._publish_evacuations()
-        return domain if row.value is not None else None
-
-    def _end_evacuation(self, domain: ids.DomainName, version: int) -> None:
-        self._evacuation_changes[domain] = version
-        if self._evacuations.pop(domain, None) is None:
-            return
-        table = self._node.routes
-        cold_ms = max((item.cold_ms for item in table.services.values()), default=0) if table else 0
-        # Servers that stood idle are cold when their failure domain is taken back.
-        self._node.cold_domains[domain] = self._node.now() + cold_ms / 1000
-        self._publish_evacuations()
-
-    def _publish_evacuations(self) -> None:
-        self._node.evacuate(frozenset(self._evacuations))
-        events.log(events.Event.EVACUATION_CHANGED, domains=sorted(self._evacuations))
-
-    def _remember(self, row: store_rows.StoreRow) -> None:
-        place = (row.table, row.key)
-        known = self._rows.get(place)
-        if known is None or row.version > known.version:
-            self._rows[place] = row
-
     def _note_return(self) -> None:
         self._node.servers.note_return(self._node.now())
 
@@ -280,17 +350,25 @@
         )
 
     async def _learn_from(self, address: ids.Address) -> None:
+        after = {
+            table: item.position or store_rows.FIRST_POSITION
+            for table, item in self._tables.items()
+        }
         try:
-            rows = announcements.decode_rows(await peer_snapshots.fetch(address))
+            readings = await peer_snapshots.fetch(address, after)
         except (errors.LinkClosedError, errors.ProtocolError) as error:
             events.log(events.Event.LINK_CLOSED, peer=address, cause=str(error))
             return
-        for apply, table in (
-            (self.apply_configuration, store_rows.StoreTable.CONFIGURATION),
-            (self.apply_servers, store_rows.StoreTable.SERVERS),
-        ):
-            part = tuple(row for row in rows if row.table is table)
-            apply(store_rows.StoreChanges(table, part, 0, False))
+        for reading in readings:
+            follower = self._tables.get(reading.table)
+            if follower is not None and follower.take(reading) and reading.rows:
+                events.log(
+                    events.Event.ROWS_HEARD,
+                    peer=address,
+                    table=reading.table.value,
+                    count=len(reading.rows),
+                    position=str(reading.position),
+                )
 
     def _log_server(self, name: ids.BackendId, change: str) -> None:
         known = self._node.servers.find(name)
--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -41,7 +41,7 @@
         self.node = node
         self._make_apps = make_apps
         self.follower = follower.Follower(node)
-        self.announcer = announcer.Announcer(node, self.follower.hurry)
+        self.announcer = announcer.Announcer(node, self.follower)
         self.requests = request_app.RequestApp(node)
         self._tasks: list[asyncio.Task] = []
         self.is_listening = False
@@ -54,7 +54,7 @@
         apps = {
             settings.caller_address: self.requests,
             settings.metrics_address: make_metrics_app(),
-            settings.peer_address: peer_snapshots.make_app(self.follower.make_snapshot),
+            settings.peer_address: peer_snapshots.make_app(self.follower.list_readings),
             **self._make_apps(self.node),
         }
         for address, app in apps.items():
@@ -79,14 +79,15 @@
             "peers": self.follower.follow_peers,
             "announcements": self.announcer.announce,
             "upkeep": self._keep_up,
+            "enrolment": self.announcer.enrol,
         }
         for name, loop in loops.items():
             self._tasks.append(asyncio.create_task(_run_forever(name, loop)))
-        self._tasks.append(asyncio.create_task(_run_once("enrolment", self.announcer.enrol)))
 
     async def _keep_up(self) -> None:
         node = self.node
         while True:
+            self.follower.update_evacuations()
             node.refresh_servers()
             node.pool.drop_expired()
             self._apply_limits()
--- a/testing/platform/fake_store.py
+++ b/testing/platform/fake_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import dataclasses
 import json
 
 import starlette.applications
@@ -10,6 +11,14 @@
 import starlette.routing
 
 
+@dataclasses.dataclass(frozen=True)
+class FakeCopy:
+    """The state of the store at one moment."""
+
+    position: int
+    rows: dict[tuple[str, str], dict]
+
+
 class FakeStore:
     """Tables of rows with one counter of changes.
 
@@ -18,6 +27,9 @@
     :ivar is_open: clear while calls wait for their answer.
     :ivar loses_answers: whether writes are done and not answered.
     :ivar history_from: position before which the history is forgotten.
+    :ivar is_mute: whether calls that wait hear of no change.
+    :ivar era: how often the store came back from a copy.
+    :ivar stale: a copy that whoever reads whole tables gets; None for the newest state.
     """
 
     def __init__(self) -> None:
@@ -31,6 +43,9 @@
         self.is_open.set()
         self.loses_answers = False
         self.history_from = 0
+        self.is_mute = False
+        self.era = 1
+        self.stale: FakeCopy | None = None
         self._changed = asyncio.Condition()
 
     def make_app(self) -> starlette.applications.Starlette:
@@ -57,6 +72,25 @@
         """Forgets every change so far."""
         self.history_from = self.position
 
+    async def cut_watches(self) -> None:
+        """Forgets every change so far and ends the calls that wait for one."""
+        async with self._changed:
+            self.forget_history()
+            self._changed.notify_all()
+
+    def copy(self) -> FakeCopy:
+        """Returns the present state."""
+        return FakeCopy(self.position, dict(self.rows))
+
+    async def come_back(self, copy: FakeCopy) -> None:
+        """Starts a new era from a copy: what was written since is gone, and so is the history."""
+        async with self._changed:
+            self.era += 1
+            self.position = self.history_from = copy.position
+            self.rows = dict(copy.rows)
+            self.changes.clear()
+            self._changed.notify_all()
+
     async def _change(self, table: str, key: str, value: str | None) -> None:
         async with self._changed:
             self.position += 1
@@ -76,7 +110,7 @@
             await asyncio.Event().wait()
         await self.is_open.wait()
         if self.is_down:
-            return starlette.responses.Response(status_code=503)
+            return self._say(503)
         return None
 
     async def _transact(self, request: starlette.requests.Request):
@@ -87,7 +121,7 @@
         for expected in document["expectedRevision"]:
             actual = self.rows.get((expected["table"], expected["key"]), {})
             if actual.get("dataVersion", 0) != expected["dataVersion"]:
-                return starlette.responses.JSONResponse({"rows": [actual]}, status_code=412)
+                return self._answer({"rows": [actual]}, status=412)
         for row in document["writes"]:
             await self._change(row["table"], row["key"], row["value"])
         for row in document["remove"]:
@@ -101,13 +135,15 @@
         if refusal is not None:
             return refusal
         query = request.query_params
+        shown = self.stale or self.copy()
         found = sorted(
-            (row for (table, _), row in self.rows.items() if table == query["table"]),
+            (row for (table, _), row in shown.rows.items() if table == query["table"]),
             key=lambda row: row["key"].encode(),
         )
         found = [row for row in found if row["key"] >= query.get("from", "")]
         limit = int(query.get("limit", 500))
-        return self._answer({"rows": found[:limit], "hasMore": len(found) > limit})
+        document = {"rows": found[:limit], "hasMore": len(found) > limit}
+        return self._answer(document, shown.position)
 
     async def _feed(self, request: starlette.requests.Request):
         refusal = await self._check(request)
@@ -115,14 +151,17 @@
             return refusal
         query = request.query_params
         after = int(query["after"])
-        if after < self.history_from:
-            return starlette.responses.Response(status_code=410)
-        rows = self._list_changes(query["table"], after)
+        if after < self.history_from or after > self.position:
+            return self._say(410)
+        era = self.era
+        rows = [] if self.is_mute else self._list_changes(query["table"], after)
         try:
             async with asyncio.timeout(int(query["waitMs"]) / 1000), self._changed:
                 while not rows:
                     await self._changed.wait()
-                    rows = self._list_changes(query["table"], after)
+                    if self.era != era or after < self.history_from:
+                        return self._say(410)
+                    rows = [] if self.is_mute else self._list_changes(query["table"], after)
         except TimeoutError:
             # The wait is over without a change, which is an answer too.
             rows = []
@@ -136,6 +175,12 @@
         }
         return sorted(newest.values(), key=lambda row: row["dataVersion"])
 
-    def _answer(self, document: dict):
-        document |= {"dataVersion": self.position, "nowMs": 0}
-        return starlette.responses.JSONResponse(document)
+    def _answer(self, document: dict, position: int | None = None, status: int = 200):
+        document |= {"dataVersion": self.position if position is None else position, "nowMs": 0}
+        headers = {"Store-Era": str(self.era)}
+        return starlette.responses.JSONResponse(document, status, headers)
+
+    def _say(self, status: int) -> starlette.responses.Response:
+        return starlette.responses.Response(
+            status_code=status, headers={"Store-Era": str(self.era)}
+        )
--- a/testing/platform/test_documents.py
+++ b/testing/platform/test_documents.py
@@ -21,7 +21,7 @@
 def make_row(key: str, document, table=store_rows.StoreTable.SERVERS) -> store_rows.StoreRow:
     """Returns a row; a document of bytes is left as it is."""
     value = document if isinstance(document, bytes) else json.dumps(document).encode()
-    return store_rows.StoreRow(table, key, 7, value)
+    return store_rows.StoreRow(table, key, store_rows.Position(0, 7), value)
 
 
 def change(path: str, value) -> dict:
--- a/testing/platform/test_gateway_context.py
+++ b/testing/platform/test_gateway_context.py
@@ -3,7 +3,7 @@
 import testtools
 
 from caperdyke.platform import documents, headers
-from caperdyke.state import backend, ids, registration, routes
+from caperdyke.state import backend, ids, registration, routes, store_rows
 from caperdyke.transport.gateway import context
 from testing.platform import stage
 
@@ -40,7 +40,7 @@
                 entry = registration.Registration(
                     server, registration.RegistrationState.READY, 1, 1, 0.0
                 )
-                self.node.servers.merge(10.0, entry, 1)
+                self.node.servers.merge(10.0, entry, store_rows.Position(0, 1))
         self.node.servers.mark_all_from_start()
         self.node.refresh_servers()
 
--- /dev/null
+++ b/testing/platform/test_gateway_readings.py
@@ -0,0 +1,129 @@
+"""A gateway whose store hands out old states, or comes back from an older copy."""
+
+from caperdyke.state import store_rows
+from testing.platform import stage, test_gateway_life
+
+
+class StaleReadingTest(stage.StageCase):
+    """Pattern: history is forgotten while an evacuation is written; readings are seconds old."""
+
+    async def cut_history(self, store, write) -> None:
+        """Makes a change that no watch hears; whole readings show the state from before it."""
+        store.stale = store.copy()
+        store.is_mute = True
+        await write()
+        await store.cut_watches()
+        store.is_mute = False
+
+    def test_stale_reading_is_no_answer(self) -> None:
+        async def scene() -> None:
+            async with stage.open_stage() as played:
+                follower = played.gateway.follower
+                known = follower.configuration.position
+                store = played.store
+                await self.cut_history(store, lambda: store.put("op", "evacuate/hall-1", {}))
+                await played.wait_until(lambda: follower.configuration.away_since is not None)
+                self.assertEqual(known, follower.configuration.position)
+                self.assertTrue(played.gateway.node.fleet.is_ready)
+                store.stale = None
+                await played.wait_until(lambda: played.gateway.node.evacuated == {"hall-1"})
+
+        self.play(scene)
+
+    def test_stale_reading_does_not_end_an_evacuation(self) -> None:
+        async def scene() -> None:
+            async with stage.open_stage() as played:
+                node, store = played.gateway.node, played.store
+                old = store.copy()
+                await store.put("op", "evacuate/hall-1", {})
+                await played.wait_until(lambda: node.evacuated == {"hall-1"})
+                await self.cut_history(store, lambda: store.put("op", "evacuate/hall-2", {}))
+                store.stale = old
+                configuration = played.gateway.follower.configuration
+                await played.wait_until(lambda: configuration.away_since is not None)
+                self.assertEqual({"hall-1"}, node.evacuated)
+
+        self.play(scene)
+
+    def test_rows_are_heard_from_an_instance_that_is_ahead(self) -> None:
+        async def scene() -> None:
+            async with stage.open_stage() as played:
+                first = played.gateway.node
+                async with test_gateway_life.open_second(first.settings.store_address) as second:
+                    await played.wait_until(lambda: first.fleet.list_live(first.now()))
+                    await played.wait_until(lambda: second.fleet.list_live(second.now()))
+                    reading = store_rows.StoreRow(
+                        store_rows.StoreTable.CONFIGURATION,
+                        "evacuate/hall-1",
+                        store_rows.Position(1, 900),
+                        b"{}",
+                    )
+                    # The other gateway has read what the store does not show to this one.
+                    played.gateway.follower.configuration.take(
+                        store_rows.StoreChanges(
+                            reading.table, (reading,), store_rows.Position(1, 900), False
+                        )
+                    )
+                    await played.wait_until(lambda: second.evacuated == {"hall-1"})
+
+        self.play(scene)
+
+
+class LaterEraTest(stage.StageCase):
+    """Pattern: the store is away and comes back from a copy that is some seconds old."""
+
+    def test_nothing_disappears_and_what_is_gone_goes(self) -> None:
+        async def scene() -> None:
+            async with stage.open_stage() as played:
+                node, store = played.gateway.node, played.store
+                copy = store.copy()
+                await store.put("op", "config", stage.make_configuration(2))
+                await store.put("op", "evacuate/hall-2", {})
+                entry = played.servers[0].register("reader", "hall-1", "draining", sequence=9)
+                await store.put("servers", "s1", entry)
+                await played.wait_until(lambda: node.evacuated and node.routes.version == 2)
+                await played.wait_until(lambda: len(node.servers.list_usable(node.now())) == 1)
+                await store.come_back(copy)
+                follower = played.gateway.follower
+                await played.wait_until(lambda: follower.find_era() == 2)
+                await played.wait_until(lambda: follower.servers.position.era == 2)
+                self.assertEqual(2, node.routes.version)
+                self.assertEqual({"hall-2"}, node.evacuated)
+                usable = node.servers.list_usable(node.now())
+                self.assertEqual(["s2"], [item.registration.server.backend for item in usable])
+                await store.put("op", "config", stage.make_configuration(3))
+                await played.wait_until(lambda: node.routes.version == 3)
+                # The order was not written again, so it had been taken back.
+                await played.wait_until(lambda: not node.evacuated)
+
+        self.play(scene)
+
+    def test_own_row_is_written_again(self) -> None:
+        async def scene() -> None:
+            copies = []
+            async with stage.open_stage(
+                prepare_store=lambda store: copies.append(store.copy())
+            ) as played:
+                store = played.store
+                key = ("instances", "gateway-1")
+                await played.wait_until(lambda: key in store.rows)
+                await store.come_back(copies[0])
+                await played.wait_until(lambda: key in store.rows)
+                self.assertEqual(2, store.era)
+
+        self.play(scene)
+
+    def test_row_of_an_earlier_era_is_not_removed_by_its_number(self) -> None:
+        async def scene() -> None:
+            async with stage.open_stage() as played:
+                announcer = played.gateway.announcer
+                name = played.gateway.node.settings.instance
+                await played.wait_until(lambda: ("instances", name) in played.store.rows)
+                follower = played.gateway.follower
+                copy = played.store.copy()
+                await played.store.come_back(copy)
+                await played.wait_until(lambda: follower.find_era() == 2)
+                await announcer.withdraw(name)
+                self.assertIn(("instances", name), played.store.rows)
+
+        self.play(scene)
--- a/testing/platform/test_gateway_store.py
+++ b/testing/platform/test_gateway_store.py
@@ -31,7 +31,7 @@
                 await played.store.put("op", "config", make())
                 position = played.store.position
                 follower = played.gateway.follower
-                await played.wait_until(lambda: follower.configuration.position >= position)
+                await played.wait_until(lambda: follower.configuration.position.number >= position)
                 self.assertEqual(5, played.gateway.node.routes.version)
                 self.assertEqual(200, (await played.ask())[0])
 
@@ -76,7 +76,7 @@
                         await played.store.put("servers", "s1", b"\xff")
                 position = played.store.position
                 follower = played.gateway.follower
-                await played.wait_until(lambda: follower.servers.position >= position)
+                await played.wait_until(lambda: follower.servers.position.number >= position)
                 self.assertEqual({"body of s2"}, await self.ask_all(played))
 
         self.play(scene)
@@ -92,7 +92,7 @@
                 await played.wait_until(lambda: node.evacuated == {"hall-1"})
                 position = played.store.position
                 follower = played.gateway.follower
-                await played.wait_until(lambda: follower.servers.position >= position - 1)
+                await played.wait_until(lambda: follower.servers.position.number >= position - 1)
                 self.assertEqual({"body of s2"}, await self.ask_all(played))
                 await played.store.drop("op", "evacuate/hall-1")
                 await played.wait_until(lambda: not node.evacuated)
@@ -134,7 +134,7 @@
                 await played.store.put("servers", "s2", entry)
                 position = played.store.position
                 follower = played.gateway.follower
-                await played.wait_until(lambda: follower.servers.position >= position)
+                await played.wait_until(lambda: follower.servers.position.number >= position)
                 for number in range(6):
                     status, _, found = await played.ask(key=f"k{number}")
                     self.assertEqual(expected, status)
--- a/testing/registry/test_announcements.py
+++ b/testing/registry/test_announcements.py
@@ -6,7 +6,7 @@
 from caperdyke import errors
 from caperdyke.coordination.registry import fleet, intervals
 from caperdyke.protocol import announcements
-from caperdyke.state import ids, marks, member
+from caperdyke.state import ids, marks, member, store_rows
 from testing import builders
 
 # Instances of the largest deployment that is known so far, in three regions, and the time after
@@ -23,7 +23,8 @@
     load = {marks.make_mark(f"server-{number}"): 3 for number in range(USED_SERVERS)}
     mark = marks.make_mark("front-failure-domain-12")
     started = ids.Incarnation(1_700_000_000_000)
-    return announcements.Announcement(mark, started, record, True, 250, 17, load, False)
+    changed = {table: store_rows.Position(2, 70_000) for table in announcements.FOLLOWED}
+    return announcements.Announcement(mark, started, record, True, 250, changed, load, False)
 
 
 class AnnouncementTest(testtools.TestCase):
