Warm near homes with copies, doubt silent servers, read registrations once a failure domain

Silent servers. Bytes between failure domains. Hypothesis: objects of large answers can move near without a caller that waits for the cold run. A copy of an answered repeatable request warms the home in the own failure domain, while services and servers are at most 0.4 full, from half of the retry budget. What leaving the domain costs grows with the size of answers as observed (a setting). The cost of bytes counts only where a near server is known to be warm, since it sent callers on cold runs.

--- a/src/caperdyke/coordination/placement/attempts.py
+++ b/src/caperdyke/coordination/placement/attempts.py
@@ -68,6 +68,11 @@
             return False
         return self.is_repeatable or self.progress is not Progress.MAY_HAVE_RUN
 
+    @property
+    def may_be_left(self) -> bool:
+        """Whether the next send may be given up while its server may be at work."""
+        return self.is_repeatable and self.reached + 1 < self.sends_max
+
     @property
     def is_known_not_run(self) -> bool:
         """Whether no server ran the request or ever will."""
--- a/src/caperdyke/coordination/placement/choice.py
+++ b/src/caperdyke/coordination/placement/choice.py
@@ -9,10 +9,14 @@
 WARM_CHANCES = (0.85, 0.3)
 # Chance from which on a server counts as warm.
 WARM_MIN = 0.3
-# What it is worth not to leave the failure domain: bytes that leave it cost the operators, and a
-# download has many. In seconds of waiting.
+# What it is worth not to leave the failure domain, in seconds of waiting: for any answer, and at
+# most for one of many bytes.
 FAR_SECONDS = 0.02
-FAR_DOWNLOAD_SECONDS = 0.1
+FAR_MAX_SECONDS = 0.15
+# Part of the slots of a service and of a server up to which objects are brought near ahead of need.
+WARMING_PRESSURE = 0.4
+# What leaving the failure domain must cost before an object is brought near, in seconds.
+WARMING_FAR_SECONDS = 0.05
 # What it is worth to use one of an object's homes rather than another server that is warm by
 # accident, as a part of the difference that warmth makes; brings objects to servers that joined.
 HOME_PART = 0.5
@@ -30,6 +34,10 @@
 TIE_SECONDS = 1e-6
 # Part of the remaining time that must be left when the answer is expected.
 SPARE_PART = 0.05
+# Silence after which a server is doubted: a multiple of the time that an object that is not warm
+# takes there, and at least, in seconds.
+SILENCE_FACTOR = 3.0
+SILENCE_MIN_SECONDS = 1.0
 # How long a caller is asked to stay away at least and at most, in seconds.
 RETRY_MIN_SECONDS = 0.1
 RETRY_MAX_SECONDS = 1.0
@@ -41,13 +49,15 @@
 
     :param deadline: time after which an answer is of no use.
     :param objective_at: time until which an answer is worth most.
+    :param far_seconds: what it is worth that the answer does not leave the failure domain, in
+        seconds of waiting.
     """
 
     service: ids.ServiceName
     key: ids.ObjectKey
     deadline: float
     objective_at: float
-    is_download: bool
+    far_seconds: float
     tried: frozenset[ids.BackendId] = frozenset()
 
 
@@ -68,12 +78,14 @@
     """The request goes to a server.
 
     :param expected: seconds until the whole answer, waiting included.
+    :param due_at: time by which even a cold object should be answered.
     :param is_warm: whether the object is expected to be warm there.
     :param waits: whether it will wait for a slot.
     """
 
     view: server_view.ServerView
     expected: float
+    due_at: float
     is_warm: bool
     waits: bool
 
@@ -114,6 +126,7 @@
     if not open_candidates:
         return NoRoom(RETRY_MAX_SECONDS if not candidates else RETRY_MIN_SECONDS * 3, True)
     pressure = _measure_pressure(open_candidates)
+    far_cost = _find_far_cost(now, demand, open_candidates)
     second_cost = _find_second_cost(now, demand, open_candidates[0], times, pressure)
     best: Placed | None = None
     best_cost = 0.0
@@ -126,7 +139,7 @@
             continue
         cost = placed.expected + pressure * estimate.work
         cost += second_cost if place == 1 else 0.0
-        cost += _find_place_cost(demand, candidate, place, times)
+        cost += _find_place_cost(candidate, place, times, far_cost)
         if best is None or cost < best_cost - TIE_SECONDS:
             best, best_cost = placed, cost
     if best is not None:
@@ -135,6 +148,45 @@
     return NoRoom(retry_after, False, len(open_candidates), pressure)
 
 
+def find_far_seconds(answer_bytes: float, seconds_per_megabyte: float) -> float:
+    """Returns what it is worth that an answer does not leave the failure domain.
+
+    Pattern: some routes have answers of a few hundred bytes, others of many thousand, and each byte
+    between failure domains costs the operators.
+
+    :param answer_bytes: usual size of the route's answers.
+    :param seconds_per_megabyte: waiting that the operators accept to spare a megabyte.
+    :returns: seconds of waiting.
+    """
+    return min(FAR_MAX_SECONDS, FAR_SECONDS + answer_bytes / 1e6 * seconds_per_megabyte)
+
+
+def choose_near_home(
+    now: float, demand: Demand, candidates: list[Candidate], times: work_times.WorkTime
+) -> Placed | None:
+    """Returns the object's home in the own failure domain where it is worth bringing it there.
+
+    Pattern: large answers come from a home in the sibling failure domain for the whole day. While
+    there is room, a copy of a repeatable request warms the near home, and no caller waits for it.
+
+    :param candidates: in the order of the object's homes.
+    """
+    if demand.far_seconds < WARMING_FAR_SECONDS or not demand.key:
+        return None
+    open_candidates = [item for item in candidates if _is_open(now, item, demand)]
+    if not open_candidates or _measure_pressure(open_candidates) > WARMING_PRESSURE:
+        return None
+    for place, candidate in enumerate(open_candidates[: len(WARM_CHANCES)]):
+        view = candidate.view
+        if not candidate.is_near:
+            continue
+        has_room = view.busy + 1 <= WARMING_PRESSURE * view.server.slots
+        if has_room and not view.is_warm(now, demand.key):
+            return _estimate(now, demand, candidate, place, times).placed
+        return None
+    return None
+
+
 def _measure_pressure(candidates: list[Candidate]) -> float:
     """Returns requests under way per slot, at most 1."""
     slots = sum(item.view.server.slots for item in candidates)
@@ -144,7 +196,8 @@
 def _is_open(now: float, candidate: Candidate, demand: Demand) -> bool:
     view = candidate.view
     is_paused = now < view.avoided_until or now < view.suspended_until
-    return not is_paused and view.server.backend not in demand.tried
+    is_usable = not is_paused and not view.is_silent(now)
+    return is_usable and view.server.backend not in demand.tried
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -178,7 +231,10 @@
     slots = view.server.slots
     wait = max(0, view.busy + 1 - slots) / slots * view.speed * times.mean
     is_waiting = view.busy + 1 > slots
-    placed = Placed(view, wait + work + candidate.round_trip, chance >= WARM_MIN, is_waiting)
+    slowest = wait + view.speed * times.cold + candidate.round_trip
+    due_at = now + max(SILENCE_MIN_SECONDS, SILENCE_FACTOR * slowest)
+    expected = wait + work + candidate.round_trip
+    placed = Placed(view, expected, due_at, chance >= WARM_MIN, is_waiting)
     return _Estimate(placed, wait, work, candidate.round_trip)
 
 
@@ -225,13 +281,24 @@
     return SECOND_PART * (1 - pressure) * max(0.0, times.cold - times.warm)
 
 
+def _find_far_cost(now: float, demand: Demand, candidates: list[Candidate]) -> float:
+    """Returns what leaving the failure domain costs, in seconds.
+
+    Bytes are spared where a near server is known to be warm; a cold run there would make the
+    caller wait for them.
+    """
+    if any(item.is_near and item.view.is_warm(now, demand.key) for item in candidates):
+        return demand.far_seconds
+    return min(FAR_SECONDS, demand.far_seconds)
+
+
 def _find_place_cost(
-    demand: Demand, candidate: Candidate, place: int, times: work_times.WorkTime
+    candidate: Candidate, place: int, times: work_times.WorkTime, far_cost: float
 ) -> float:
     """Returns what a server costs beyond its time, in seconds."""
     cost = 0.0
     if place >= len(WARM_CHANCES):
         cost += HOME_PART * max(0.0, times.cold - times.warm)
     if not candidate.is_near:
-        cost += FAR_DOWNLOAD_SECONDS if demand.is_download else FAR_SECONDS
+        cost += far_cost
     return cost
--- a/src/caperdyke/coordination/placement/retry_quota.py
+++ b/src/caperdyke/coordination/placement/retry_quota.py
@@ -42,20 +42,33 @@
         """Counts a caller's request."""
         self._append(self._firsts, now, service)
 
-    def take(self, now: float, service: ids.ServiceName, part: float) -> bool:
+    def take(
+        self, now: float, service: ids.ServiceName, part: float, spare_part: float = 0.0
+    ) -> bool:
         """Counts a repeated send if the budget has room; tells whether it has.
 
         :param part: this instance's part of the allowance, 0 to 1.
+        :param spare_part: part of the budget that must be left for sends that matter more.
         """
-        firsts = self._count(self._firsts, now, service)
-        repeats = self._count(self._repeats, now, service)
-        allowance = part * self._allowance if now >= self._started_at + self._window else 0.0
-        limit = USED_PART * (self._ratio * firsts + allowance)
-        if repeats + 1 > limit:
+        if not self.has_room(now, service, part, spare_part):
             return False
         self._append(self._repeats, now, service)
         return True
 
+    def has_room(
+        self, now: float, service: ids.ServiceName, part: float, spare_part: float = 0.0
+    ) -> bool:
+        """Tells whether one more repeated send fits into the budget.
+
+        :param part: this instance's part of the allowance, 0 to 1.
+        :param spare_part: part of the budget that must be left.
+        """
+        firsts = self._count(self._firsts, now, service)
+        repeats = self._count(self._repeats, now, service)
+        allowance = part * self._allowance if now >= self._started_at + self._window else 0.0
+        used_part = USED_PART * (1 - spare_part)
+        return repeats + 1 <= used_part * (self._ratio * firsts + allowance)
+
     def _append(self, times: dict, now: float, service: ids.ServiceName) -> None:
         times.setdefault(service, collections.deque()).append(now)
         self._count(times, now, service)
--- a/src/caperdyke/coordination/placement/server_view.py
+++ b/src/caperdyke/coordination/placement/server_view.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 
 from caperdyke.state import backend, ids
 
@@ -26,6 +27,18 @@
 COUNT_SECONDS = 0.25
 
 
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class Pending:
+    """A request that is under way.
+
+    :param sent_at: time at which it was sent.
+    :param due_at: time by which even a cold object should be answered.
+    """
+
+    sent_at: float
+    due_at: float
+
+
 @dataclasses.dataclass(slots=True)
 class ServerView:
     """Observations of one backend server.
@@ -33,6 +46,8 @@
     :param in_flight: requests of this instance that are under way.
     :param others: requests of other instances that are under way, as far as known.
     :param counted_at: time of the server's own latest count.
+    :param heard_at: time of the server's latest word of any kind.
+    :param pending: requests of this instance that are under way, the oldest first.
     :param speed: time that the server takes, as a multiple of what its service usually takes.
     :param failing: part of the latest answers that failed.
     :param avoided_until: time until which the server gets no work of its own account.
@@ -48,7 +63,8 @@
     suspended_until: float = 0.0
     connect_failures: int = 0
     counted_at: float = 0.0
-    sent_at: collections.deque[float] = dataclasses.field(default_factory=collections.deque)
+    heard_at: float = -math.inf
+    pending: collections.deque[Pending] = dataclasses.field(default_factory=collections.deque)
     warm_until: collections.OrderedDict[ids.ObjectKey, float] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
@@ -72,15 +88,32 @@
         """Tells whether the server answered for an object lately."""
         return self.warm_until.get(key, 0.0) > now
 
-    def note_send(self, now: float) -> None:
+    def note_send(self, now: float, due_at: float = math.inf) -> Pending:
         """Counts a request that is about to be sent."""
+        pending = Pending(now, due_at)
         self.in_flight += 1
-        self.sent_at.append(now)
+        self.pending.append(pending)
+        return pending
 
-    def note_end(self, sent_at: float) -> None:
+    def note_end(self, pending: Pending) -> None:
         """Counts the end of a request, however it ended."""
         self.in_flight -= 1
-        self.sent_at.remove(sent_at)
+        self.pending.remove(pending)
+
+    def note_word(self, now: float) -> None:
+        """Learns that the server answers, whatever it says."""
+        self.heard_at = now
+
+    def is_silent(self, now: float) -> bool:
+        """Tells whether the server seems to have fallen silent.
+
+        Pattern: servers lose power, or their connections go silent, without a reset. Requests pile
+        up there until their deadlines, although nothing came back since the oldest was sent.
+        """
+        if not self.pending:
+            return False
+        oldest = self.pending[0]
+        return now >= oldest.due_at and self.heard_at < oldest.sent_at
 
     def note_answer(self, now: float, key: ids.ObjectKey, ratio: float | None) -> None:
         """Learns from an answer.
@@ -132,7 +165,7 @@
 
     def find_oldest(self) -> float | None:
         """Returns when the oldest request under way was sent, or None."""
-        return self.sent_at[0] if self.sent_at else None
+        return self.pending[0].sent_at if self.pending else None
 
     def _note_outcome(self, failure: float) -> None:
         self.failing += NEW_WEIGHT * (failure - self.failing)
--- a/src/caperdyke/coordination/placement/work_times.py
+++ b/src/caperdyke/coordination/placement/work_times.py
@@ -14,7 +14,10 @@
 
 @dataclasses.dataclass(slots=True)
 class WorkTime:
-    """Time in seconds for an object that the server handled lately, and for any other."""
+    """Time in seconds for an object that the server handled lately, and for any other.
+
+    :param answer_bytes: size of an answer's body.
+    """
 
     warm: float
     cold: float
@@ -23,6 +26,7 @@
     # Answers so far of each sort; the first ones replace the guess.
     warm_answers: int = 0
     cold_answers: int = 0
+    answer_bytes: float = 0.0
 
     def was_cold(self, took: float) -> bool:
         """Tells whether an answer's time rather is that of an object that was not warm."""
@@ -52,6 +56,11 @@
         elif not is_known_warm:
             self._learn_warm(took)
 
+    def learn_size(self, size: int) -> None:
+        """Takes over the size of an answer's body, in bytes."""
+        weight = NEW_WEIGHT if self.answer_bytes else 1.0
+        self.answer_bytes += weight * (size - self.answer_bytes)
+
     def _learn_warm(self, took: float) -> None:
         self.warm += _find_weight(self.warm_answers) * (took - self.warm)
         self.warm_answers += 1
--- a/src/caperdyke/coordination/registry/fleet.py
+++ b/src/caperdyke/coordination/registry/fleet.py
@@ -1,6 +1,7 @@
 """Other instances of the system: which live, and which a caller should use."""
 
 import dataclasses
+import math
 
 from caperdyke.state import ids, marks, member, store_rows
 
@@ -25,6 +26,7 @@
     :param announce_at: time at which this instance tells it of itself again.
     :param load: requests that it has in flight, by mark of the backend server.
     :param changed: position of the newest change that it knows of each table.
+    :param read_at: time at which it read the registrations from the store.
     """
 
     record: member.Member
@@ -33,6 +35,7 @@
     heard_at: float = 0.0
     known_since: float = 0.0
     announce_at: float = 0.0
+    read_at: float = -math.inf
     changed: dict[store_rows.StoreTable, store_rows.Position] = dataclasses.field(
         default_factory=dict
     )
@@ -110,6 +113,11 @@
             if now < other.trusted_until and other.record.state is member.MemberState.LIVE
         ]
 
+    def list_mates(self, now: float) -> list[KnownInstance]:
+        """Returns the other live instances of the own failure domain."""
+        domain = self.own.domain
+        return [other for other in self.list_live(now) if other.record.domain == domain]
+
     def list_names(self, now: float) -> list[ids.InstanceId]:
         """Returns the names of all live instances, this one included, sorted."""
         return sorted([self.own.instance, *(o.record.instance for o in self.list_live(now))])
--- a/src/caperdyke/coordination/registry/table_image.py
+++ b/src/caperdyke/coordination/registry/table_image.py
@@ -49,6 +49,15 @@
         self._forget_removed()
         return news
 
+    def advance(self, changed: store_rows.Position, position: store_rows.Position) -> None:
+        """Learns that the table has not changed between two positions.
+
+        Keeps the position within the store's history though another instance does the reading.
+        """
+        known = self.position
+        if known is not None and position.era == known.era and changed <= known < position:
+            self.position = position
+
     def is_behind(self, position: store_rows.Position) -> bool:
         """Tells whether the table changed at a position that this image has not reached."""
         return self.position is None or self.position < position
--- a/src/caperdyke/protocol/announcements.py
+++ b/src/caperdyke/protocol/announcements.py
@@ -24,6 +24,9 @@
     :param record: the sender's record; None for a receiver that knows it.
     :param interval_ms: time until the next announcement to the same receiver, in milliseconds.
     :param changed: position of the newest change that the sender knows of each table it follows.
+    :param read_age_ms: time since the sender read the registrations from the store, in
+        milliseconds; -1 where it has not.
+    :param read_position: position up to which it knows the registrations.
     :param load: requests under way, by mark of the backend server's name.
     :param wants_answer: whether the receiver should announce itself at once.
     """
@@ -34,6 +37,8 @@
     is_ready: bool
     interval_ms: int
     changed: dict[store_rows.StoreTable, store_rows.Position]
+    read_age_ms: int
+    read_position: store_rows.Position
     load: dict[int, int]
     wants_answer: bool
 
@@ -49,6 +54,8 @@
             item.is_ready,
             item.interval_ms,
             [_list_position(item.changed[table]) for table in FOLLOWED],
+            item.read_age_ms,
+            _list_position(item.read_position),
             item.load,
             item.wants_answer,
         ]
@@ -64,7 +71,8 @@
         layout, *fields = msgpack.unpackb(data, strict_map_key=False)
         if layout != LAYOUT:
             raise ValueError(f"layout {layout}, expected {LAYOUT}")
-        mark, incarnation, record, is_ready, interval_ms, changed, load, wants_answer = fields
+        mark, incarnation, record, is_ready, interval_ms, changed, read_age_ms = fields[:7]
+        read_position, load, wants_answer = fields[7:]
         return Announcement(
             int(mark),
             ids.Incarnation(int(incarnation)),
@@ -72,6 +80,8 @@
             bool(is_ready),
             int(interval_ms),
             {table: _read_position(item) for table, item in zip(FOLLOWED, changed, strict=True)},
+            int(read_age_ms),
+            _read_position(read_position),
             {int(mark): int(count) for mark, count in load.items()},
             bool(wants_answer),
         )
--- a/src/caperdyke/protocol/gateway_files.py
+++ b/src/caperdyke/protocol/gateway_files.py
@@ -30,6 +30,13 @@
         domains=_read_domains(document) | {domain: region},
         bounds=_read_bounds(document),
         logs=settings_files.read_logs(document),
+        far_seconds_per_megabyte=document.read_decimal(
+            "placing",
+            "domain_megabyte_s",
+            0.0,
+            1e6,
+            gateway_settings.FAR_SECONDS_PER_MEGABYTE,
+        ),
     )
     document.check_all_read()
     return result
--- a/src/caperdyke/state/gateway_settings.py
+++ b/src/caperdyke/state/gateway_settings.py
@@ -4,6 +4,9 @@
 
 from caperdyke.state import ids, settings
 
+# Callers wait a tenth of a second rather than have five kilobytes leave the failure domain.
+FAR_SECONDS_PER_MEGABYTE = 20.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatewayBounds:
@@ -34,6 +37,8 @@
     """Settings of one gateway.
 
     :param domains: region of each failure domain.
+    :param far_seconds_per_megabyte: waiting of callers that the operators accept to spare a
+        megabyte between failure domains, in seconds.
     :param seeds: peer addresses of other instances that may exist.
     """
 
@@ -50,3 +55,4 @@
     domains: dict[ids.DomainName, ids.RegionName]
     bounds: GatewayBounds
     logs: settings.LogSettings
+    far_seconds_per_megabyte: float = FAR_SECONDS_PER_MEGABYTE
--- a/src/caperdyke/transport/gateway/announcer.py
+++ b/src/caperdyke/transport/gateway/announcer.py
@@ -70,6 +70,9 @@
             return
         known.load = item.load
         known.changed = item.changed
+        if item.read_age_ms >= 0:
+            known.read_at = now - item.read_age_ms / 1000
+            self._tables.note_reading(known, item.read_position)
         if item.wants_answer:
             self._send(now, known, False, True)
         if self._tables.is_behind(known, store_rows.StoreTable.CONFIGURATION):
@@ -87,6 +90,11 @@
             self._spread_load(now)
             await asyncio.sleep(TICK_SECONDS)
 
+    def tell_domain(self) -> None:
+        """Announces this instance to those of its failure domain at once."""
+        for other in self._node.fleet.list_mates(self._node.now()):
+            other.announce_at = 0.0
+
     async def enrol(self) -> None:
         """Keeps this instance's row in the store and learns of the others, for ever.
 
@@ -235,6 +243,8 @@
             node.fleet.is_ready,
             interval_ms,
             self._tables.find_changed(),
+            self._tables.find_read_age_ms(),
+            self._tables.servers.position or store_rows.FIRST_POSITION,
             load,
             wants_answer,
         )
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -1,5 +1,7 @@
 """Sends one request to backend servers until one answers or nothing more can be done."""
 
+import asyncio
+import dataclasses
 import random
 
 from caperdyke.coordination.placement import attempts, choice
@@ -9,6 +11,11 @@
 # A caller returns no later than this part of the time that it has left.
 RETRY_PART_MAX = 0.3
 SERVER_ERROR_STATUS = 500
+SUCCESS_STATUS_END = 300
+# Interval between two looks at whether a server has fallen silent, in seconds.
+SILENCE_CHECK_SECONDS = 0.1
+# Part of the budget for repeated sends that copies which warm a near home leave to failed requests.
+WARMING_SPARE_PART = 0.5
 
 
 class Dispatcher:
@@ -18,6 +25,7 @@
         self._node = node
         self._sender = sender.Sender(node)
         self._random = random.Random()
+        self._copies: set[asyncio.Task] = set()
 
     async def serve(
         self, request: sender.CallerRequest, route: routes.Route, trace: verdicts.RequestTrace
@@ -38,11 +46,12 @@
                 return failed or self._give_up(request, tries, None)
             tried.add(chosen.view.server.backend)
             sent_at = node.now()
-            result = await self._sender.send(request, chosen)
+            result = await self._send(request, chosen, tries, service)
             self._learn(request, route, chosen, sent_at, result)
             trace.sends.append(self._describe(chosen, sent_at, result))
             match result:
                 case sender.ServerAnswer() if result.status < SERVER_ERROR_STATUS:
+                    self._bring_near(request, route, service, chosen, tries, trace)
                     return result
                 case sender.ServerAnswer():
                     tries.note_reached()
@@ -55,6 +64,35 @@
             if not tries.allows_another() or node.now() >= request.deadline:
                 return failed or self._give_up(request, tries, None)
 
+    async def _send(
+        self,
+        request: sender.CallerRequest,
+        placed: choice.Placed,
+        tries: attempts.Attempts,
+        service: ids.ServiceName,
+    ) -> sender.Result:
+        """Sends a request once; leaves a server that has fallen silent if another may be asked.
+
+        Pattern: servers lose power while they work, and repeatable requests would wait for them
+        until their deadline while others have room.
+        """
+        if not tries.may_be_left:
+            return await self._sender.send(request, placed)
+        node = self._node
+        sending = asyncio.ensure_future(self._sender.send(request, placed))
+        try:
+            while True:
+                await asyncio.wait({sending}, timeout=SILENCE_CHECK_SECONDS)
+                if sending.done():
+                    return sending.result()
+                now = node.now()
+                part = node.fleet.find_part(now)
+                if placed.view.is_silent(now) and node.retries.has_room(now, service, part):
+                    return sender.Failure(sender.FailureKind.SILENT, "no sign of life")
+        finally:
+            sending.cancel()
+            await asyncio.gather(sending, return_exceptions=True)
+
     def _take_repeat(self, route: routes.Route, service: ids.ServiceName) -> bool:
         """Counts a repeated send if the budget has room; tells whether it has."""
         node = self._node
@@ -64,26 +102,77 @@
         node.metrics.count_retry(route.host, service)
         return True
 
-    def _choose(
+    def _bring_near(
         self,
         request: sender.CallerRequest,
         route: routes.Route,
         service: ids.ServiceName,
-        tried: set[ids.BackendId],
+        answered: choice.Placed,
+        tries: attempts.Attempts,
         trace: verdicts.RequestTrace,
-    ) -> choice.Choice:
+    ) -> None:
+        """Sends a copy of an answered request to the object's near home where that is worth it."""
+        node = self._node
+        now = node.now()
+        is_near = answered.view.server.domain == node.settings.domain
+        if is_near or not tries.may_be_left or node.is_stopping:
+            return
+        demand = self._make_demand(request, route, service, frozenset(), trace)
+        times = node.times.find(route.name, route.objective_ms / 1000)
+        candidates = node.list_candidates(service, demand.key, route)
+        placed = choice.choose_near_home(now, demand, candidates, times)
+        part = node.fleet.find_part(now)
+        if placed is None or not node.retries.take(now, service, part, WARMING_SPARE_PART):
+            return
+        node.metrics.count_retry(route.host, service)
+        trace.sends.append(f"copy to {placed.view.server.backend}, the object's near home")
+        copy = asyncio.create_task(self._send_copy(request, route, placed))
+        self._copies.add(copy)
+        copy.add_done_callback(self._copies.discard)
+
+    async def _send_copy(
+        self, request: sender.CallerRequest, route: routes.Route, placed: choice.Placed
+    ) -> None:
+        sent_at = self._node.now()
+        copy = dataclasses.replace(request, deadline=placed.due_at)
+        result = await self._sender.send(copy, placed)
+        if isinstance(result, sender.ServerAnswer) and result.rest is not None:
+            await result.rest.aclose()
+        self._learn(copy, route, placed, sent_at, result)
+
+    def _make_demand(
+        self,
+        request: sender.CallerRequest,
+        route: routes.Route,
+        service: ids.ServiceName,
+        tried: frozenset[ids.BackendId],
+        trace: verdicts.RequestTrace,
+    ) -> choice.Demand:
         node = self._node
         objective = route.objective_ms / 1000
-        demand = choice.Demand(
+        size = node.times.find(route.name, objective).answer_bytes
+        return choice.Demand(
             service,
             request.about.object_key if route.has_affinity else ids.ObjectKey(""),
             request.deadline,
             trace.received_at + objective,
-            route.kind is routes.RouteKind.DOWNLOAD,
-            frozenset(tried),
+            choice.find_far_seconds(size, node.settings.far_seconds_per_megabyte),
+            tried,
         )
+
+    def _choose(
+        self,
+        request: sender.CallerRequest,
+        route: routes.Route,
+        service: ids.ServiceName,
+        tried: set[ids.BackendId],
+        trace: verdicts.RequestTrace,
+    ) -> choice.Choice:
+        node = self._node
+        demand = self._make_demand(request, route, service, frozenset(tried), trace)
         candidates = node.list_candidates(service, demand.key, route)
-        return choice.choose(node.now(), demand, candidates, node.times.find(route.name, objective))
+        times = node.times.find(route.name, route.objective_ms / 1000)
+        return choice.choose(node.now(), demand, candidates, times)
 
     def _learn(
         self,
@@ -99,6 +188,8 @@
             if result.status >= SERVER_ERROR_STATUS:
                 return
             took = now - sent_at
+            if result.status < SUCCESS_STATUS_END:
+                node.times.find(route.name, objective).learn_size(result.length or len(result.body))
             ratio = None
             is_queue_seen = result.load is not None and result.load.waiting > 0
             if not placed.waits and not is_queue_seen:
@@ -107,7 +198,7 @@
             view.note_answer(now, request.about.object_key, ratio)
             return
         match result.kind:
-            case sender.FailureKind.UNREACHABLE:
+            case sender.FailureKind.UNREACHABLE | sender.FailureKind.SILENT:
                 view.note_unreachable(now)
                 node.note_unusable(view, result.detail)
             case sender.FailureKind.MISDIRECTED:
@@ -159,7 +250,7 @@
         case sender.FailureKind.REFUSED:
             tries.note_reached()
             tries.note_not_run()
-        case sender.FailureKind.BROKEN | sender.FailureKind.LATE:
+        case sender.FailureKind.BROKEN | sender.FailureKind.LATE | sender.FailureKind.SILENT:
             tries.note_reached()
             tries.note_may_have_run()
 
--- a/src/caperdyke/transport/gateway/follower.py
+++ b/src/caperdyke/transport/gateway/follower.py
@@ -1,6 +1,8 @@
 """Follows the store: configuration, registrations, and where other instances are."""
 
 import asyncio
+import collections.abc
+import math
 import random
 
 from caperdyke import errors
@@ -10,20 +12,24 @@
     fleet,
     intervals,
     table_image,
+    turns,
 )
 from caperdyke.protocol import dialect
 from caperdyke.state import ids, routes, store_rows
 from caperdyke.transport import events
 from caperdyke.transport.gateway import context, peer_snapshots
 
-# Longest time that one call waits for a change of the configuration, in milliseconds. A connection
-# that went silent is noticed after this and the call's own allowance.
+# Longest time that one call waits for a change of the configuration, in milliseconds, where nobody
+# else in the failure domain would tell of one, and at most. A connection that went silent is
+# noticed after this and the call's own allowance, or by a read of the registrations.
 CONFIGURATION_WAIT_MS = 3000
+CONFIGURATION_WAIT_MAX_MS = 12_000
 # Least time between two reads because of what other instances know, in seconds; most of them learn
 # of a change by themselves within a part of it.
 HURRY_SECONDS = 0.6
-# Interval between two reads of registrations: part of the time after which a server that leaves
-# must get nothing new, and at most, in seconds.
+# Longest age of a reading of the registrations, by this instance or another one of its failure
+# domain: part of the time after which a server that leaves must get nothing new, and at most, in
+# seconds.
 SERVERS_PART = 0.45
 SERVERS_SECONDS_MAX = 1.2
 # Time without an answer after which other instances are asked instead, in seconds.
@@ -31,12 +37,13 @@
 # Time for which another instance may know a newer change of the configuration before it is asked
 # for the rows, in seconds; the store was asked at once.
 CONFIGURATION_BEHIND_SECONDS = 0.5
-# The same for registrations, beyond the interval at which they are read.
+# The same for registrations where no instance of the own failure domain knows more, beyond the
+# interval at which they are read.
 SERVERS_BEHIND_SECONDS = 0.1
 # Interval between two looks at whether another instance knows more, in seconds.
 COMPARE_SECONDS = 0.1
 # Least time between two readings of rows from other instances, in seconds.
-ASK_SECONDS = 0.5
+ASK_SECONDS = 0.2
 
 
 class TableFollower:
@@ -160,6 +167,10 @@
         # Since when another instance knows a newer change of a table.
         self._behind_since: dict[store_rows.StoreTable, float] = {}
         self._asked_at = 0.0
+        self._servers_read_at = -math.inf
+        self._turns = turns.Turns(random.Random())
+        # Called after each reading of the registrations.
+        self.on_servers_read: collections.abc.Callable[[], None] = _do_nothing
 
     async def follow_configuration(self) -> None:
         """Keeps the configuration in force, for ever."""
@@ -167,7 +178,8 @@
             # A call that waits is given up when another instance knows a newer configuration: its
             # connection may have gone silent.
             self._wake.clear()
-            reading = asyncio.ensure_future(self.configuration.follow_once(CONFIGURATION_WAIT_MS))
+            wait_ms = self._find_configuration_wait()
+            reading = asyncio.ensure_future(self.configuration.follow_once(wait_ms))
             waking = asyncio.ensure_future(self._wake.wait())
             try:
                 await asyncio.wait({reading, waking}, return_when=asyncio.FIRST_COMPLETED)
@@ -189,9 +201,29 @@
     async def follow_servers(self) -> None:
         """Keeps registrations known, for ever."""
         while True:
-            is_answered = await self.servers.follow_once(0)
-            interval = self._find_servers_interval()
-            await asyncio.sleep(interval if is_answered else self.servers.find_away_delay())
+            if not await self.servers.follow_once(0):
+                # The connection on which changes of the configuration are awaited may be silent.
+                self.hurry()
+                await asyncio.sleep(self.servers.find_away_delay())
+                continue
+            self._servers_read_at = self._node.now()
+            self.on_servers_read()
+            await self._wait_for_turn()
+
+    async def _wait_for_turn(self) -> None:
+        """Waits until no instance of the failure domain has read the registrations lately."""
+        while True:
+            now = self._node.now()
+            table = store_rows.StoreTable.SERVERS
+            mates = self._node.fleet.list_mates(now)
+            # A reading counts once this instance has its news.
+            heard = [-math.inf if self.is_behind(o, table) else o.read_at for o in mates]
+            turn_at = self._turns.find_turn(
+                self._servers_read_at, heard, self._find_servers_interval()
+            )
+            if now >= turn_at:
+                return
+            await asyncio.sleep(min(COMPARE_SECONDS, turn_at - now))
 
     async def follow_peers(self) -> None:
         """Asks other instances for what the store does not tell, for ever."""
@@ -234,6 +266,11 @@
         positions = [item.position for item in self._tables.values() if item.position]
         return max((position.era for position in positions), default=0)
 
+    def note_reading(self, other: fleet.KnownInstance, position: store_rows.Position) -> None:
+        """Learns that another instance found no change of registrations up to a position."""
+        table = store_rows.StoreTable.SERVERS
+        self.servers.image.advance(other.changed[table], position)
+
     def is_behind(self, other: fleet.KnownInstance, table: store_rows.StoreTable) -> bool:
         """Tells whether another instance knows a newer change of a table."""
         changed = other.changed.get(table, store_rows.FIRST_POSITION)
@@ -282,6 +319,21 @@
         node.refresh_servers()
         node.note_first_read(first_reads.FirstRead.SERVERS)
 
+    def find_read_age_ms(self) -> int:
+        """Returns how long ago this instance read the registrations; -1 where it has not."""
+        if self._servers_read_at == -math.inf:
+            return -1
+        return round((self._node.now() - self._servers_read_at) * 1000)
+
+    def _find_configuration_wait(self) -> int:
+        """Returns how long a call may wait for a change of the configuration, in milliseconds.
+
+        Pattern: the fleet grows, and calls of the store must not grow with it. The more instances
+        of the failure domain would tell of a change, the longer a connection may be silent.
+        """
+        count = 1 + len(self._node.fleet.list_mates(self._node.now()))
+        return min(CONFIGURATION_WAIT_MAX_MS, CONFIGURATION_WAIT_MS * count)
+
     def _find_servers_interval(self) -> float:
         """Returns the seconds between two reads of registrations."""
         bound = self._node.settings.bounds.leaving_seconds
@@ -304,8 +356,11 @@
                 self._behind_since.pop(table, None)
                 continue
             since = self._behind_since.setdefault(table, now)
-            if now >= since + seconds:
-                chosen = max(ahead, key=lambda other: other.changed[table])
+            # Within the failure domain one reads for all.
+            mates = [other for other in ahead if other.record.domain == self._node.settings.domain]
+            is_shared = bool(mates) and table is store_rows.StoreTable.SERVERS
+            if is_shared or now >= since + seconds:
+                chosen = max(mates if is_shared else ahead, key=lambda other: other.changed[table])
         return chosen.record.peer_address if chosen is not None else None
 
     def _apply_registration(self, now: float, row: store_rows.StoreRow) -> None:
@@ -376,6 +431,10 @@
         events.log(events.Event.SERVER_CHANGED, backend=name, service=service, change=change)
 
 
+def _do_nothing() -> None:
+    """Stands in until an instance has others to tell."""
+
+
 def is_newer(known: routes.RouteTable | None, table: routes.RouteTable) -> bool:
     """Tells whether a configuration replaces the one in force; an older one never does."""
     return known is None or table.version > known.version
--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -42,6 +42,7 @@
         self._make_apps = make_apps
         self.follower = follower.Follower(node)
         self.announcer = announcer.Announcer(node, self.follower)
+        self.follower.on_servers_read = self.announcer.tell_domain
         self.requests = request_app.RequestApp(node)
         self._tasks: list[asyncio.Task] = []
         self.is_listening = False
--- a/src/caperdyke/transport/gateway/reload.py
+++ b/src/caperdyke/transport/gateway/reload.py
@@ -30,7 +30,13 @@
             events.log(events.Event.SETTINGS_RELOADED, result=f"left as they were: {error}")
             return
         known = self._node.settings
-        kept = dataclasses.replace(known, bounds=new.bounds, domains=new.domains, seeds=new.seeds)
+        kept = dataclasses.replace(
+            known,
+            bounds=new.bounds,
+            domains=new.domains,
+            seeds=new.seeds,
+            far_seconds_per_megabyte=new.far_seconds_per_megabyte,
+        )
         is_restart_needed = dataclasses.replace(kept, logs=new.logs) != new
         self._node.apply_settings(kept)
         result = "in force but for names and addresses" if is_restart_needed else "in force"
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -64,6 +64,8 @@
     BROKEN = "broken"
     # No answer came in time.
     LATE = "late"
+    # The server gave no sign of life for longer than its work can take.
+    SILENT = "silent"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,7 +78,7 @@
     @property
     def may_have_run(self) -> bool:
         """Whether the server may have worked on the request."""
-        return self.kind in (FailureKind.BROKEN, FailureKind.LATE)
+        return self.kind in (FailureKind.BROKEN, FailureKind.LATE, FailureKind.SILENT)
 
 
 @dataclasses.dataclass(slots=True)
@@ -108,12 +110,12 @@
         """Sends a request to the chosen server and reads its answer."""
         node, view = self._node, placed.view
         sent_at = node.now()
-        view.note_send(sent_at)
+        pending = view.note_send(sent_at, placed.due_at)
         node.cold.note_send(sent_at, view.server.backend)
         try:
             return await self._exchange(request, placed)
         finally:
-            view.note_end(sent_at)
+            view.note_end(pending)
 
     async def _exchange(self, request: CallerRequest, placed: choice.Placed) -> Result:
         node, server = self._node, placed.view.server
@@ -153,6 +155,7 @@
         used.send(request.method, request.target, headers, request.body)
         for _ in range(SKIPPED_MAX + 1):
             head = await used.read_head()
+            placed.view.note_word(node.now())
             raw = [(bytes(name), bytes(value)) for name, value in head.headers]
             about = node.headers.read_server(head.status_code, raw)
             if about.request_id in ("", request.about.request_id):
--- a/testing/placement/builders.py
+++ b/testing/placement/builders.py
@@ -36,7 +36,7 @@
         ids.ObjectKey(key),
         deadline,
         objective_at,
-        others.get("is_download", False),
+        others.get("far_seconds", choice.FAR_SECONDS),
         frozenset(others.get("tried", ())),
     )
 
--- a/testing/placement/replay.py
+++ b/testing/placement/replay.py
@@ -111,7 +111,7 @@
     gateway: "_Gateway"
     server: _Server
     caller: _Caller
-    sent: float
+    pending: server_view.Pending
     waits: bool
     is_known_warm: bool
 
@@ -221,9 +221,9 @@
         if not server.is_up or is_full:
             view.note_unreachable(now)
             return choice.RETRY_MIN_SECONDS
-        view.note_send(now)
+        pending = view.note_send(now)
         known = view.is_warm(now, caller.key)
-        request = _Request(gateway, server, caller, now, waits, known)
+        request = _Request(gateway, server, caller, pending, waits, known)
         if server.running < self._load.slots:
             self._run(now, request)
         else:
@@ -250,7 +250,7 @@
             caller.key,
             caller.first_at + load.deadline,
             caller.received_at + load.objective,
-            False,
+            choice.FAR_SECONDS,
         )
         chosen = choice.choose(now, demand, candidates, gateway.times.find(ROUTE, load.objective))
         if isinstance(chosen, choice.NoRoom):
@@ -275,14 +275,14 @@
         server, gateway, load = request.server, request.gateway, self._load
         server.running -= 1
         view = gateway.views[server.place.server.backend]
-        view.note_end(request.sent)
+        view.note_end(request.pending)
         view.note_load(now, server.running + len(server.waiting))
         took = now - request.caller.first_at
         self.outcome.in_time += took <= load.objective
         self.outcome.late += load.objective < took <= load.deadline
         ratio = None
         if not request.waits:
-            worked = now - request.sent
+            worked = now - request.pending.sent_at
             ratio = gateway.times.note(ROUTE, load.objective, request.is_known_warm, worked)
         view.note_answer(now, request.caller.key, ratio)
         if server.waiting:
--- a/testing/placement/test_limits.py
+++ b/testing/placement/test_limits.py
@@ -32,6 +32,13 @@
         self.assertFalse(quota.take(9.0, SERVICE, 1))
         self.assertTrue(quota.take(10.1, SERVICE, 1))
 
+    def test_copies_leave_half_of_the_budget_to_failed_requests(self) -> None:
+        """Pattern: copies are sent all the time, then a server fails all of its requests."""
+        quota = retry_quota.RetryQuota(0.0, 20.0, 10.0)
+        copies = sum(quota.take(0.0, SERVICE, 1, spare_part=0.5) for _ in range(50))
+        repeats = sum(quota.take(0.1, SERVICE, 1) for _ in range(50))
+        self.assertTrue(0 < copies <= repeats, f"got {copies} copies and {repeats} repeats")
+
     @parameterized.expand([(1,), (10,)])
     def test_sum_over_a_restart(self, instances) -> None:
         """Pattern: every request fails while all instances are killed and start again."""
--- a/testing/platform/test_gateway_requests.py
+++ b/testing/platform/test_gateway_requests.py
@@ -219,3 +219,64 @@
     while steady < STEADY_LOOKS:
         await asyncio.sleep(0.01)
         steady, last = (steady + 1 if count() == last else 0), count()
+
+
+class PowerLossTest(stage.StageCase):
+    """Pattern: a server loses power while it works; nothing comes from it, not even a reset."""
+
+    @parameterized.expand(
+        [("repeatable", "/read/1", "GET", 200), ("not repeatable", "/buy/1", "POST", 504)]
+    )
+    def test_request_at_a_silent_server(self, _name, path, method, expected) -> None:
+        async def scene() -> None:
+            async with stage.open_stage() as played:
+                first, second = played.servers
+                first.hold.clear()
+                second.hold.clear()
+                asking = asyncio.create_task(played.ask(path, method, wait_ms=2500))
+                await played.wait_until(lambda: first.seen or second.seen)
+                (second if first.seen else first).hold.set()
+                status, _, _ = await asking
+                self.assertEqual(expected, status)
+                sent = len(first.seen) + len(second.seen)
+                self.assertEqual(2 if expected == 200 else 1, sent)
+
+        self.play(scene)
+
+
+class NearHomeTest(stage.StageCase):
+    """Pattern: large answers come from the other failure domain of the region all day."""
+
+    @parameterized.expand(
+        [("repeatable", "/read/1", "GET", 1), ("not repeatable", "/buy/1", "POST", 0)]
+    )
+    def test_copy_warms_the_near_home(self, _name, path, method, expected) -> None:
+        async def scene() -> None:
+            async with stage.open_stage() as played:
+                node = played.gateway.node
+                near, far = played.servers
+                far.body = near.body = b"x" * 20_000
+                entry = far.register("reader", "hall-2", sequence=2)
+                await played.store.put("servers", "s2", entry)
+                await played.wait_until(
+                    lambda: any(
+                        item.registration.server.domain == "hall-2"
+                        for item in node.servers.list_usable(node.now())
+                    )
+                )
+                # The object is known to be warm on the far server only.
+                node.find_view("s2").note_answer(node.now(), "k1", None)
+                route = node.routes.find_route(stage.HOST, path)
+                node.times.find(route.name, route.objective_ms / 1000).learn_size(20_000)
+                status, _, _ = await played.ask(path, method)
+                self.assertEqual((200, 1), (status, len(far.seen)))
+                if expected:
+                    await played.wait_until(lambda: near.seen)
+                    await played.wait_until(lambda: node.find_view("s1").is_warm(node.now(), "k1"))
+                    # The next request stays near.
+                    await played.ask(path, method)
+                    self.assertEqual((2, 1), (len(near.seen), len(far.seen)))
+                else:
+                    self.assertEqual([], near.seen)
+
+        self.play(scene)
--- a/testing/registry/test_table_image.py
+++ b/testing/registry/test_table_image.py
@@ -75,6 +75,17 @@
         self.assertEqual([], self.image.take(late))
         self.assertEqual(at(10), self.image.position)
 
+    @parameterized.expand(
+        [
+            ("nothing changed since", at(10), at(15), at(15)),
+            ("something changed since", at(11), at(15), at(10)),
+            ("of another era", at(10), at(15, 1), at(10)),
+        ]
+    )
+    def test_reading_of_another_instance(self, _name, changed, position, expected) -> None:
+        self.image.advance(changed, position)
+        self.assertEqual(expected, self.image.position)
+
     def test_who_is_far_behind_gets_the_whole_table(self) -> None:
         for number in range(table_image.REMOVED_MAX + 1):
             row = make_row(f"gone-{number}", at(20 + number), None)
