--- a/testing/placement/builders.py
+++ b/testing/placement/builders.py
@@ -38,6 +38,7 @@
         objective_at,
         others.get("far_seconds", choice.FAR_SECONDS),
         frozenset(others.get("tried", ())),
+        others.get("is_back", False),
     )
 
 
