--- a/src/caperdyke/coordination/placement/choice.py
+++ b/src/caperdyke/coordination/placement/choice.py
@@ -25,10 +25,6 @@
 SECOND_PART = 0.35
 # Requests under way per slot of a service from which on nothing waits that would be late.
 FULL_PRESSURE = 0.9
-# Requests under way per slot of a server, and of its service, up to which a caller that came back
-# may wait though it will be late.
-BACK_SERVER_FILL = 1.34
-BACK_SERVICE_FILL = 1.25
 # Requests under way per slot of a service from which on objects stay with their homes.
 COLD_PRESSURE = 0.7
 # Requests under way for each slot beyond which a server would turn more away.
@@ -55,7 +51,6 @@
     :param objective_at: time until which an answer is worth most.
     :param far_seconds: what it is worth that the answer does not leave the failure domain, in
         seconds of waiting.
-    :param is_back: whether the caller was turned away before; it does not come back again.
     """
 
     service: ids.ServiceName
@@ -64,7 +59,6 @@
     objective_at: float
     far_seconds: float
     tried: frozenset[ids.BackendId] = frozenset()
-    is_back: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,8 +125,7 @@
     open_candidates = [item for item in candidates if _is_open(now, item, demand)]
     if not open_candidates:
         return NoRoom(RETRY_MAX_SECONDS if not candidates else RETRY_MIN_SECONDS * 3, True)
-    load = _measure_load(open_candidates)
-    pressure = min(1.0, load)
+    pressure = _measure_pressure(open_candidates)
     far_cost = _find_far_cost(now, demand, open_candidates)
     second_cost = _find_second_cost(now, demand, open_candidates[0], times, pressure)
     best: Placed | None = None
@@ -141,7 +134,7 @@
     for place, candidate in enumerate(open_candidates):
         estimate = _estimate(now, demand, candidate, place, times)
         placed = estimate.placed
-        if not _is_worth_sending(now, demand, estimate, load):
+        if not _is_worth_sending(now, demand, estimate, pressure):
             earliest_room = min(earliest_room, max(0.0, estimate.wait))
             continue
         cost = placed.expected + pressure * estimate.work
@@ -181,7 +174,7 @@
     if demand.far_seconds < WARMING_FAR_SECONDS or not demand.key:
         return None
     open_candidates = [item for item in candidates if _is_open(now, item, demand)]
-    if not open_candidates or _measure_load(open_candidates) > WARMING_PRESSURE:
+    if not open_candidates or _measure_pressure(open_candidates) > WARMING_PRESSURE:
         return None
     for place, candidate in enumerate(open_candidates[: len(WARM_CHANCES)]):
         view = candidate.view
@@ -194,10 +187,10 @@
     return None
 
 
-def _measure_load(candidates: list[Candidate]) -> float:
-    """Returns requests under way per slot."""
+def _measure_pressure(candidates: list[Candidate]) -> float:
+    """Returns requests under way per slot, at most 1."""
     slots = sum(item.view.server.slots for item in candidates)
-    return sum(item.view.busy for item in candidates) / slots
+    return min(1.0, sum(item.view.busy for item in candidates) / slots)
 
 
 def _is_open(now: float, candidate: Candidate, demand: Demand) -> bool:
@@ -245,15 +238,12 @@
     return _Estimate(placed, wait, work, candidate.round_trip)
 
 
-def _is_worth_sending(now: float, demand: Demand, estimate: _Estimate, load: float) -> bool:
+def _is_worth_sending(now: float, demand: Demand, estimate: _Estimate, pressure: float) -> bool:
     """Tells whether a server should get the request rather than turn it away.
 
     Pattern: more work than slots. Whatever waits then is late when it is answered, and so is
     everything behind it, and a cold run takes the slots of several warm ones. What would be late
-    is turned away while it can still come back in time; what is merely slow is sent. A caller that
-    came back is lost if it is turned away again, so it may wait where the queues are short.
-
-    :param load: requests under way per slot of the service.
+    is turned away while it can still come back in time; what is merely slow is sent.
     """
     placed = estimate.placed
     view = placed.view
@@ -263,14 +253,11 @@
     soonest = now + estimate.wait + estimate.round_trip
     if soonest > demand.deadline - SPARE_PART * max(0.0, demand.deadline - now):
         return False
-    if not placed.is_warm and (placed.waits or load >= COLD_PRESSURE):
+    if not placed.is_warm and (placed.waits or pressure >= COLD_PRESSURE):
         return False
     if not placed.waits:
         return True
-    is_queue_short = view.busy < BACK_SERVER_FILL * view.server.slots and load < BACK_SERVICE_FILL
-    if demand.is_back and is_queue_short:
-        return True
-    return load < FULL_PRESSURE or now + placed.expected <= demand.objective_at
+    return pressure < FULL_PRESSURE or now + placed.expected <= demand.objective_at
 
 
 def _find_warm_chance(now: float, demand: Demand, candidate: Candidate, place: int) -> float:
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -6,7 +6,6 @@
 import time
 
 from caperdyke.coordination.placement import (
-    callers,
     choice,
     cold_starts,
     homes,
@@ -60,7 +59,6 @@
         self.pool = pool.ConnectionPool(now)
         self.splits = splits.SplitCounter()
         self.times = work_times.WorkTimes()
-        self.caller_waits = callers.CallerWaits()
         self.cold = cold_starts.ColdStarts()
         bounds = checked.bounds
         self.retries = retry_quota.RetryQuota(
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -158,7 +158,6 @@
             trace.received_at + objective,
             choice.find_far_seconds(size, node.settings.far_seconds_per_megabyte),
             tried,
-            request.is_back,
         )
 
     def _choose(
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -137,7 +137,6 @@
         trace: verdicts.RequestTrace,
     ) -> sender.CallerRequest:
         wait_ms = WAIT_DEFAULT_MS if about.wait_ms is None else about.wait_ms
-        is_back = self._node.caller_waits.note(route.name, wait_ms)
         wait_ms = min(wait_ms, route.timeout_ms)
         return sender.CallerRequest(
             about,
@@ -146,7 +145,6 @@
             _drop_hop_headers(scope["headers"]),
             body,
             trace.received_at + wait_ms / 1000 - ANSWER_MARGIN_SECONDS,
-            is_back,
         )
 
     async def _answer(
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -41,7 +41,6 @@
 
     :param headers: without those that concern the caller's connection only.
     :param deadline: time after which an answer is of no use.
-    :param is_back: whether the caller seems to have been turned away before.
     """
 
     about: request_heads.CallerHeaders
@@ -50,7 +49,6 @@
     headers: dialect.RawHeaders
     body: bytes
     deadline: float
-    is_back: bool = False
 
 
 class FailureKind(enum.Enum):
--- a/testing/placement/builders.py
+++ b/testing/placement/builders.py
@@ -38,7 +38,6 @@
         objective_at,
         others.get("far_seconds", choice.FAR_SECONDS),
         frozenset(others.get("tried", ())),
-        others.get("is_back", False),
     )
 
 
--- a/testing/placement/replay.py
+++ b/testing/placement/replay.py
@@ -251,7 +251,6 @@
             caller.first_at + load.deadline,
             caller.received_at + load.objective,
             choice.FAR_SECONDS,
-            is_back=caller.is_back,
         )
         chosen = choice.choose(now, demand, candidates, gateway.times.find(ROUTE, load.objective))
         if isinstance(chosen, choice.NoRoom):
--- a/testing/placement/test_choice.py
+++ b/testing/placement/test_choice.py
@@ -55,22 +55,6 @@
         candidates = [builders.make_candidate("home-1", busy, warm="k")]
         self.assertEqual(expected, choose(candidates, objective_at=at))
 
-    @parameterized.expand(
-        [
-            ("first try", 4, False, ""),
-            ("back, short queues", 4, True, "home-1"),
-            ("back, long queues", 6, True, ""),
-        ]
-    )
-    def test_caller_that_came_back(self, _name, busy, is_back, expected) -> None:
-        """Pattern: the service is full for a moment; who is turned away again is lost."""
-        candidates = [
-            builders.make_candidate("home-1", busy, warm="k"),
-            *(builders.make_candidate(f"other-{number}", busy) for number in range(5)),
-        ]
-        found = choose(candidates, objective_at=0.1, is_back=is_back)
-        self.assertEqual(expected, found)
-
     def test_slow_work_alone_turns_nothing_away(self) -> None:
         """Pattern: a route that was just added, with a short wait and no known time."""
         candidates = [builders.make_candidate("home-1")]
