--- /dev/null
+++ b/bench/ablation.py
@@ -0,0 +1,55 @@
+"""Switches placing mechanisms off one by one on replayed loads, and prints what each is worth."""
+
+import argparse
+import contextlib
+import math
+import pathlib
+import sys
+from unittest import mock
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
+
+from bench import placing
+from caperdyke.coordination.placement import choice, homes, server_view
+from testing.placement import replay
+
+# Constants of the decisions that a switched off mechanism changes.
+MECHANISMS = {
+    "all on": {},
+    "homes near callers": {(homes, "NEAR_WEIGHT_MAX"): 1.0},
+    "second home": {(choice, "WARM_CHANCES"): (0.85,)},
+    "belief that homes are warm": {(choice, "WARM_CHANCES"): (0.3, 0.3)},
+    "objects keep to homes": {(choice, "HOME_PART"): 0.0},
+    "first before second home": {(choice, "SECOND_PART"): 0.0},
+    "late work turned away when full": {(choice, "FULL_LOAD"): math.inf},
+    "no cold runs when full": {(choice, "COLD_LOAD"): math.inf},
+    "bound on queues": {(choice, "OVERFILL"): math.inf},
+    "own count of servers": {(server_view, "COUNT_SECONDS"): 0.0},
+    "speed of each server": {(server_view, "SPEED_MIN"): 1.0, (server_view, "SPEED_MAX"): 1.0},
+}
+
+
+def main() -> None:
+    """Prints the credit of each load with one mechanism off, and the refused part."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=3, help="days for each figure")
+    count = parser.parse_args().seeds
+    print("| switched off | " + " | ".join(placing.LOADS) + " |")
+    print("| --- |" + " ---: |" * len(placing.LOADS))
+    for name, changes in MECHANISMS.items():
+        with contextlib.ExitStack() as stack:
+            for (module, constant), value in changes.items():
+                stack.enter_context(mock.patch.object(module, constant, value))
+            cells = [_play(load, count) for load in placing.LOADS.values()]
+        print(f"| {name} | " + " | ".join(cells) + " |", flush=True)
+
+
+def _play(load: replay.Load, count: int) -> str:
+    days = [replay.Replay(load, replay.Policy.HOMES, seed).play() for seed in range(count)]
+    credit = sum(day.credit for day in days) / count
+    refused = sum(day.refused for day in days) / sum(day.asked for day in days)
+    return f"{credit:.3f} ({refused:.3f})"
+
+
+if __name__ == "__main__":
+    main()
--- a/src/caperdyke/coordination/placement/choice.py
+++ b/src/caperdyke/coordination/placement/choice.py
@@ -23,10 +23,11 @@
 # The same for the first home rather than the second, on an idle service, where the first home has
 # not had the object yet.
 SECOND_PART = 0.35
-# Requests under way per slot of a service from which on nothing waits that would be late.
-FULL_PRESSURE = 0.9
+# Requests under way per slot of a service from which on nothing waits that would be late. Below it
+# queues are short and drain by themselves, and who is turned away twice is lost.
+FULL_LOAD = 1.2
 # Requests under way per slot of a service from which on objects stay with their homes.
-COLD_PRESSURE = 0.7
+COLD_LOAD = 0.7
 # Requests under way for each slot beyond which a server would turn more away.
 OVERFILL = 2.5
 # Costs that differ by less are equal but for rounding; the object's order decides then, so that it
@@ -125,7 +126,8 @@
     open_candidates = [item for item in candidates if _is_open(now, item, demand)]
     if not open_candidates:
         return NoRoom(RETRY_MAX_SECONDS if not candidates else RETRY_MIN_SECONDS * 3, True)
-    pressure = _measure_pressure(open_candidates)
+    load = _measure_load(open_candidates)
+    pressure = min(1.0, load)
     far_cost = _find_far_cost(now, demand, open_candidates)
     second_cost = _find_second_cost(now, demand, open_candidates[0], times, pressure)
     best: Placed | None = None
@@ -134,7 +136,7 @@
     for place, candidate in enumerate(open_candidates):
         estimate = _estimate(now, demand, candidate, place, times)
         placed = estimate.placed
-        if not _is_worth_sending(now, demand, estimate, pressure):
+        if not _is_worth_sending(now, demand, estimate, load):
             earliest_room = min(earliest_room, max(0.0, estimate.wait))
             continue
         cost = placed.expected + pressure * estimate.work
@@ -174,7 +176,7 @@
     if demand.far_seconds < WARMING_FAR_SECONDS or not demand.key:
         return None
     open_candidates = [item for item in candidates if _is_open(now, item, demand)]
-    if not open_candidates or _measure_pressure(open_candidates) > WARMING_PRESSURE:
+    if not open_candidates or _measure_load(open_candidates) > WARMING_PRESSURE:
         return None
     for place, candidate in enumerate(open_candidates[: len(WARM_CHANCES)]):
         view = candidate.view
@@ -187,10 +189,10 @@
     return None
 
 
-def _measure_pressure(candidates: list[Candidate]) -> float:
-    """Returns requests under way per slot, at most 1."""
+def _measure_load(candidates: list[Candidate]) -> float:
+    """Returns requests under way per slot."""
     slots = sum(item.view.server.slots for item in candidates)
-    return min(1.0, sum(item.view.busy for item in candidates) / slots)
+    return sum(item.view.busy for item in candidates) / slots
 
 
 def _is_open(now: float, candidate: Candidate, demand: Demand) -> bool:
@@ -238,7 +240,7 @@
     return _Estimate(placed, wait, work, candidate.round_trip)
 
 
-def _is_worth_sending(now: float, demand: Demand, estimate: _Estimate, pressure: float) -> bool:
+def _is_worth_sending(now: float, demand: Demand, estimate: _Estimate, load: float) -> bool:
     """Tells whether a server should get the request rather than turn it away.
 
     Pattern: more work than slots. Whatever waits then is late when it is answered, and so is
@@ -253,11 +255,11 @@
     soonest = now + estimate.wait + estimate.round_trip
     if soonest > demand.deadline - SPARE_PART * max(0.0, demand.deadline - now):
         return False
-    if not placed.is_warm and (placed.waits or pressure >= COLD_PRESSURE):
+    if not placed.is_warm and (placed.waits or load >= COLD_LOAD):
         return False
     if not placed.waits:
         return True
-    return pressure < FULL_PRESSURE or now + placed.expected <= demand.objective_at
+    return load < FULL_LOAD or now + placed.expected <= demand.objective_at
 
 
 def _find_warm_chance(now: float, demand: Demand, candidate: Candidate, place: int) -> float:
