--- a/src/caperdyke/coordination/placement/choice.py
+++ b/src/caperdyke/coordination/placement/choice.py
@@ -23,11 +23,10 @@
 # The same for the first home rather than the second, on an idle service, where the first home has
 # not had the object yet.
 SECOND_PART = 0.35
-# Requests under way per slot of a service from which on nothing waits that would be late. Below it
-# queues are short and drain by themselves, and who is turned away twice is lost.
-FULL_LOAD = 1.2
+# Requests under way per slot of a service from which on nothing waits that would be late.
+FULL_PRESSURE = 0.9
 # Requests under way per slot of a service from which on objects stay with their homes.
-COLD_LOAD = 0.7
+COLD_PRESSURE = 0.7
 # Requests under way for each slot beyond which a server would turn more away.
 OVERFILL = 2.5
 # Costs that differ by less are equal but for rounding; the object's order decides then, so that it
@@ -126,8 +125,7 @@
     open_candidates = [item for item in candidates if _is_open(now, item, demand)]
     if not open_candidates:
         return NoRoom(RETRY_MAX_SECONDS if not candidates else RETRY_MIN_SECONDS * 3, True)
-    load = _measure_load(open_candidates)
-    pressure = min(1.0, load)
+    pressure = _measure_pressure(open_candidates)
     far_cost = _find_far_cost(now, demand, open_candidates)
     second_cost = _find_second_cost(now, demand, open_candidates[0], times, pressure)
     best: Placed | None = None
@@ -136,7 +134,7 @@
     for place, candidate in enumerate(open_candidates):
         estimate = _estimate(now, demand, candidate, place, times)
         placed = estimate.placed
-        if not _is_worth_sending(now, demand, estimate, load):
+        if not _is_worth_sending(now, demand, estimate, pressure):
             earliest_room = min(earliest_room, max(0.0, estimate.wait))
             continue
         cost = placed.expected + pressure * estimate.work
@@ -176,7 +174,7 @@
     if demand.far_seconds < WARMING_FAR_SECONDS or not demand.key:
         return None
     open_candidates = [item for item in candidates if _is_open(now, item, demand)]
-    if not open_candidates or _measure_load(open_candidates) > WARMING_PRESSURE:
+    if not open_candidates or _measure_pressure(open_candidates) > WARMING_PRESSURE:
         return None
     for place, candidate in enumerate(open_candidates[: len(WARM_CHANCES)]):
         view = candidate.view
@@ -189,10 +187,10 @@
     return None
 
 
-def _measure_load(candidates: list[Candidate]) -> float:
-    """Returns requests under way per slot."""
+def _measure_pressure(candidates: list[Candidate]) -> float:
+    """Returns requests under way per slot, at most 1."""
     slots = sum(item.view.server.slots for item in candidates)
-    return sum(item.view.busy for item in candidates) / slots
+    return min(1.0, sum(item.view.busy for item in candidates) / slots)
 
 
 def _is_open(now: float, candidate: Candidate, demand: Demand) -> bool:
@@ -240,7 +238,7 @@
     return _Estimate(placed, wait, work, candidate.round_trip)
 
 
-def _is_worth_sending(now: float, demand: Demand, estimate: _Estimate, load: float) -> bool:
+def _is_worth_sending(now: float, demand: Demand, estimate: _Estimate, pressure: float) -> bool:
     """Tells whether a server should get the request rather than turn it away.
 
     Pattern: more work than slots. Whatever waits then is late when it is answered, and so is
@@ -255,11 +253,11 @@
     soonest = now + estimate.wait + estimate.round_trip
     if soonest > demand.deadline - SPARE_PART * max(0.0, demand.deadline - now):
         return False
-    if not placed.is_warm and (placed.waits or load >= COLD_LOAD):
+    if not placed.is_warm and (placed.waits or pressure >= COLD_PRESSURE):
         return False
     if not placed.waits:
         return True
-    return load < FULL_LOAD or now + placed.expected <= demand.objective_at
+    return pressure < FULL_PRESSURE or now + placed.expected <= demand.objective_at
 
 
 def _find_warm_chance(now: float, demand: Demand, candidate: Candidate, place: int) -> float:
