Renew the wait for the configuration once an outage; copy no downloads

Copies to near homes leave downloads out, whose homes are by failure domain. The new test fails without the change.

--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -111,11 +111,15 @@
         tries: attempts.Attempts,
         trace: verdicts.RequestTrace,
     ) -> None:
-        """Sends a copy of an answered request to the object's near home where that is worth it."""
+        """Sends a copy of an answered request to the object's near home where that is worth it.
+
+        Downloads have homes by failure domain, and a second one would cost more than it spares.
+        """
         node = self._node
         now = node.now()
         is_near = answered.view.server.domain == node.settings.domain
-        if is_near or not tries.may_be_left or node.is_stopping:
+        is_download = route.kind is routes.RouteKind.DOWNLOAD
+        if is_near or is_download or not tries.may_be_left or node.is_stopping:
             return
         demand = self._make_demand(request, route, service, frozenset(), trace)
         times = node.times.find(route.name, route.objective_ms / 1000)
--- a/src/caperdyke/transport/gateway/follower.py
+++ b/src/caperdyke/transport/gateway/follower.py
@@ -201,9 +201,12 @@
     async def follow_servers(self) -> None:
         """Keeps registrations known, for ever."""
         while True:
+            was_away = self.servers.away_since is not None
             if not await self.servers.follow_once(0):
-                # The connection on which changes of the configuration are awaited may be silent.
-                self.hurry()
+                if not was_away:
+                    # The connection on which changes of the configuration are awaited may be
+                    # silent. Asked anew once only, as a slow store would never get to answer.
+                    self.hurry()
                 await asyncio.sleep(self.servers.find_away_delay())
                 continue
             self._servers_read_at = self._node.now()
@@ -395,6 +398,7 @@
 
     def _note_return(self) -> None:
         self._node.servers.note_return(self._node.now())
+        self.hurry()
 
     def _is_cut_off(self) -> bool:
         followers = (self.configuration, self.servers)
--- a/testing/platform/fake_store.py
+++ b/testing/platform/fake_store.py
@@ -28,6 +28,7 @@
     :ivar loses_answers: whether writes are done and not answered.
     :ivar history_from: position before which the history is forgotten.
     :ivar is_mute: whether calls that wait hear of no change.
+    :ivar refuses_servers: whether readings of registrations fail.
     :ivar era: how often the store came back from a copy.
     :ivar stale: a copy that whoever reads whole tables gets; None for the newest state.
     """
@@ -44,6 +45,7 @@
         self.loses_answers = False
         self.history_from = 0
         self.is_mute = False
+        self.refuses_servers = False
         self.era = 1
         self.stale: FakeCopy | None = None
         self._changed = asyncio.Condition()
@@ -150,6 +152,8 @@
         if refusal is not None:
             return refusal
         query = request.query_params
+        if self.refuses_servers and query["table"] == "servers":
+            return self._say(503)
         after = int(query["after"])
         if after < self.history_from or after > self.position:
             return self._say(410)
--- a/testing/platform/test_gateway_readings.py
+++ b/testing/platform/test_gateway_readings.py
@@ -127,3 +127,24 @@
                 self.assertIn(("instances", name), played.store.rows)
 
         self.play(scene)
+
+
+class FailingReadsTest(stage.StageCase):
+    """Pattern: readings of registrations fail for long, while changes of routes are answered."""
+
+    def test_wait_for_the_configuration_is_not_cut_each_time(self) -> None:
+        async def scene() -> None:
+            async with stage.open_stage() as played:
+                follower = played.gateway.follower
+                store = played.store
+                store.refuses_servers = True
+                await played.wait_until(lambda: follower.servers.away_since is not None)
+                cuts = []
+                follower.hurry = lambda: cuts.append(follower.servers.away_since)
+                tries = len(store.calls)
+                await played.wait_until(lambda: len(store.calls) > tries + 3)
+                self.assertEqual([], cuts)
+                await store.put("op", "config", stage.make_configuration(2))
+                await played.wait_until(lambda: played.gateway.node.routes.version == 2)
+
+        self.play(scene)
