Wait for requests under way at a server that seems silent

Trace: sent at 1.485 s, at 2.525 s cut, 502. The server was slow from the start; the oldest request there was overdue, so it counted as silent, and repeatable requests left it; no other had room. Silence does not show that a server does no work.

Ruled out: leaving only where another server has room (the second may fail, and the first had worked); leaving only before a stop (a caller loses as much then). Silent servers get nothing new, as before.

--- a/src/caperdyke/coordination/placement/attempts.py
+++ b/src/caperdyke/coordination/placement/attempts.py
@@ -69,8 +69,8 @@
         return self.is_repeatable or self.progress is not Progress.MAY_HAVE_RUN
 
     @property
-    def may_be_left(self) -> bool:
-        """Whether the next send may be given up while its server may be at work."""
+    def may_be_copied(self) -> bool:
+        """Whether one server more than the one that answered may get the request."""
         return self.is_repeatable and self.reached + 1 < self.sends_max
 
     @property
--- a/src/caperdyke/coordination/placement/retry_quota.py
+++ b/src/caperdyke/coordination/placement/retry_quota.py
@@ -50,12 +50,12 @@
         :param part: this instance's part of the allowance, 0 to 1.
         :param spare_part: part of the budget that must be left for sends that matter more.
         """
-        if not self.has_room(now, service, part, spare_part):
+        if not self._has_room(now, service, part, spare_part):
             return False
         self._append(self._repeats, now, service)
         return True
 
-    def has_room(
+    def _has_room(
         self, now: float, service: ids.ServiceName, part: float, spare_part: float = 0.0
     ) -> bool:
         """Tells whether one more repeated send fits into the budget.
--- a/src/caperdyke/coordination/placement/server_view.py
+++ b/src/caperdyke/coordination/placement/server_view.py
@@ -108,7 +108,8 @@
         """Tells whether the server seems to have fallen silent.
 
         Pattern: servers lose power, or their connections go silent, without a reset. Requests pile
-        up there until their deadlines, although nothing came back since the oldest was sent.
+        up there until their deadlines, although nothing came back since the oldest was sent. No
+        new ones go there; those under way are waited for, as the server may be at work on them.
         """
         if not self.pending:
             return False
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -12,8 +12,6 @@
 RETRY_PART_MAX = 0.3
 SERVER_ERROR_STATUS = 500
 SUCCESS_STATUS_END = 300
-# Interval between two looks at whether a server has fallen silent, in seconds.
-SILENCE_CHECK_SECONDS = 0.1
 # Part of the budget for repeated sends that copies which warm a near home leave to failed requests.
 WARMING_SPARE_PART = 0.5
 
@@ -46,7 +44,7 @@
                 return failed or self._give_up(request, tries, None)
             tried.add(chosen.view.server.backend)
             sent_at = node.now()
-            result = await self._send(request, chosen, tries, service)
+            result = await self._sender.send(request, chosen)
             self._learn(request, route, chosen, sent_at, result)
             trace.sends.append(self._describe(chosen, sent_at, result))
             match result:
@@ -64,35 +62,6 @@
             if not tries.allows_another() or node.now() >= request.deadline:
                 return failed or self._give_up(request, tries, None)
 
-    async def _send(
-        self,
-        request: sender.CallerRequest,
-        placed: choice.Placed,
-        tries: attempts.Attempts,
-        service: ids.ServiceName,
-    ) -> sender.Result:
-        """Sends a request once; leaves a server that has fallen silent if another may be asked.
-
-        Pattern: servers lose power while they work, and repeatable requests would wait for them
-        until their deadline while others have room.
-        """
-        if not tries.may_be_left:
-            return await self._sender.send(request, placed)
-        node = self._node
-        sending = asyncio.ensure_future(self._sender.send(request, placed))
-        try:
-            while True:
-                await asyncio.wait({sending}, timeout=SILENCE_CHECK_SECONDS)
-                if sending.done():
-                    return sending.result()
-                now = node.now()
-                part = node.fleet.find_part(now)
-                if placed.view.is_silent(now) and node.retries.has_room(now, service, part):
-                    return sender.Failure(sender.FailureKind.SILENT, "no sign of life")
-        finally:
-            sending.cancel()
-            await asyncio.gather(sending, return_exceptions=True)
-
     def _take_repeat(self, route: routes.Route, service: ids.ServiceName) -> bool:
         """Counts a repeated send if the budget has room; tells whether it has."""
         node = self._node
@@ -119,7 +88,7 @@
         now = node.now()
         is_near = answered.view.server.domain == node.settings.domain
         is_download = route.kind is routes.RouteKind.DOWNLOAD
-        if is_near or is_download or not tries.may_be_left or node.is_stopping:
+        if is_near or is_download or not tries.may_be_copied or node.is_stopping:
             return
         demand = self._make_demand(request, route, service, frozenset(), trace)
         times = node.times.find(route.name, route.objective_ms / 1000)
@@ -202,7 +171,7 @@
             view.note_answer(now, request.about.object_key, ratio)
             return
         match result.kind:
-            case sender.FailureKind.UNREACHABLE | sender.FailureKind.SILENT:
+            case sender.FailureKind.UNREACHABLE:
                 view.note_unreachable(now)
                 node.note_unusable(view, result.detail)
             case sender.FailureKind.MISDIRECTED:
@@ -254,7 +223,7 @@
         case sender.FailureKind.REFUSED:
             tries.note_reached()
             tries.note_not_run()
-        case sender.FailureKind.BROKEN | sender.FailureKind.LATE | sender.FailureKind.SILENT:
+        case sender.FailureKind.BROKEN | sender.FailureKind.LATE:
             tries.note_reached()
             tries.note_may_have_run()
 
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -64,8 +64,6 @@
     BROKEN = "broken"
     # No answer came in time.
     LATE = "late"
-    # The server gave no sign of life for longer than its work can take.
-    SILENT = "silent"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,7 +76,7 @@
     @property
     def may_have_run(self) -> bool:
         """Whether the server may have worked on the request."""
-        return self.kind in (FailureKind.BROKEN, FailureKind.LATE, FailureKind.SILENT)
+        return self.kind in (FailureKind.BROKEN, FailureKind.LATE)
 
 
 @dataclasses.dataclass(slots=True)
