--- a/src/caperdyke/transport/gateway/follower.py
+++ b/src/caperdyke/transport/gateway/follower.py
@@ -10,14 +10,11 @@
     evacuations,
     first_reads,
     fleet,
-    intervals,
-    table_image,
     turns,
 )
-from caperdyke.protocol import dialect
 from caperdyke.state import ids, routes, store_rows
 from caperdyke.transport import events
-from caperdyke.transport.gateway import context, peer_snapshots
+from caperdyke.transport.gateway import context, peer_snapshots, table_follower
 
 # Longest time that one call waits for a change of the configuration, in milliseconds, where nobody
 # else in the failure domain would tell of one, and at most. A connection that went silent is
@@ -46,113 +43,20 @@
 ASK_SECONDS = 0.2
 
 
-class TableFollower:
-    """Keeps one table in step with the store.
-
-    :param apply: gets the rows of each reading that are news.
-    :param on_failure: called when the store stops to answer.
-    :param on_return: called when it answers again.
-    """
-
-    def __init__(
-        self,
-        store: dialect.Store,
-        table: store_rows.StoreTable,
-        apply,
-        now,
-        on_failure,
-        on_return=None,
-    ) -> None:
-        self._store = store
-        self.table = table
-        self.image = table_image.TableImage(table)
-        self._apply = apply
-        self._now = now
-        self._on_return = on_return
-        self._on_failure = on_failure
-        self.away_since: float | None = None
-        self._failures = 0
-
-    @property
-    def position(self) -> store_rows.Position | None:
-        """Position up to which the table is known."""
-        return self.image.position
-
-    async def follow_once(self, wait_ms: int) -> bool:
-        """Reads what changed; tells whether the store answered with something that holds."""
-        try:
-            changes = await self._read(wait_ms)
-        except errors.PlatformUnavailableError as error:
-            self._note_failure(str(error))
-            return False
-        known = self.position
-        if not self.take(changes):
-            # The store answers with a state from before a change that it has told of.
-            events.log(
-                events.Event.READING_STALE,
-                table=self.table.value,
-                position=str(changes.position),
-                known=str(known),
-            )
-            self._note_failure(f"reading at {changes.position}, expected one after {known}")
-            return False
-        self._failures = 0
-        if self.away_since is not None:
-            away = round(self._now() - self.away_since, 2)
-            self.away_since = None
-            events.log(events.Event.STORE_BACK, table=self.table.value, away_s=away)
-        return True
-
-    def take(self, changes: store_rows.StoreChanges) -> bool:
-        """Takes over a reading, from the store or another instance; tells whether it holds."""
-        known = self.position
-        rows = self.image.take(changes)
-        if rows is None:
-            return False
-        is_new_era = known is not None and changes.position.era > known.era
-        if is_new_era:
-            events.log(events.Event.ERA_CHANGED, table=self.table.value, era=changes.position.era)
-        if self._on_return is not None and (is_new_era or self.away_since is not None):
-            self._on_return()
-        self._apply(rows)
-        return True
-
-    def find_away_delay(self) -> float:
-        """Returns the seconds until the next try after one without an answer."""
-        return intervals.find_away_delay(self._failures, random.random())
-
-    def _note_failure(self, error: str) -> None:
-        self._failures += 1
-        if self.away_since is None:
-            self.away_since = self._now()
-            events.log(events.Event.STORE_AWAY, table=self.table.value, error=error)
-            self._on_failure()
-
-    async def _read(self, wait_ms: int) -> store_rows.StoreChanges:
-        if self.position is None:
-            return await self._store.read_table(self.table)
-        position = self.position
-        changes = await self._store.read_changes(self.table, position, wait_ms)
-        if changes is None:
-            events.log(events.Event.HISTORY_LOST, table=self.table.value, position=str(position))
-            return await self._store.read_table(self.table)
-        return changes
-
-
 class Follower:
     """Applies what the store holds to the gateway's state."""
 
     def __init__(self, node: context.GatewayContext) -> None:
         self._node = node
         tables = store_rows.StoreTable
-        self.configuration = TableFollower(
+        self.configuration = table_follower.TableFollower(
             node.store,
             tables.CONFIGURATION,
             self.apply_configuration,
             node.now,
             node.note_first_failure,
         )
-        self.servers = TableFollower(
+        self.servers = table_follower.TableFollower(
             node.store,
             tables.SERVERS,
             self.apply_servers,
--- /dev/null
+++ b/src/caperdyke/transport/gateway/table_follower.py
@@ -0,0 +1,106 @@
+"""Keeps one table of the store known."""
+
+import random
+
+from caperdyke import errors
+from caperdyke.coordination.registry import intervals, table_image
+from caperdyke.protocol import dialect
+from caperdyke.state import store_rows
+from caperdyke.transport import events
+
+
+class TableFollower:
+    """Keeps one table in step with the store.
+
+    :param apply: gets the rows of each reading that are news.
+    :param on_failure: called when the store stops to answer.
+    :param on_return: called when it answers again.
+    """
+
+    def __init__(
+        self,
+        store: dialect.Store,
+        table: store_rows.StoreTable,
+        apply,
+        now,
+        on_failure,
+        on_return=None,
+    ) -> None:
+        self._store = store
+        self.table = table
+        self.image = table_image.TableImage(table)
+        self._apply = apply
+        self._now = now
+        self._on_return = on_return
+        self._on_failure = on_failure
+        self.away_since: float | None = None
+        self._failures = 0
+
+    @property
+    def position(self) -> store_rows.Position | None:
+        """Position up to which the table is known."""
+        return self.image.position
+
+    async def follow_once(self, wait_ms: int) -> bool:
+        """Reads what changed; tells whether the store answered with something that holds."""
+        try:
+            changes = await self._read(wait_ms)
+        except errors.PlatformUnavailableError as error:
+            self._note_failure(str(error))
+            return False
+        known = self.position
+        if not self.take(changes, is_return=self.away_since is not None):
+            # The store answers with a state from before a change that it has told of.
+            events.log(
+                events.Event.READING_STALE,
+                table=self.table.value,
+                position=str(changes.position),
+                known=str(known),
+            )
+            self._note_failure(f"reading at {changes.position}, expected one after {known}")
+            return False
+        self._failures = 0
+        if self.away_since is not None:
+            away = round(self._now() - self.away_since, 2)
+            self.away_since = None
+            events.log(events.Event.STORE_BACK, table=self.table.value, away_s=away)
+        return True
+
+    def take(self, changes: store_rows.StoreChanges, is_return: bool = False) -> bool:
+        """Takes over a reading, from the store or another instance; tells whether it holds.
+
+        :param is_return: whether the store answers again with it after it was away. What others
+            tell in the meantime is no return: removals that they saw hold at once.
+        """
+        known = self.position
+        rows = self.image.take(changes)
+        if rows is None:
+            return False
+        is_new_era = known is not None and changes.position.era > known.era
+        if is_new_era:
+            events.log(events.Event.ERA_CHANGED, table=self.table.value, era=changes.position.era)
+        if self._on_return is not None and (is_new_era or is_return):
+            self._on_return()
+        self._apply(rows)
+        return True
+
+    def find_away_delay(self) -> float:
+        """Returns the seconds until the next try after one without an answer."""
+        return intervals.find_away_delay(self._failures, random.random())
+
+    def _note_failure(self, error: str) -> None:
+        self._failures += 1
+        if self.away_since is None:
+            self.away_since = self._now()
+            events.log(events.Event.STORE_AWAY, table=self.table.value, error=error)
+            self._on_failure()
+
+    async def _read(self, wait_ms: int) -> store_rows.StoreChanges:
+        if self.position is None:
+            return await self._store.read_table(self.table)
+        position = self.position
+        changes = await self._store.read_changes(self.table, position, wait_ms)
+        if changes is None:
+            events.log(events.Event.HISTORY_LOST, table=self.table.value, position=str(position))
+            return await self._store.read_table(self.table)
+        return changes
--- a/testing/platform/test_gateway_readings.py
+++ b/testing/platform/test_gateway_readings.py
@@ -69,6 +69,24 @@
         self.play(scene)
 
 
+class TurnedAwayTest(stage.StageCase):
+    """Pattern: the store turns an instance away, and others tell it that a server left."""
+
+    def test_removal_that_others_tell_holds_at_once(self) -> None:
+        async def scene() -> None:
+            async with stage.open_stage() as played:
+                node, servers = played.gateway.node, played.gateway.follower.servers
+                played.store.is_down = True
+                await played.wait_until(lambda: servers.away_since is not None)
+                position = store_rows.Position(1, 900)
+                row = store_rows.StoreRow(store_rows.StoreTable.SERVERS, "s1", position, None)
+                servers.take(store_rows.StoreChanges(row.table, (row,), position, False))
+                usable = node.servers.list_usable(node.now())
+                self.assertEqual(["s2"], [item.registration.server.backend for item in usable])
+
+        self.play(scene)
+
+
 class LaterEraTest(stage.StageCase):
     """Pattern: the store is away and comes back from a copy that is some seconds old."""
 
