Log each call for the configuration, and what a refusing instance knew

Callers saw a 404 for a confirmed route, and nothing in the log said why its instance went by an older version: no line tells of a call that waits or was given up, and what a collector kept were the lines of the last four seconds, all of them requests.

Cause of the gap: a call ended by word of another instance leaves no line; a request's line names the version, not its age or source.

Ruled out: a line for each announcement that is heard (hundreds a second).

Change: 6109 for each call for the configuration (wait, time, outcome), 6110 when word of an instance that is ahead renews it, 6111 every 2 s with version, source, position, ages and calls under way; refused requests (5101, status 400 and up) carry the same as `knowledge`; 6201 names source and position. Metrics: `store_calls` by table and outcome, gauge `configuration`.

Conclusion: the three hypotheses now leave different lines: a call that took its whole wait and failed, calls given up one after the other, or requests for rows that failed.

--- a/src/caperdyke/transport/events.py
+++ b/src/caperdyke/transport/events.py
@@ -56,6 +56,21 @@
     READING_STALE = (6106, "INFO", "reading of {table} at {position} does not pass {known}")
     ERA_CHANGED = (6107, "WARNING", "the store came back as an older copy, era {era}, {table}")
     ROWS_HEARD = (6108, "INFO", "{count} rows of {table} up to {position} heard from {peer}")
+    STORE_CALL_ENDED = (
+        6109,
+        "INFO",
+        "call for {table} with a wait of {wait_ms} ms ended after {took_ms} ms: {outcome} {detail}",
+    )
+    INSTANCE_AHEAD = (
+        6110,
+        "INFO",
+        "{instance} knows {table} up to {theirs}, this instance up to {own}; the store is asked",
+    )
+    CONFIGURATION_KNOWN = (
+        6111,
+        "INFO",
+        "configuration {version} is in force, from {source} {adopted_ms} ms ago",
+    )
     ROUTES_ADOPTED = (6201, "INFO", "configuration {version} is in force, {routes} routes")
     SERVER_CHANGED = (6202, "INFO", "backend server {backend} of {service}: {change}")
     EVACUATION_CHANGED = (6203, "INFO", "evacuated failure domains: {domains}")
--- a/src/caperdyke/transport/gateway/announcer.py
+++ b/src/caperdyke/transport/gateway/announcer.py
@@ -68,6 +68,7 @@
                 # The sender started before this instance heard of it; asks for its record.
                 self._introduce(ids.Address(f"{address[0]}:{address[1]}"))
             return
+        node.provenance.others_word_at = now
         known.load = item.load
         known.changed = item.changed
         if item.read_age_ms >= 0:
@@ -76,7 +77,7 @@
         if item.wants_answer:
             self._send(now, known, False, True)
         if self._tables.is_behind(known, store_rows.StoreTable.CONFIGURATION):
-            self._tables.hurry()
+            self._tables.note_ahead(known)
 
     async def announce(self) -> None:
         """Announces this instance, for ever."""
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -14,7 +14,7 @@
     splits,
     work_times,
 )
-from caperdyke.coordination.registry import first_reads, fleet, server_registry
+from caperdyke.coordination.registry import first_reads, fleet, provenance, server_registry
 from caperdyke.protocol import dialect
 from caperdyke.state import backend, clock, gateway_settings, ids, member, routes
 from caperdyke.transport import events, metrics
@@ -52,6 +52,7 @@
         self.fleet = fleet.Fleet(own, checked.domains)
         self.servers = server_registry.ServerRegistry()
         self.routes: routes.RouteTable | None = None
+        self.provenance = provenance.Provenance()
         self.evacuated: frozenset[ids.DomainName] = frozenset()
         # Failure domains whose evacuation ended, and until when their servers count as cold.
         self.cold_domains: dict[ids.DomainName, float] = {}
--- a/src/caperdyke/transport/gateway/follower.py
+++ b/src/caperdyke/transport/gateway/follower.py
@@ -54,6 +54,7 @@
             tables.CONFIGURATION,
             self.apply_configuration,
             node.now,
+            self._note_call,
             node.note_first_failure,
         )
         self.servers = table_follower.TableFollower(
@@ -61,9 +62,11 @@
             tables.SERVERS,
             self.apply_servers,
             node.now,
+            self._note_call,
             node.note_first_failure,
             self._note_return,
         )
+        node.provenance.calls = self.configuration.calls
         self._tables = {item.table: item for item in (self.configuration, self.servers)}
         self._evacuations = evacuations.Evacuations()
         self._wake = asyncio.Event()
@@ -95,8 +98,24 @@
             if not is_answered:
                 await asyncio.sleep(self.configuration.find_away_delay())
 
-    def hurry(self) -> None:
+    def note_ahead(self, other: fleet.KnownInstance) -> None:
         """Reads the configuration at once, since another instance knows a newer one."""
+        self._log_ahead(other)
+        self.hurry()
+
+    def _log_ahead(self, other: fleet.KnownInstance) -> None:
+        table = store_rows.StoreTable.CONFIGURATION
+        if self._node.now() >= self._hurried_at + HURRY_SECONDS:
+            events.log(
+                events.Event.INSTANCE_AHEAD,
+                instance=other.record.instance,
+                table=table.value,
+                theirs=str(other.changed[table]),
+                own=str(self.configuration.position),
+            )
+
+    def hurry(self) -> None:
+        """Reads the configuration at once; the connection on which it is awaited may be silent."""
         now = self._node.now()
         if now >= self._hurried_at + HURRY_SECONDS:
             self._hurried_at = now
@@ -298,7 +317,32 @@
             return
         if table is not None and is_newer(node.routes, table):
             node.routes = table
-            events.log(events.Event.ROUTES_ADOPTED, version=table.version, routes=len(table.routes))
+            source = self.configuration.source
+            node.provenance.note_adoption(node.now(), source, row.changed)
+            node.metrics.note_configuration(table.version)
+            events.log(
+                events.Event.ROUTES_ADOPTED,
+                version=table.version,
+                routes=len(table.routes),
+                source=source,
+                position=str(row.changed),
+            )
+
+    def _note_call(self, report: table_follower.CallReport) -> None:
+        node, outcome = self._node, report.outcome
+        node.metrics.count_store_call(report.table.value, outcome.value)
+        if report.table is not store_rows.StoreTable.CONFIGURATION:
+            return
+        if outcome is table_follower.CallOutcome.ANSWERED:
+            node.provenance.store_word_at = node.now()
+        events.log(
+            events.Event.STORE_CALL_ENDED,
+            table=report.table.value,
+            wait_ms=report.wait_ms,
+            took_ms=round((node.now() - report.began) * 1000),
+            outcome=outcome.value,
+            detail=report.detail,
+        )
 
     def _note_return(self) -> None:
         self._node.servers.note_return(self._node.now())
@@ -324,7 +368,9 @@
             return
         for reading in readings:
             follower = self._tables.get(reading.table)
-            if follower is not None and follower.take(reading) and reading.rows:
+            if follower is None:
+                continue
+            if follower.take(reading, source=address) and reading.rows:
                 events.log(
                     events.Event.ROWS_HEARD,
                     peer=address,
--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -22,6 +22,9 @@
 STEP_SECONDS = 0.05
 # Interval between two looks at readiness and idle connections, in seconds.
 UPKEEP_SECONDS = 0.2
+# Interval between two log lines that say what is known, in seconds: a collector that keeps the
+# last lines only holds one of them.
+KNOWN_SECONDS = 2.0
 # After the signal to stop, callers are named other instances and requests still arrive: as long as
 # a look-up answer is kept. In seconds.
 LINGER_SECONDS = 2.2
@@ -87,8 +90,13 @@
 
     async def _keep_up(self) -> None:
         node = self.node
+        log_at = node.now() + KNOWN_SECONDS
         while True:
             self.follower.update_evacuations()
+            if node.now() >= log_at and node.routes is not None:
+                log_at = node.now() + KNOWN_SECONDS
+                known = node.provenance.describe(node.now())
+                events.log(events.Event.CONFIGURATION_KNOWN, version=node.routes.version, **known)
             node.refresh_servers()
             node.pool.drop_expired()
             self._apply_limits()
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -15,6 +15,8 @@
 WAIT_DEFAULT_MS = 60_000.0
 # When a caller may return to an instance that knows no configuration yet, in seconds.
 RETRY_NOT_READY_SECONDS = 0.5
+# From this status on an answer is a failure or a refusal.
+CALLER_ERROR_STATUS = 400
 # Time before the caller's deadline at which the last answer leaves, in seconds, so that it arrives.
 ANSWER_MARGIN_SECONDS = 0.03
 
@@ -205,6 +207,9 @@
             node.metrics.count_answer(trace.host, trace.service, trace.kind, took)
         else:
             node.metrics.count_refusal(trace.host, trace.service, str(status), outcome)
+        known = {}
+        if status >= CALLER_ERROR_STATUS:
+            known["knowledge"] = node.provenance.describe(node.now())
         events.log(
             events.Event.REQUEST_ENDED,
             request=trace.request_id,
@@ -217,6 +222,7 @@
             configuration=node.routes.version if node.routes else 0,
             registrations_age_ms=node.find_registrations_age_ms(),
             sends=trace.sends,
+            **known,
         )
 
 
--- a/src/caperdyke/transport/gateway/table_follower.py
+++ b/src/caperdyke/transport/gateway/table_follower.py
@@ -1,18 +1,44 @@
 """Keeps one table of the store known."""
 
+import dataclasses
+import enum
 import random
 
 from caperdyke import errors
-from caperdyke.coordination.registry import intervals, table_image
+from caperdyke.coordination.registry import intervals, provenance, table_image
 from caperdyke.protocol import dialect
 from caperdyke.state import store_rows
 from caperdyke.transport import events
 
 
+class CallOutcome(enum.Enum):
+    """How a call of the store ended."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    GIVEN_UP = "given up"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallReport:
+    """One call of the store that ended.
+
+    :param wait_ms: how long the store was asked to wait for a change, in milliseconds.
+    :param detail: what was answered, or the error.
+    """
+
+    table: store_rows.StoreTable
+    wait_ms: int
+    began: float
+    outcome: CallOutcome
+    detail: str
+
+
 class TableFollower:
     """Keeps one table in step with the store.
 
     :param apply: gets the rows of each reading that are news.
+    :param on_call_ended: gets a report of each call.
     :param on_failure: called when the store stops to answer.
     :param on_return: called when it answers again.
     """
@@ -23,6 +49,7 @@
         table: store_rows.StoreTable,
         apply,
         now,
+        on_call_ended,
         on_failure,
         on_return=None,
     ) -> None:
@@ -32,8 +59,13 @@
         self._apply = apply
         self._now = now
         self._on_return = on_return
+        self._on_call_ended = on_call_ended
         self._on_failure = on_failure
         self.away_since: float | None = None
+        # Whose reading was taken over last.
+        self.source = provenance.STORE
+        # Start of each call that is under way.
+        self.calls: list[float] = []
         self._failures = 0
 
     @property
@@ -43,11 +75,20 @@
 
     async def follow_once(self, wait_ms: int) -> bool:
         """Reads what changed; tells whether the store answered with something that holds."""
+        began = self._now()
+        self.calls.append(began)
+        outcome, detail = CallOutcome.GIVEN_UP, ""
         try:
             changes = await self._read(wait_ms)
+            detail = f"{len(changes.rows)} rows up to {changes.position}"
+            outcome = CallOutcome.ANSWERED
         except errors.PlatformUnavailableError as error:
-            self._note_failure(str(error))
+            outcome, detail = CallOutcome.FAILED, str(error)
+            self._note_failure(detail)
             return False
+        finally:
+            self.calls.remove(began)
+            self._on_call_ended(CallReport(self.table, wait_ms, began, outcome, detail))
         known = self.position
         if not self.take(changes, is_return=self.away_since is not None):
             # The store answers with a state from before a change that it has told of.
@@ -66,9 +107,15 @@
             events.log(events.Event.STORE_BACK, table=self.table.value, away_s=away)
         return True
 
-    def take(self, changes: store_rows.StoreChanges, is_return: bool = False) -> bool:
+    def take(
+        self,
+        changes: store_rows.StoreChanges,
+        is_return: bool = False,
+        source: str = provenance.STORE,
+    ) -> bool:
         """Takes over a reading, from the store or another instance; tells whether it holds.
 
+        :param source: whose reading it is.
         :param is_return: whether the store answers again with it after it was away. What others
             tell in the meantime is no return: removals that they saw hold at once.
         """
@@ -81,6 +128,7 @@
             events.log(events.Event.ERA_CHANGED, table=self.table.value, era=changes.position.era)
         if self._on_return is not None and (is_new_era or is_return):
             self._on_return()
+        self.source = source
         self._apply(rows)
         return True
 
--- a/src/caperdyke/transport/metrics.py
+++ b/src/caperdyke/transport/metrics.py
@@ -27,6 +27,9 @@
         self._lookups_seen: collections.Counter[str] = collections.Counter()
         meter.create_observable_counter("lookups", callbacks=[self._observe_lookups])
         self._retries = meter.create_counter("retries")
+        self._store_calls = meter.create_counter("store_calls")
+        self._configuration = 0
+        meter.create_observable_gauge("configuration", callbacks=[self._observe_configuration])
 
     def count_answer(self, customer: str, service: str, kind: str, latency: float) -> None:
         """Records the latency in seconds of an answered request."""
@@ -48,6 +51,20 @@
             for customer, count in self._lookups_seen.items()
         ]
 
+    def note_configuration(self, version: int) -> None:
+        """Records the version in force."""
+        self._configuration = version
+
+    def _observe_configuration(self, _options):
+        return [otel_metrics_api.Observation(self._configuration)]
+
+    def count_store_call(self, table: str, outcome: str) -> None:
+        """Counts a call of the store that ended.
+
+        :param outcome: ``answered``, ``failed`` or ``given up``.
+        """
+        self._store_calls.add(1, {"table": table, "outcome": outcome})
+
     def count_retry(self, customer: str, service: str) -> None:
         """Counts a further try of a request."""
         self._retries.add(1, {"customer": customer, "service": service})
