Probe idle connections to the store

Callers saw a 404 for a confirmed route: their instance waited for changes on a connection that had gone silent, and nothing told it so before the call's own time-out.

Cause: connections to callers and backend servers are probed while idle, those of the HTTP client are not. Word of others and failed reads of registrations ended most of them earlier, none of them for certain.

Ruled out: shorter waits, each of which is a priced call of every instance; one unanswered probe more, which takes 3 s.

Change: the client sets probes on each connection it opens; for the store one unanswered probe ends the connection, 2 s after the last word at the latest. A probe that is only lost costs one call.

--- a/src/caperdyke/platform/store.py
+++ b/src/caperdyke/platform/store.py
@@ -7,7 +7,7 @@
 
 from caperdyke import errors
 from caperdyke.state import ids, store_rows
-from caperdyke.transport.http import http_client
+from caperdyke.transport.http import http_client, probes
 
 # Longest time of a call beyond the wait that it asks for, in seconds. An answer takes a few
 # milliseconds; a store that is slower than this counts as away.
@@ -44,7 +44,7 @@
 
     def __init__(self, address: ids.Address) -> None:
         self._base = f"http://{address}"
-        self._client = http_client.HttpClient(CONNECTIONS_MAX, CALL_SECONDS)
+        self._client = http_client.HttpClient(CONNECTIONS_MAX, CALL_SECONDS, probes.STORE)
 
     async def read_table(self, table: store_rows.StoreTable) -> store_rows.StoreChanges:
         """Returns all rows of a table.
--- a/src/caperdyke/transport/http/http_client.py
+++ b/src/caperdyke/transport/http/http_client.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextvars
 import dataclasses
+import functools
 import math
 import time
 
@@ -18,6 +19,8 @@
 import aiosonic.pools
 import aiosonic.timeout
 
+from caperdyke.transport.http import probes
+
 # Servers commonly end idle connections after 5 s or more; ending them first leaves no race.
 IDLE_MAX_MS = 4000
 # What the library raises where an exchange fails; TimeoutError is an OSError.
@@ -60,8 +63,18 @@
 
     A kept connection that the server has ended is not used again: a request written to it would be
     lost, and nobody could tell that it never ran.
+
+    :param silence: how long the peer may be silent.
     """
 
+    def __init__(self, pool: aiosonic.pools.BasePool, silence: probes.Silence) -> None:
+        super().__init__(pool)
+        self._silence = silence
+
+    async def connect(self, *arguments, **named) -> None:
+        await super().connect(*arguments, **named)
+        probes.set_probes(self.writer.get_extra_info("socket"), self._silence)
+
     def reuse(self, urlparsed, verify: bool) -> bool:
         if self.reader is not None and self.reader.at_eof():
             self.close()
@@ -82,15 +95,22 @@
 
     :param connections_max: connections that are kept for each address.
     :param connect_timeout: longest time to open a connection, in seconds.
+    :param silence: how long a peer may be silent.
     """
 
-    def __init__(self, connections_max: int, connect_timeout: float) -> None:
+    def __init__(
+        self,
+        connections_max: int,
+        connect_timeout: float,
+        silence: probes.Silence = probes.REQUESTS,
+    ) -> None:
         pool = aiosonic.pools.PoolConfig(size=connections_max, max_conn_idle_ms=IDLE_MAX_MS)
         timeouts = aiosonic.timeout.Timeouts(
             sock_connect=connect_timeout, sock_read=None, request_timeout=None
         )
+        connection_cls = functools.partial(_NotedConnection, silence=silence)
         connector = aiosonic.connectors.TCPConnector(
-            pool_configs={":default": pool}, timeouts=timeouts, connection_cls=_NotedConnection
+            pool_configs={":default": pool}, timeouts=timeouts, connection_cls=connection_cls
         )
         self._client = aiosonic.HTTPClient(connector, handle_cookies=False)
 
--- a/testing/platform/test_store_connections.py
+++ b/testing/platform/test_store_connections.py
@@ -3,7 +3,10 @@
 import asyncio
 import socket
 
-from caperdyke.transport.http import http_client
+import aiosonic.connection
+
+from caperdyke.platform import store
+from caperdyke.state import store_rows
 from testing import servers
 from testing.platform import fake_store, stage
 
@@ -15,25 +18,27 @@
     """Pattern: an open connection falls silent for good, without a word to either side."""
 
     def test_silent_connection_ends_within_the_bound_for_the_configuration(self) -> None:
+        opened: list[socket.socket] = []
+
+        async def open_connection(*arguments, **named):
+            reader, writer = await asyncio.open_connection(*arguments, **named)
+            opened.append(writer.get_extra_info("socket"))
+            return reader, writer
+
         async def scene() -> None:
+            self.patch(aiosonic.connection, "open_connection", open_connection)
             async with servers.serve_app(fake_store.FakeStore().make_app()) as address:
-                client = http_client.HttpClient(1, 1.0)
-                exchange = http_client.Exchange()
-                url = f"http://{address}/caperdyke/rows-get?table=op&part=&limit=1"
-                response = await client.start(exchange, "GET", url, [], None, 1.0)
-                opened = exchange.connection.writer.get_extra_info("socket")
+                client = store.Store(address)
+                await client.read_table(store_rows.StoreTable.CONFIGURATION)
                 tcp = socket.IPPROTO_TCP
-                self.assertEqual(1, opened.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE))
-                idle = opened.getsockopt(tcp, socket.TCP_KEEPIDLE)
-                interval = opened.getsockopt(tcp, socket.TCP_KEEPINTVL)
-                count = opened.getsockopt(tcp, socket.TCP_KEEPCNT)
+                self.assertEqual(1, opened[0].getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE))
+                idle = opened[0].getsockopt(tcp, socket.TCP_KEEPIDLE)
+                interval = opened[0].getsockopt(tcp, socket.TCP_KEEPINTVL)
+                count = opened[0].getsockopt(tcp, socket.TCP_KEEPCNT)
                 self.assertTrue(
                     idle + interval * count < APPLY_SECONDS,
                     f"got {idle} + {interval} * {count} s, expected under {APPLY_SECONDS} s",
                 )
-                self.assertEqual(200, response.status_code)
-                exchange.close()
                 await client.close()
-                await asyncio.sleep(0)
 
         self.play(scene)
