Replace store connections that idled too long

Cause: the client library makes a new connection by the class of an idle one, with the pool as the only argument; the class took the silence as a second one. Reading after 4 s without a call raised TypeError, and the task was started again half a second later.

Ruled out: a fault of the pool (its places are free afterwards).

Change: the silence is an attribute of a class made for each client.

--- a/src/caperdyke/transport/http/http_client.py
+++ b/src/caperdyke/transport/http/http_client.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextvars
 import dataclasses
-import functools
 import math
 import time
 
@@ -64,16 +63,15 @@
     A kept connection that the server has ended is not used again: a request written to it would be
     lost, and nobody could tell that it never ran.
 
-    :param silence: how long the peer may be silent.
+    :cvar silence: how long the peer may be silent. The library makes connections by class, with
+        their pool as the only argument.
     """
 
-    def __init__(self, pool: aiosonic.pools.BasePool, silence: probes.Silence) -> None:
-        super().__init__(pool)
-        self._silence = silence
+    silence = probes.REQUESTS
 
     async def connect(self, *arguments, **named) -> None:
         await super().connect(*arguments, **named)
-        probes.set_probes(self.writer.get_extra_info("socket"), self._silence)
+        probes.set_probes(self.writer.get_extra_info("socket"), self.silence)
 
     def reuse(self, urlparsed, verify: bool) -> bool:
         if self.reader is not None and self.reader.at_eof():
@@ -108,7 +106,7 @@
         timeouts = aiosonic.timeout.Timeouts(
             sock_connect=connect_timeout, sock_read=None, request_timeout=None
         )
-        connection_cls = functools.partial(_NotedConnection, silence=silence)
+        connection_cls = type("_ProbedConnection", (_NotedConnection,), {"silence": silence})
         connector = aiosonic.connectors.TCPConnector(
             pool_configs={":default": pool}, timeouts=timeouts, connection_cls=connection_cls
         )
--- a/testing/platform/test_store_connections.py
+++ b/testing/platform/test_store_connections.py
@@ -7,6 +7,7 @@
 
 from caperdyke.platform import store
 from caperdyke.state import store_rows
+from caperdyke.transport.http import http_client
 from testing import servers
 from testing.platform import fake_store, stage
 
@@ -42,3 +43,15 @@
                 await client.close()
 
         self.play(scene)
+
+    def test_connection_that_idled_is_replaced(self) -> None:
+        async def scene() -> None:
+            self.patch(http_client, "IDLE_MAX_MS", 1)
+            async with servers.serve_app(fake_store.FakeStore().make_app()) as address:
+                client = store.Store(address)
+                for _ in range(3):
+                    await client.read_table(store_rows.StoreTable.CONFIGURATION)
+                    await asyncio.sleep(0.01)
+                await client.close()
+
+        self.play(scene)
