Let a call for the configuration go on, and ask the store beside it

Callers saw requests handled by an older version, and a 404 for a route that had been confirmed more than 3 s before.

Cause: word of an instance that is ahead ended the call under way, at most each 0.6 s, and the next one started 0.3 to 0.5 s later. What is left for a new connection and an answer, 0.1 to 0.3 s, is less than they take from a far region, from a slow machine or with a slow store. So the more others told of a change, the longer the instance went without it. The class: a remedy that ends what it waits for, at an interval that does not know how long an answer takes.

Ruled out: a longer interval or no pause, which move the limit; ending the call only when its connection is known to be silent, which nobody can tell in time.

Change: the call that waits goes on. Readings that get no answer for 0.6 s are made a second time beside the first, those of registrations too: one silent connection cost a failure domain 1.5 s and a pause. A reading that another call was faster than is not stale.

--- a/src/caperdyke/platform/store.py
+++ b/src/caperdyke/platform/store.py
@@ -12,7 +12,8 @@
 # Longest time of a call beyond the wait that it asks for, in seconds. An answer takes a few
 # milliseconds; a store that is slower than this counts as away.
 CALL_SECONDS = 1.5
-CONNECTIONS_MAX = 4
+# One call that waits, and for each table a reading and a second one beside it.
+CONNECTIONS_MAX = 8
 ROWS_MAX = 500
 # In every answer; rises by one each time that the store comes back from an older copy.
 ERA_HEADER = "store-era"
--- a/src/caperdyke/transport/gateway/follower.py
+++ b/src/caperdyke/transport/gateway/follower.py
@@ -14,16 +14,17 @@
 )
 from caperdyke.state import ids, routes, store_rows
 from caperdyke.transport import events
-from caperdyke.transport.gateway import context, peer_snapshots, table_follower
+from caperdyke.transport.gateway import (
+    configuration_watch,
+    context,
+    peer_snapshots,
+    table_follower,
+)
 
 # Longest time that one call waits for a change of the configuration, in milliseconds, where nobody
-# else in the failure domain would tell of one, and at most. A connection that went silent is
-# noticed after this and the call's own allowance, or by a read of the registrations.
+# else in the failure domain would tell of one, and at most.
 CONFIGURATION_WAIT_MS = 3000
 CONFIGURATION_WAIT_MAX_MS = 12_000
-# Least time between two reads because of what other instances know, in seconds; most of them learn
-# of a change by themselves within a part of it.
-HURRY_SECONDS = 0.6
 # Longest age of a reading of the registrations, by this instance or another one of its failure
 # domain: part of the time after which a server that leaves must get nothing new, and at most, in
 # seconds.
@@ -46,14 +47,16 @@
 class Follower:
     """Applies what the store holds to the gateway's state."""
 
-    def __init__(self, node: context.GatewayContext) -> None:
+    def __init__(self, node: context.GatewayContext, chance: random.Random | None = None) -> None:
         self._node = node
+        chance = chance or random.Random()
         tables = store_rows.StoreTable
         self.configuration = table_follower.TableFollower(
             node.store,
             tables.CONFIGURATION,
             self.apply_configuration,
             node.now,
+            chance,
             self._note_call,
             node.note_first_failure,
         )
@@ -62,6 +65,7 @@
             tables.SERVERS,
             self.apply_servers,
             node.now,
+            chance,
             self._note_call,
             node.note_first_failure,
             self._note_return,
@@ -69,43 +73,24 @@
         node.provenance.calls = self.configuration.calls
         self._tables = {item.table: item for item in (self.configuration, self.servers)}
         self._evacuations = evacuations.Evacuations()
-        self._wake = asyncio.Event()
-        self._hurried_at = 0.0
+        self.watch = configuration_watch.ConfigurationWatch(
+            self.configuration, node.now, self._find_configuration_wait, self._is_doubted
+        )
+        # Whether a line tells already that another instance knows a newer configuration.
+        self._is_ahead_noted = False
         # Since when another instance knows a newer change of a table.
         self._behind_since: dict[store_rows.StoreTable, float] = {}
         self._asked_at = 0.0
         self._servers_read_at = -math.inf
-        self._turns = turns.Turns(random.Random())
+        self._turns = turns.Turns(chance)
         # Called after each reading of the registrations.
         self.on_servers_read: collections.abc.Callable[[], None] = _do_nothing
 
-    async def follow_configuration(self) -> None:
-        """Keeps the configuration in force, for ever."""
-        while True:
-            # A call that waits is given up when another instance knows a newer configuration: its
-            # connection may have gone silent.
-            self._wake.clear()
-            wait_ms = self._find_configuration_wait()
-            reading = asyncio.ensure_future(self.configuration.follow_once(wait_ms))
-            waking = asyncio.ensure_future(self._wake.wait())
-            try:
-                await asyncio.wait({reading, waking}, return_when=asyncio.FIRST_COMPLETED)
-                is_answered = reading.done() and reading.result()
-            finally:
-                reading.cancel()
-                waking.cancel()
-                await asyncio.gather(reading, waking, return_exceptions=True)
-            if not is_answered:
-                await asyncio.sleep(self.configuration.find_away_delay())
-
     def note_ahead(self, other: fleet.KnownInstance) -> None:
-        """Reads the configuration at once, since another instance knows a newer one."""
-        self._log_ahead(other)
-        self.hurry()
-
-    def _log_ahead(self, other: fleet.KnownInstance) -> None:
+        """Learns that another instance knows a newer configuration."""
         table = store_rows.StoreTable.CONFIGURATION
-        if self._node.now() >= self._hurried_at + HURRY_SECONDS:
+        if not self._is_ahead_noted:
+            self._is_ahead_noted = True
             events.log(
                 events.Event.INSTANCE_AHEAD,
                 instance=other.record.instance,
@@ -113,23 +98,17 @@
                 theirs=str(other.changed[table]),
                 own=str(self.configuration.position),
             )
-
-    def hurry(self) -> None:
-        """Reads the configuration at once; the connection on which it is awaited may be silent."""
-        now = self._node.now()
-        if now >= self._hurried_at + HURRY_SECONDS:
-            self._hurried_at = now
-            self._wake.set()
+        self.watch.note_ahead()
 
     async def follow_servers(self) -> None:
         """Keeps registrations known, for ever."""
         while True:
             was_away = self.servers.away_since is not None
-            if not await self.servers.follow_once(0):
+            if not await self.servers.read_now():
                 if not was_away:
                     # The connection on which changes of the configuration are awaited may be
-                    # silent. Asked anew once only, as a slow store would never get to answer.
-                    self.hurry()
+                    # silent.
+                    self.watch.check()
                 await asyncio.sleep(self.servers.find_away_delay())
                 continue
             self._servers_read_at = self._node.now()
@@ -205,6 +184,7 @@
     def apply_configuration(self, rows: list[store_rows.StoreRow]) -> None:
         """Takes over changes of the configuration and of evacuations."""
         now = self._node.now()
+        self._is_ahead_noted = False
         for row in rows:
             evacuation = self._node.documents.read_evacuation(row)
             if evacuation is not None:
@@ -346,7 +326,12 @@
 
     def _note_return(self) -> None:
         self._node.servers.note_return(self._node.now())
-        self.hurry()
+        self.watch.check()
+
+    def _is_doubted(self) -> bool:
+        table = store_rows.StoreTable.CONFIGURATION
+        live = self._node.fleet.list_live(self._node.now())
+        return any(self.is_behind(other, table) for other in live)
 
     def _is_cut_off(self) -> bool:
         followers = (self.configuration, self.servers)
--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -78,7 +78,7 @@
 
     def _start_tasks(self) -> None:
         loops = {
-            "configuration": self.follower.follow_configuration,
+            "configuration": self.follower.watch.follow,
             "servers": self.follower.follow_servers,
             "peers": self.follower.follow_peers,
             "announcements": self.announcer.announce,
--- a/src/caperdyke/transport/gateway/table_follower.py
+++ b/src/caperdyke/transport/gateway/table_follower.py
@@ -1,5 +1,6 @@
 """Keeps one table of the store known."""
 
+import asyncio
 import dataclasses
 import enum
 import random
@@ -10,6 +11,10 @@
 from caperdyke.state import store_rows
 from caperdyke.transport import events
 
+# Time without an answer after which a second call is made beside the first, in seconds: a new
+# connection and an answer from the farthest region take half of it.
+SECOND_CALL_SECONDS = 0.6
+
 
 class CallOutcome(enum.Enum):
     """How a call of the store ended."""
@@ -38,6 +43,7 @@
     """Keeps one table in step with the store.
 
     :param apply: gets the rows of each reading that are news.
+    :param chance: spreads calls of many instances.
     :param on_call_ended: gets a report of each call.
     :param on_failure: called when the store stops to answer.
     :param on_return: called when it answers again.
@@ -49,6 +55,7 @@
         table: store_rows.StoreTable,
         apply,
         now,
+        chance: random.Random,
         on_call_ended,
         on_failure,
         on_return=None,
@@ -58,6 +65,7 @@
         self.image = table_image.TableImage(table)
         self._apply = apply
         self._now = now
+        self._chance = chance
         self._on_return = on_return
         self._on_call_ended = on_call_ended
         self._on_failure = on_failure
@@ -75,7 +83,7 @@
 
     async def follow_once(self, wait_ms: int) -> bool:
         """Reads what changed; tells whether the store answered with something that holds."""
-        began = self._now()
+        began, known = self._now(), self.position
         self.calls.append(began)
         outcome, detail = CallOutcome.GIVEN_UP, ""
         try:
@@ -89,9 +97,10 @@
         finally:
             self.calls.remove(began)
             self._on_call_ended(CallReport(self.table, wait_ms, began, outcome, detail))
-        known = self.position
-        if not self.take(changes, is_return=self.away_since is not None):
-            # The store answers with a state from before a change that it has told of.
+        is_held = self.take(changes, is_return=self.away_since is not None)
+        if not is_held and self.position == known:
+            # Nothing was faster: the store answers with a state from before a change that it has
+            # told of.
             events.log(
                 events.Event.READING_STALE,
                 table=self.table.value,
@@ -107,6 +116,27 @@
             events.log(events.Event.STORE_BACK, table=self.table.value, away_s=away)
         return True
 
+    async def read_now(self) -> bool:
+        """Reads what changed without waiting for a change; tells whether the store answered.
+
+        Pattern: the connection of a call is silent, or its packets are lost. A second call is
+        made beside one that has no answer yet, and the first answer counts.
+        """
+        calls = {asyncio.create_task(self.follow_once(0))}
+        try:
+            done, _ = await asyncio.wait(calls, timeout=SECOND_CALL_SECONDS)
+            if not done:
+                calls.add(asyncio.create_task(self.follow_once(0)))
+            while calls:
+                done, calls = await asyncio.wait(calls, return_when=asyncio.FIRST_COMPLETED)
+                if any([task.result() for task in done]):
+                    return True
+            return False
+        finally:
+            for task in calls:
+                task.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+
     def take(
         self,
         changes: store_rows.StoreChanges,
@@ -134,7 +164,7 @@
 
     def find_away_delay(self) -> float:
         """Returns the seconds until the next try after one without an answer."""
-        return intervals.find_away_delay(self._failures, random.random())
+        return intervals.find_away_delay(self._failures, self._chance.random())
 
     def _note_failure(self, error: str) -> None:
         self._failures += 1
--- a/testing/knowledge/fleet_replay.py
+++ b/testing/knowledge/fleet_replay.py
@@ -240,7 +240,8 @@
         )
         self.node.fleet.own = self.record
         self.node.fleet.is_ready = True
-        self.follower = follower.Follower(self.node)
+        chance = random.Random(replay.chance.random())
+        self.follower = follower.Follower(self.node, chance)
         self.announcer = announcer.Announcer(self.node, self.follower)
         self.announcer.connection_made(_DatagramTransport(replay, self.name))
         self.follower.on_servers_read = self.announcer.tell_domain
@@ -250,7 +251,7 @@
         """Starts the tasks of the instance."""
         _CURRENT.set(self.name)
         loops = (
-            self.follower.follow_configuration,
+            self.follower.watch.follow,
             self.follower.follow_servers,
             self.follower.follow_peers,
             self.announcer.announce,
--- a/testing/knowledge/simulated_loop.py
+++ b/testing/knowledge/simulated_loop.py
@@ -3,6 +3,8 @@
 import asyncio
 import selectors
 
+RESOLUTION_SECONDS = 1e-9
+
 
 class _SkippingSelector(selectors.SelectSelector):
     """Lets time pass at once instead of waiting."""
@@ -14,7 +16,10 @@
     def select(self, timeout: float | None = None):
         if timeout is None:
             raise AssertionError("every task waits for another one; nothing is scheduled")
-        self.now += timeout
+        if timeout > 0:
+            # Timers may fire early by the resolution of the clock; without the least step a task
+            # that waits for a time could then wait again and again.
+            self.now += timeout + RESOLUTION_SECONDS
         return super().select(0)
 
 
--- a/testing/platform/test_gateway_readings.py
+++ b/testing/platform/test_gateway_readings.py
@@ -158,7 +158,7 @@
                 store.refuses_servers = True
                 await played.wait_until(lambda: follower.servers.away_since is not None)
                 cuts = []
-                follower.hurry = lambda: cuts.append(follower.servers.away_since)
+                follower.watch.check = lambda: cuts.append(follower.servers.away_since)
                 tries = len(store.calls)
                 await played.wait_until(lambda: len(store.calls) > tries + 3)
                 self.assertEqual([], cuts)
