Ask several instances for rows, those that failed last

Callers saw requests handled by an older version of the configuration: their instance was turned away by the store or its calls were cut, and what others knew did not reach it.

Cause: one instance was asked at a time, always the first of those with the newest change, and for up to 1 s. One that was dead, frozen or reachable one way only was asked again as long as it counted as alive, which at 68 instances is 5 s and more; one that is heard and cannot be reached, for ever. The class is that of the calls to the store: a try that is repeated without learning from the last.

Ruled out: shorter time-outs, which the farthest region needs; asking all at once (answers hold whole tables after a long silence).

Change: up to three requests under way, started 0.25 s apart; the own failure domain first, then the newest, then the one heard last; one that failed comes after all others for 3 s.

--- a/src/caperdyke/transport/gateway/follower.py
+++ b/src/caperdyke/transport/gateway/follower.py
@@ -10,6 +10,7 @@
     evacuations,
     first_reads,
     fleet,
+    row_sources,
     turns,
 )
 from caperdyke.state import ids, routes, store_rows
@@ -40,8 +41,6 @@
 SERVERS_BEHIND_SECONDS = 0.1
 # Interval between two looks at whether another instance knows more, in seconds.
 COMPARE_SECONDS = 0.1
-# Least time between two readings of rows from other instances, in seconds.
-ASK_SECONDS = 0.2
 
 
 class Follower:
@@ -80,7 +79,9 @@
         self._is_ahead_noted = False
         # Since when another instance knows a newer change of a table.
         self._behind_since: dict[store_rows.StoreTable, float] = {}
-        self._asked_at = 0.0
+        self._sources = row_sources.RowSources()
+        self._asks: set[asyncio.Task] = set()
+        self._ask_any_at = 0.0
         self._servers_read_at = -math.inf
         self._turns = turns.Turns(chance)
         # Called after each reading of the registrations.
@@ -138,21 +139,18 @@
             now = self._node.now()
             live = self._node.fleet.list_live(now)
             address = self._find_ahead(now, live)
-            if now < self._asked_at + ASK_SECONDS:
-                continue
-            if (
-                address is None
-                and self._is_cut_off()
-                and now >= self._asked_at + PEERS_AFTER_SECONDS
-            ):
+            if address is None and self._is_cut_off() and now >= self._ask_any_at:
+                self._ask_any_at = now + PEERS_AFTER_SECONDS
                 addresses = [other.record.peer_address for other in live]
                 addresses = addresses or list(self._node.settings.seeds)
                 if addresses:
                     turn += 1
                     address = addresses[turn % len(addresses)]
-            if address is not None:
-                self._asked_at = now
-                await self._learn_from(address)
+            if address is not None and self._sources.may_ask(now):
+                self._sources.note_asked(now, address)
+                ask = asyncio.create_task(self._learn_from(address))
+                self._asks.add(ask)
+                ask.add_done_callback(self._asks.discard)
 
     def list_readings(self, after: peer_snapshots.Positions) -> list[store_rows.StoreChanges]:
         """Returns what another instance lacks that knows tables up to some positions."""
@@ -256,6 +254,7 @@
             store_rows.StoreTable.SERVERS: self._find_servers_interval() + SERVERS_BEHIND_SECONDS,
         }
         chosen = None
+        domain = self._node.settings.domain
         for table, seconds in patience.items():
             ahead = [other for other in live if self.is_behind(other, table)]
             if not ahead:
@@ -263,11 +262,13 @@
                 continue
             since = self._behind_since.setdefault(table, now)
             # Within the failure domain one reads for all.
-            mates = [other for other in ahead if other.record.domain == self._node.settings.domain]
+            mates = [other for other in ahead if other.record.domain == domain]
             is_shared = bool(mates) and table is store_rows.StoreTable.SERVERS
-            if is_shared or now >= since + seconds:
-                chosen = max(mates if is_shared else ahead, key=lambda other: other.changed[table])
-        return chosen.record.peer_address if chosen is not None else None
+            if now >= since + seconds:
+                chosen = self._sources.choose(now, ahead, domain, table) or chosen
+            elif is_shared:
+                chosen = self._sources.choose(now, mates, domain, table) or chosen
+        return chosen
 
     def _apply_registration(self, now: float, row: store_rows.StoreRow) -> None:
         node = self._node
@@ -349,8 +350,10 @@
         try:
             readings = await peer_snapshots.fetch(address, after)
         except (errors.LinkClosedError, errors.ProtocolError) as error:
+            self._sources.note_failed(self._node.now(), address)
             events.log(events.Event.LINK_CLOSED, peer=address, cause=str(error))
             return
+        self._sources.note_answered(address)
         for reading in readings:
             follower = self._tables.get(reading.table)
             if follower is None:
