Check time and configuration again at the moment of sending

Callers saw requests handled by a version that had been replaced half a second before, and work that began after they had left.

Cause: route, service and time left were looked at when a request arrived. Opening a connection takes up to 0.5 s, and a request goes to up to four servers; what was decided at its arrival was acted on a second later. A time-out of zero seconds did not help: the request is written before the first await.

Ruled out: ending requests under way when a version changes (those that were sent are at work).

Change: before each send the route is looked up again where the configuration has changed, and once more when the connection is open; a route that moved takes the request along, one that is gone refuses it with 404 while nothing was sent. A request whose time is over is not written. Neither marks the server as unreachable, which "no time left" did.

--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -36,6 +36,12 @@
         tried: set[ids.BackendId] = set()
         failed: sender.ServerAnswer | None = None
         while True:
+            if node.routes is not request.table:
+                request = dataclasses.replace(request, table=node.routes)
+                found = node.routes.find_route(request.host, request.path)
+                if found is None:
+                    return failed or self._leave_route(tries)
+                route, service = found, self._follow_route(found, service, trace)
             chosen = self._choose(request, route, service, tried, trace)
             if isinstance(chosen, choice.NoRoom):
                 trace.sends.append(_describe_no_room(chosen))
@@ -57,11 +63,34 @@
                     if failed is not None and failed.rest is not None:
                         await failed.rest.aclose()
                     failed = result
+                case sender.Failure(kind=sender.FailureKind.NOT_SENT):
+                    tried.discard(chosen.view.server.backend)
                 case sender.Failure():
                     _note_failure(tries, result)
             if not tries.allows_another() or node.now() >= request.deadline:
                 return failed or self._give_up(request, tries, None)
 
+    def _follow_route(
+        self, route: routes.Route, service: ids.ServiceName, trace: verdicts.RequestTrace
+    ) -> ids.ServiceName:
+        """Returns the service of a route that changed while a request was under way.
+
+        Pattern: connections take half a second to fail, and a change comes into force meanwhile.
+        """
+        node = self._node
+        if any(part.service == service for part in route.parts):
+            return service
+        chosen = trace.service = node.splits.choose(route)
+        node.retries.note_first(node.now(), chosen)
+        trace.sends.append(f"configuration {node.routes.version} sends the route to {chosen}")
+        return chosen
+
+    def _leave_route(self, tries: attempts.Attempts) -> verdicts.OwnAnswer:
+        """Returns the answer to a request whose route was removed while it was under way."""
+        if tries.is_known_not_run:
+            return verdicts.OwnAnswer(404, verdicts.Verdict.NO_ROUTE)
+        return verdicts.OwnAnswer(502, verdicts.Verdict.FAILED)
+
     def _take_repeat(self, route: routes.Route, service: ids.ServiceName) -> bool:
         """Counts a repeated send if the budget has room; tells whether it has."""
         node = self._node
@@ -171,6 +200,8 @@
             view.note_answer(now, request.about.object_key, ratio)
             return
         match result.kind:
+            case sender.FailureKind.NOT_SENT:
+                return
             case sender.FailureKind.UNREACHABLE:
                 view.note_unreachable(now)
                 node.note_unusable(view, result.detail)
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -57,7 +57,8 @@
 
     async def _handle(self, scope, receive, send, about, trace: verdicts.RequestTrace) -> None:
         await self._wait_for_first_reads(about)
-        refusal, route = self._check(scope, trace)
+        table = self._node.routes
+        refusal, route = self._check(scope, table, trace)
         if refusal is None:
             body = await self._read_body(receive)
             if body is None:
@@ -65,7 +66,7 @@
         if refusal is not None:
             await self._answer(send, refusal, about, trace)
             return
-        request = self._make_request(scope, about, body, route, trace)
+        request = self._make_request(scope, about, body, table, route, trace)
         serving = asyncio.ensure_future(self._dispatcher.serve(request, route, trace))
         leaving = asyncio.ensure_future(_wait_for_leave(receive))
         try:
@@ -94,9 +95,8 @@
                     await node.first_reads_settled.wait()
 
     def _check(
-        self, scope, trace: verdicts.RequestTrace
+        self, scope, table: routes.RouteTable | None, trace: verdicts.RequestTrace
     ) -> tuple[verdicts.OwnAnswer | None, routes.Route | None]:
-        table = self._node.routes
         if table is None:
             return (
                 verdicts.OwnAnswer(503, verdicts.Verdict.NO_CONFIGURATION, RETRY_NOT_READY_SECONDS),
@@ -135,18 +135,23 @@
         scope,
         about: request_heads.CallerHeaders,
         body: bytes,
+        table: routes.RouteTable,
         route: routes.Route,
         trace: verdicts.RequestTrace,
     ) -> sender.CallerRequest:
         wait_ms = WAIT_DEFAULT_MS if about.wait_ms is None else about.wait_ms
         wait_ms = min(wait_ms, route.timeout_ms)
+        host = next(value for name, value in scope["headers"] if name == b"host")
         return sender.CallerRequest(
             about,
             scope["method"],
+            _strip_port(host.decode("latin-1")),
+            scope["raw_path"].decode("latin-1"),
             scope[caller_protocol.TARGET_KEY],
             _drop_hop_headers(scope["headers"]),
             body,
             trace.received_at + wait_ms / 1000 - ANSWER_MARGIN_SECONDS,
+            table,
         )
 
     async def _answer(
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -8,7 +8,7 @@
 from caperdyke import errors
 from caperdyke.coordination.placement import choice
 from caperdyke.protocol import dialect
-from caperdyke.state import request_heads
+from caperdyke.state import request_heads, routes
 from caperdyke.transport.backends import connection
 from caperdyke.transport.gateway import context
 
@@ -39,22 +39,29 @@
 class CallerRequest:
     """A request as it is passed on.
 
+    :param path: the decoded target without its query, by which a route is found.
     :param headers: without those that concern the caller's connection only.
     :param deadline: time after which an answer is of no use.
+    :param table: the configuration by which it is sent.
     """
 
     about: request_heads.CallerHeaders
     method: str
+    host: str
+    path: str
     target: bytes
     headers: dialect.RawHeaders
     body: bytes
     deadline: float
+    table: routes.RouteTable
 
 
 class FailureKind(enum.Enum):
     """What is known of a request that got no answer to pass on."""
 
-    # Nothing was sent.
+    # Nothing was sent, for a reason of this instance's own.
+    NOT_SENT = "not sent"
+    # Nothing was sent, as no connection opened.
     UNREACHABLE = "unreachable"
     # The server says that it did not run the request.
     REFUSED = "refused"
@@ -119,7 +126,7 @@
         node, server = self._node, placed.view.server
         left = request.deadline - node.now()
         if left <= 0:
-            return Failure(FailureKind.UNREACHABLE, "no time left")
+            return Failure(FailureKind.NOT_SENT, "no time left")
         used = node.pool.take(server.backend)
         if used is None:
             opened_at = node.now()
@@ -128,6 +135,13 @@
             except errors.BackendFailedError as error:
                 return Failure(FailureKind.UNREACHABLE, str(error))
             node.note_round_trip(server.domain, node.now() - opened_at)
+        # Opening a connection takes up to half a second.
+        if node.now() >= request.deadline or node.routes is not request.table:
+            is_late = node.now() >= request.deadline
+            node.pool.give_back(server.backend, used, None)
+            return Failure(
+                FailureKind.NOT_SENT, "no time left" if is_late else "the configuration changed"
+            )
         is_done = False
         try:
             async with asyncio.timeout(max(0.0, request.deadline - node.now())):
