Ask the store again only while something is in doubt

Callers saw nothing of it; the calls are priced.

Cause: word of an instance ahead planned a check, which was made also when the change had arrived in the meantime, and each answered check replaced the call that waits.

Ruled out: a longer patience (it is part of the bound).

Change: a check planned for word of others is dropped when nobody is ahead any more; a call that waits is replaced only when the check brought what it had not, or when its connection was suspected.

--- a/src/caperdyke/coordination/registry/checks.py
+++ b/src/caperdyke/coordination/registry/checks.py
@@ -21,25 +21,37 @@
     def __init__(self) -> None:
         self._next_at = math.inf
         self._earliest_at = -math.inf
+        self._is_needed = False
 
     @property
     def next_at(self) -> float:
         """Time of the next check; infinite where nothing is in doubt."""
         return self._next_at
 
-    def note_doubt(self, now: float, patience: float = PATIENCE_SECONDS) -> None:
-        """Records that what the waiting call says may be out of date.
+    @property
+    def is_needed(self) -> bool:
+        """Whether a check is due even if no other instance is ahead any more."""
+        return self._is_needed
 
-        :param patience: time that the call is given to answer, in seconds.
-        """
-        if self._next_at == math.inf:
-            self._next_at = max(now + patience, self._earliest_at)
+    def note_ahead(self, now: float) -> None:
+        """Records that another instance knows a newer change."""
+        self._plan(now + PATIENCE_SECONDS)
+
+    def note_suspicion(self, now: float) -> None:
+        """Records that the connection of the waiting call may be silent."""
+        self._is_needed = True
+        self._plan(now)
 
     def note_start(self, now: float) -> None:
         """Records that a check starts."""
         self._earliest_at = now + CHECK_SECONDS
         self._next_at = math.inf
 
+    def note_answer(self) -> None:
+        """Records that a check was answered, or that what was in doubt arrived without one."""
+        self._is_needed = False
+        self._next_at = math.inf
+
     def note_failure(self, retry_at: float) -> None:
         """Records that a check got no answer.
 
@@ -47,3 +59,8 @@
         """
         self._earliest_at = max(self._earliest_at, retry_at)
         self._next_at = self._earliest_at
+        self._is_needed = True
+
+    def _plan(self, at: float) -> None:
+        if self._next_at == math.inf:
+            self._next_at = max(at, self._earliest_at)
--- a/src/caperdyke/transport/gateway/configuration_watch.py
+++ b/src/caperdyke/transport/gateway/configuration_watch.py
@@ -4,6 +4,7 @@
 import collections.abc
 
 from caperdyke.coordination.registry import checks
+from caperdyke.state import store_rows
 from caperdyke.transport.gateway import table_follower
 
 # A call that waited for this long and failed is made again at once, in seconds: its connection was
@@ -34,16 +35,18 @@
         self._began_at = 0.0
         self._wait_at = 0.0
         self._check: asyncio.Task | None = None
+        # Position up to which the table was known when the check began.
+        self._known: store_rows.Position | None = None
         self._wake = asyncio.Event()
 
     def note_ahead(self) -> None:
         """Learns that another instance knows a newer change."""
-        self._checks.note_doubt(self._now())
+        self._checks.note_ahead(self._now())
         self._wake.set()
 
     def check(self) -> None:
         """Asks the store at once, since the connection of the waiting call may be silent."""
-        self._checks.note_doubt(self._now(), 0.0)
+        self._checks.note_suspicion(self._now())
         self._wake.set()
 
     async def follow(self) -> None:
@@ -67,7 +70,12 @@
             self._began_at = now
             self._waiting = asyncio.create_task(self._table.follow_once(self._find_wait_ms()))
         if self._check is None and now >= self._checks.next_at:
+            if not (self._checks.is_needed or self._is_doubted()):
+                # The change arrived meanwhile.
+                self._checks.note_answer()
+                return
             self._checks.note_start(now)
+            self._known = self._table.position
             self._check = asyncio.create_task(self._table.read_now())
 
     async def _wait(self) -> None:
@@ -95,9 +103,12 @@
         now = self._now()
         if not is_answered:
             self._checks.note_failure(now + self._table.find_away_delay())
-        elif self._is_doubted():
-            self._checks.note_doubt(now)
-        if is_answered and self._waiting is not None and not self._waiting.done():
+            return
+        is_suspect = self._checks.is_needed or self._table.position != self._known
+        self._checks.note_answer()
+        if self._is_doubted():
+            self._checks.note_ahead(now)
+        if is_suspect and self._waiting is not None and not self._waiting.done():
             # The check has a connection that works; whether the call that waits has one is open.
             self._waiting.cancel()
             self._waiting, self._wait_at = None, now
