Add a randomized fault soak of the real gateways

Callers saw faults that no fixed case plays: several at once, overlapping, while operators change routes.

Cause of the gap: bench/faults.py plays 15 fixed cases, and only against caperdyke-entry; the gateway was played under faults by tests inside one process alone.

Ruled out: faults inside the product; a simulator of the gateway (the processes are the real ones).

Change: bench/soak/. A schedule is drawn from a seed and written before it is played; kills, planned stops, freezes and reloads of gateways, silence, reset, cuts, one-way loss and delay between each gateway and the store, a store that is down, slow, forgets its history or comes back from a copy, servers that hang, crash, lie or leave, and changes of routes and evacuations, in series and overlapping. Callers keep their connections until the process is gone.

Not harmed: datagrams between gateways, clocks, caperdyke-entry. Evacuations are played and not judged.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint demo capacity bench faults
+.PHONY: setup test lint demo capacity bench faults soak
 
 setup: $(VENV)/.installed
 
@@ -30,3 +30,7 @@
 
 faults: setup
 	$(BIN)/python bench/faults.py
+
+SEEDS ?= 1 2
+soak: setup
+	$(BIN)/python -m bench.soak --seeds $(SEEDS)
--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized fault soak: real gateways as processes, faults from outside, checks from outside."""
--- /dev/null
+++ b/bench/soak/gateways.py
@@ -0,0 +1,155 @@
+"""The gateway processes of one run."""
+
+import itertools
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+REGIONS = {"hall-1": "north", "hall-2": "north", "hall-3": "south"}
+DOMAINS = tuple(REGIONS)
+STOP_SECONDS = 6.0
+# Ports below those that the system gives to outgoing connections; runs beside each other mostly
+# start at different ones.
+PORTS_START, PORTS_OF_A_RUN, RUNS_MAX = 10_000, 600, 16
+_PORTS = itertools.count(PORTS_START + os.getpid() % RUNS_MAX * PORTS_OF_A_RUN)
+
+
+def pick_address() -> str:
+    """Returns an address on loopback with a free port, never the same twice."""
+    for port in _PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                # Another process has it.
+                continue
+        return f"127.0.0.1:{port}"
+    raise AssertionError("no free port")
+
+
+class Gateway:
+    """One instance, over several starts of its process.
+
+    :ivar start: number of the present start.
+    """
+
+    def __init__(self, number: int, folder: pathlib.Path) -> None:
+        self.number = number
+        self.domain = DOMAINS[number % len(DOMAINS)]
+        self.folder = folder
+        names = ("requests", "readiness", "lookups", "peer", "metrics")
+        self.addresses = {name: pick_address() for name in names}
+        self.start = 0
+        self.process: subprocess.Popen | None = None
+        self.is_frozen = False
+
+    def launch(self, store_address: str, seeds: list[str]) -> None:
+        """Starts the process."""
+        self.start += 1
+        self.is_frozen = False
+        settings = self.folder / f"gateway-{self.number}.ini"
+        settings.write_text(self._make_settings(store_address, seeds))
+        with self.find_log(self.start).open("wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "caperdyke.programs.gateway", "--settings", str(settings)],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                cwd=ROOT,
+                env=os.environ | {"PYTHONPATH": str(ROOT / "src")},
+            )
+
+    def find_log(self, start: int) -> pathlib.Path:
+        """Returns the path of a start's log."""
+        return self.folder / f"gateway-{self.number}.{start}.log"
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process is there."""
+        return self.process is not None and self.process.poll() is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal to the process."""
+        if self.is_running:
+            self.process.send_signal(number)
+
+    def count_descriptors(self) -> int:
+        """Returns how many descriptors the process has open."""
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
+    def measure_memory_mb(self) -> float:
+        """Returns the resident memory of the process."""
+        pages = int(pathlib.Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+    def measure_waited(self) -> float:
+        """Returns how long the process has waited for a processor so far, in seconds."""
+        try:
+            text = pathlib.Path(f"/proc/{self.process.pid}/schedstat").read_text()
+        except OSError:
+            # The process ended between two looks.
+            return 0.0
+        return int(text.split()[1]) / 1e9
+
+    def kill(self) -> None:
+        """Ends the process at once."""
+        if self.is_running:
+            self.process.kill()
+            self.process.wait()
+
+    def read_lines(self) -> list[dict]:
+        """Returns the log lines of all starts."""
+        lines = []
+        for start in range(1, self.start + 1):
+            for text in self.find_log(start).read_text(errors="replace").splitlines():
+                try:
+                    lines.append(json.loads(text))
+                except ValueError:
+                    lines.append({"name": "NO_EVENT", "message": text})
+        return lines
+
+    def _make_settings(self, store_address: str, seeds: list[str]) -> str:
+        lines = [
+            "[instance]",
+            f"name = gateway-{self.number}",
+            f"domain = {self.domain}",
+            f"region = {REGIONS[self.domain]}",
+            "[callers]",
+            f"requests = {self.addresses['requests']}",
+            f"readiness = {self.addresses['readiness']}",
+            f"lookups = {self.addresses['lookups']}",
+            "[peers]",
+            f"address = {self.addresses['peer']}",
+            f"seeds = {','.join(seeds)}",
+            "[metrics]",
+            f"address = {self.addresses['metrics']}",
+            "[store]",
+            f"address = {store_address}",
+            "[bounds]",
+            "retry_ratio = 0.2",
+            "retry_allowance = 60",
+            "retry_window_s = 10",
+            "cold_factor = 1.5",
+            "cold_allowance = 5",
+            "leaving_ms = 2500",
+            "lookup_s = 5",
+            f"stop_s = {STOP_SECONDS:.0f}",
+            "[logs]",
+            "format = json",
+        ]
+        for domain, region in REGIONS.items():
+            lines += [f"[domain {domain}]", f"region = {region}"]
+        return "\n".join(lines) + "\n"
+
+
+def wait_for_exit(process: subprocess.Popen, seconds: float) -> bool:
+    """Waits for a process to end; tells whether it did."""
+    deadline = time.monotonic() + seconds
+    while process.poll() is None and time.monotonic() < deadline:
+        time.sleep(0.02)
+    return process.poll() is not None
--- /dev/null
+++ b/testing/soak/__init__.py
@@ -0,0 +1,1 @@
+"""The fault soak's own parts, without processes."""
--- /dev/null
+++ b/testing/soak/test_checks.py
@@ -0,0 +1,95 @@
+"""Each check of the fault soak finds what it is for."""
+
+import testtools
+from parameterized import parameterized
+
+from bench.soak import checks, records
+
+PROBE = records.RequestKind.PROBE
+
+
+def make_attempt(**changes) -> records.Attempt:
+    """Returns a read that was answered, with some fields changed."""
+    fields = {
+        "request": "r1",
+        "kind": records.RequestKind.READ,
+        "gateway": 0,
+        "start": 1,
+        "version": 0,
+        "sent_at": 20.0,
+        "ended_at": 20.1,
+        "status": 200,
+        "is_right": True,
+    }
+    return records.Attempt(**(fields | changes))
+
+
+def make_records(*attempts: records.Attempt, **changes) -> records.Records:
+    """Returns what a run without trouble has seen, with some attempts in it."""
+    seen = records.Records(attempts=[make_attempt(request="served", sent_at=60.0), *attempts])
+    seen.confirmed = {1: 0.0, 2: 10.0}
+    seen.routes_until = {1: 10**9, 2: 10**9}
+    seen.faults_end_at = 50.0
+    seen.explained = {item.request for item in attempts}
+    for name, value in changes.items():
+        setattr(seen, name, value)
+    return seen
+
+
+def list_broken(seen: records.Records) -> list[str]:
+    """Returns the names of the checks that found something."""
+    return [item.check for item in checks.judge(seen) if item.problems]
+
+
+RUN = records.Run("r1", 3, 20.0)
+BUY = make_attempt(kind=records.RequestKind.BUY)
+LATE_PROBE = make_attempt(kind=PROBE, version=2, status=404)
+KNOWN_PROBE = make_attempt(request="r0", kind=PROBE, version=2, sent_at=11.0, ended_at=11.1)
+CUT = make_attempt(status=0, is_right=False)
+STOP = (0, 1, 19.0, 22.0)
+
+CASES = (
+    ("ran_twice", make_records(BUY, runs=[RUN, RUN]), "at most once"),
+    (
+        "refused_and_ran",
+        make_records(make_attempt(status=503), runs=[RUN]),
+        "a refusal has not run",
+    ),
+    ("other_body", make_records(make_attempt(is_right=False)), "whole and right answers"),
+    ("late_version", make_records(LATE_PROBE), "in force within the bound"),
+    ("leaving_server", make_records(make_attempt(), runs=[RUN], left={3: 17.0}), "a leaving"),
+    ("cut_after_it_ran", make_records(CUT, runs=[RUN], stops=[STOP]), "a planned stop"),
+    ("not_served", make_records(make_attempt(sent_at=61.0, status=503)), "service is back"),
+    ("unexplained", make_records(make_attempt(status=502), explained=set()), "failures are"),
+    ("descriptors", make_records(descriptors={0: 900}), "processes stay bounded"),
+    ("failed_task", make_records(bad_lines=["task failed"]), "processes stay bounded"),
+)
+DISTURBED = [records.Disruption(0, 17.0, 18.0)]
+ALLOWED = (
+    ("nothing", make_records()),
+    ("read_twice", make_records(make_attempt(), runs=[RUN, RUN])),
+    ("disturbed", make_records(LATE_PROBE, disruptions=DISTURBED)),
+    ("store_away", make_records(LATE_PROBE, disruptions=[records.Disruption(None, 1, 99)])),
+    ("route_dropped", make_records(LATE_PROBE, confirmed={2: 10, 3: 19}, routes_until={2: 2})),
+    ("crossing", make_records(make_attempt(status=0, ended_at=20.1), stops=[STOP])),
+    ("killed", make_records(CUT, runs=[RUN], stops=[STOP], killed={(0, 1)})),
+)
+
+
+class ChecksTest(testtools.TestCase):
+    """Records of runs, each with one thing that went wrong."""
+
+    @parameterized.expand(CASES)
+    def test_broken_promise_is_found(self, _name, seen, check) -> None:
+        broken = list_broken(seen)
+        self.assertEqual(1, len(broken), broken)
+        self.assertTrue(broken[0].startswith(check), broken)
+
+    def test_older_version_is_found(self) -> None:
+        disturbed = [records.Disruption(0, 17.0, 18.0)]
+        seen = make_records(KNOWN_PROBE, LATE_PROBE, disruptions=disturbed)
+        self.assertEqual(["never an older version"], list_broken(seen))
+
+    @parameterized.expand(ALLOWED)
+    def test_allowed_case_breaks_nothing(self, _name, seen) -> None:
+        self.assertEqual([], list_broken(seen))
