Give requests for rows a module of their own; log what they could swallow

Callers saw nothing: found when the whole change was read again.

Cause: the follower of the store had grown past 380 lines with two jobs; a task that asks for rows was awaited by nobody, so that an unexpected error in it would have left no numbered event; word of others before the first reading planned a second one 0.15 s later, in each far instance at each start.

Ruled out: nothing; the decisions are those of before.

Change: transport/gateway/peer_rows.py; its errors are event 1005; the first reading is made twice only after 0.6 s without an answer, as all others.

--- a/src/caperdyke/transport/gateway/configuration_watch.py
+++ b/src/caperdyke/transport/gateway/configuration_watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import math
 
 from caperdyke.coordination.registry import checks
 from caperdyke.state import store_rows
@@ -68,7 +69,7 @@
         now = self._now()
         if self._waiting is None and now >= self._wait_at:
             self._began_at = now
-            self._waiting = asyncio.create_task(self._table.follow_once(self._find_wait_ms()))
+            self._waiting = asyncio.create_task(self._read())
         if self._check is None and now >= self._checks.next_at:
             if not (self._checks.is_needed or self._is_doubted()):
                 # The change arrived meanwhile.
@@ -78,20 +79,24 @@
             self._known = self._table.position
             self._check = asyncio.create_task(self._table.read_now())
 
+    async def _read(self) -> bool:
+        """Reads the table, or waits for a change where it is known."""
+        if self._table.position is None:
+            return await self._table.read_now()
+        return await self._table.follow_once(self._find_wait_ms())
+
     async def _wait(self) -> None:
         """Waits until a call ends, word comes, or a call is due."""
-        next_at = [self._wait_at] if self._waiting is None else []
-        if self._check is None:
-            next_at.append(self._checks.next_at)
-        timeout = max(0.0, min(next_at) - self._now()) if next_at else None
+        wait_at = self._wait_at if self._waiting is None else math.inf
+        check_at = self._checks.next_at if self._check is None else math.inf
+        next_at = min(wait_at, check_at)
+        timeout = None if next_at == math.inf else max(0.0, next_at - self._now())
         self._wake.clear()
         waking = asyncio.create_task(self._wake.wait())
         calls = [task for task in (self._waiting, self._check) if task is not None]
         try:
             await asyncio.wait(
-                [waking, *calls],
-                timeout=None if timeout == float("inf") else timeout,
-                return_when=asyncio.FIRST_COMPLETED,
+                [waking, *calls], timeout=timeout, return_when=asyncio.FIRST_COMPLETED
             )
         finally:
             waking.cancel()
--- a/src/caperdyke/transport/gateway/follower.py
+++ b/src/caperdyke/transport/gateway/follower.py
@@ -10,7 +10,6 @@
     evacuations,
     first_reads,
     fleet,
-    row_sources,
     turns,
 )
 from caperdyke.state import ids, routes, store_rows
@@ -18,6 +17,7 @@
 from caperdyke.transport.gateway import (
     configuration_watch,
     context,
+    peer_rows,
     peer_snapshots,
     table_follower,
 )
@@ -31,16 +31,12 @@
 # seconds.
 SERVERS_PART = 0.45
 SERVERS_SECONDS_MAX = 1.2
-# Time without an answer after which other instances are asked instead, in seconds.
-PEERS_AFTER_SECONDS = 1.0
 # Time for which another instance may know a newer change of the configuration before it is asked
 # for the rows, in seconds; the store was asked at once.
 CONFIGURATION_BEHIND_SECONDS = 0.5
 # The same for registrations where no instance of the own failure domain knows more, beyond the
 # interval at which they are read.
 SERVERS_BEHIND_SECONDS = 0.1
-# Interval between two looks at whether another instance knows more, in seconds.
-COMPARE_SECONDS = 0.1
 
 
 class Follower:
@@ -77,11 +73,7 @@
         )
         # Whether a line tells already that another instance knows a newer configuration.
         self._is_ahead_noted = False
-        # Since when another instance knows a newer change of a table.
-        self._behind_since: dict[store_rows.StoreTable, float] = {}
-        self._sources = row_sources.RowSources()
-        self._asks: set[asyncio.Task] = set()
-        self._ask_any_at = 0.0
+        self.peer_rows = peer_rows.PeerRows(node, self._tables, self.is_behind, self._find_patience)
         self._servers_read_at = -math.inf
         self._turns = turns.Turns(chance)
         # Called after each reading of the registrations, and each change of the configuration.
@@ -91,6 +83,9 @@
     def note_ahead(self, other: fleet.KnownInstance) -> None:
         """Learns that another instance knows a newer configuration."""
         table = store_rows.StoreTable.CONFIGURATION
+        if self.configuration.position is None:
+            # The first reading is under way.
+            return
         if not self._is_ahead_noted:
             self._is_ahead_noted = True
             events.log(
@@ -130,28 +125,7 @@
             )
             if now >= turn_at:
                 return
-            await asyncio.sleep(min(COMPARE_SECONDS, turn_at - now))
-
-    async def follow_peers(self) -> None:
-        """Asks other instances for what the store does not tell, for ever."""
-        turn = 0
-        while True:
-            await asyncio.sleep(COMPARE_SECONDS)
-            now = self._node.now()
-            live = self._node.fleet.list_live(now)
-            address = self._find_ahead(now, live)
-            if address is None and self._is_cut_off() and now >= self._ask_any_at:
-                self._ask_any_at = now + PEERS_AFTER_SECONDS
-                addresses = [other.record.peer_address for other in live]
-                addresses = addresses or list(self._node.settings.seeds)
-                if addresses:
-                    turn += 1
-                    address = addresses[turn % len(addresses)]
-            if address is not None and self._sources.may_ask(now):
-                self._sources.note_asked(now, address)
-                ask = asyncio.create_task(self._learn_from(address))
-                self._asks.add(ask)
-                ask.add_done_callback(self._asks.discard)
+            await asyncio.sleep(min(peer_rows.COMPARE_SECONDS, turn_at - now))
 
     def list_readings(self, after: peer_snapshots.Positions) -> list[store_rows.StoreChanges]:
         """Returns what another instance lacks that knows tables up to some positions."""
@@ -246,32 +220,12 @@
         bound = self._node.settings.bounds.leaving_seconds
         return min(SERVERS_SECONDS_MAX, SERVERS_PART * bound)
 
-    def _find_ahead(self, now: float, live: list[fleet.KnownInstance]) -> ids.Address | None:
-        """Returns an instance to ask, as this one has been behind it for too long, or None.
-
-        Pattern: the store forgets its history and hands out states that are seconds old to some
-        instances, while others have read what is newer.
-        """
-        patience = {
+    def _find_patience(self) -> dict[store_rows.StoreTable, float]:
+        """Returns how long another instance may know a newer change before it is asked."""
+        return {
             store_rows.StoreTable.CONFIGURATION: CONFIGURATION_BEHIND_SECONDS,
             store_rows.StoreTable.SERVERS: self._find_servers_interval() + SERVERS_BEHIND_SECONDS,
         }
-        chosen = None
-        domain = self._node.settings.domain
-        for table, seconds in patience.items():
-            ahead = [other for other in live if self.is_behind(other, table)]
-            if not ahead:
-                self._behind_since.pop(table, None)
-                continue
-            since = self._behind_since.setdefault(table, now)
-            # Within the failure domain one reads for all.
-            mates = [other for other in ahead if other.record.domain == domain]
-            is_shared = bool(mates) and table is store_rows.StoreTable.SERVERS
-            if now >= since + seconds:
-                chosen = self._sources.choose(now, ahead, domain, table) or chosen
-            elif is_shared:
-                chosen = self._sources.choose(now, mates, domain, table) or chosen
-        return chosen
 
     def _apply_registration(self, now: float, row: store_rows.StoreRow) -> None:
         node = self._node
@@ -337,39 +291,6 @@
         live = self._node.fleet.list_live(self._node.now())
         return any(self.is_behind(other, table) for other in live)
 
-    def _is_cut_off(self) -> bool:
-        followers = (self.configuration, self.servers)
-        now = self._node.now()
-        return any(
-            item.away_since is not None and now > item.away_since + PEERS_AFTER_SECONDS
-            for item in followers
-        )
-
-    async def _learn_from(self, address: ids.Address) -> None:
-        after = {
-            table: item.position or store_rows.FIRST_POSITION
-            for table, item in self._tables.items()
-        }
-        try:
-            readings = await peer_snapshots.fetch(address, after)
-        except (errors.LinkClosedError, errors.ProtocolError) as error:
-            self._sources.note_failed(self._node.now(), address)
-            events.log(events.Event.LINK_CLOSED, peer=address, cause=str(error))
-            return
-        self._sources.note_answered(address)
-        for reading in readings:
-            follower = self._tables.get(reading.table)
-            if follower is None:
-                continue
-            if follower.take(reading, source=address) and reading.rows:
-                events.log(
-                    events.Event.ROWS_HEARD,
-                    peer=address,
-                    table=reading.table.value,
-                    count=len(reading.rows),
-                    position=str(reading.position),
-                )
-
     def _log_server(self, name: ids.BackendId, change: str) -> None:
         known = self._node.servers.find(name)
         service = known.registration.server.service if known else ""
--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -81,7 +81,7 @@
         loops = {
             "configuration": self.follower.watch.follow,
             "servers": self.follower.follow_servers,
-            "peers": self.follower.follow_peers,
+            "peers": self.follower.peer_rows.follow,
             "announcements": self.announcer.announce,
             "upkeep": self._keep_up,
             "enrolment": self.announcer.enrol,
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -136,12 +136,10 @@
                 return Failure(FailureKind.UNREACHABLE, str(error))
             node.note_round_trip(server.domain, node.now() - opened_at)
         # Opening a connection takes up to half a second.
-        if node.now() >= request.deadline or node.routes is not request.table:
-            is_late = node.now() >= request.deadline
+        reason = self._find_reason_to_stay(request)
+        if reason is not None:
             node.pool.give_back(server.backend, used, None)
-            return Failure(
-                FailureKind.NOT_SENT, "no time left" if is_late else "the configuration changed"
-            )
+            return Failure(FailureKind.NOT_SENT, reason)
         is_done = False
         try:
             async with asyncio.timeout(max(0.0, request.deadline - node.now())):
@@ -156,6 +154,14 @@
             if not is_done:
                 used.close()
 
+    def _find_reason_to_stay(self, request: CallerRequest) -> str | None:
+        """Returns why a request is not sent at this moment, or None."""
+        if self._node.now() >= request.deadline:
+            return "no time left"
+        if self._node.routes is not request.table:
+            return "the configuration changed"
+        return None
+
     async def _run(
         self, request: CallerRequest, placed: choice.Placed, used: connection.ServerConnection
     ) -> Result:
--- a/testing/knowledge/fleet_replay.py
+++ b/testing/knowledge/fleet_replay.py
@@ -267,7 +267,7 @@
         loops = (
             self.follower.watch.follow,
             self.follower.follow_servers,
-            self.follower.follow_peers,
+            self.follower.peer_rows.follow,
             self.announcer.announce,
         )
         self.tasks = [asyncio.create_task(loop()) for loop in loops]
