--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 import pathlib
+import signal
 import sys
 import tempfile
 
@@ -59,8 +60,14 @@
     sys.stdout.flush()
 
 
+def _stop(_number: int, _frame) -> None:
+    """Ends the program so that its gateways end with it."""
+    raise SystemExit(128 + signal.SIGTERM)
+
+
 def main() -> int:
     """Runs the program and returns its exit status."""
+    signal.signal(signal.SIGTERM, _stop)
     parser = argparse.ArgumentParser(prog="bench.soak", description=__doc__.splitlines()[0])
     parser.add_argument("--seeds", type=int, nargs="+", default=[1])
     parser.add_argument("--gateways", type=int, default=6)
--- a/bench/soak/relay.py
+++ b/bench/soak/relay.py
@@ -7,12 +7,14 @@
 class Relay:
     """Passes bytes between a gateway and the store.
 
-    :ivar delay: seconds that each part is held back.
+    :param distance: one way between them, in seconds; opening a connection takes two.
+    :ivar delay: seconds that each part is held back beyond the distance.
     :ivar is_cut: whether nothing new is taken and nothing passes.
     :ivar drops_answers: whether bytes of the store do not pass.
     """
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, distance: float) -> None:
+        self._distance = distance
         self._host, _, port = target.partition(":")
         self._port = int(port)
         self.address = ""
@@ -53,6 +55,7 @@
             if self.is_cut:
                 writer.transport.abort()
                 return
+            await asyncio.sleep(2 * self._distance)
             far_reader, far_writer = await asyncio.open_connection(self._host, self._port)
             ends.add(far_writer)
             self._writers.add(far_writer)
@@ -74,8 +77,7 @@
     ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(65536):
-                if self.delay:
-                    await asyncio.sleep(self.delay)
+                await asyncio.sleep(self._distance + self.delay)
                 is_dropped = self.is_cut or (is_answer and self.drops_answers)
                 if writer in self._silent or is_dropped:
                     # What is lost in the middle of a stream makes the rest of it useless.
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -27,6 +27,8 @@
 # Window in which the time that processes wait for a processor is summed, in looks.
 WAITED_LOOKS = 50
 SLOW_STORE_SECONDS = 0.3
+# One way between the gateways of a region and the store, in seconds.
+STORE_DISTANCES = {"north": 0.001, "south": 0.055}
 CLOSING_SECONDS = 0.2
 NEVER = float("inf")
 
@@ -86,7 +88,8 @@
             await self._register(number, "ready")
         await self._confirm_version()
         for gateway in self._gateways:
-            item = relay.Relay(store_address)
+            region = gateways.REGIONS[gateway.domain]
+            item = relay.Relay(store_address, STORE_DISTANCES[region])
             await item.listen()
             stack.callback(item.close)
             self._relays.append(item)
