--- a/bench/soak/gateways.py
+++ b/bench/soak/gateways.py
@@ -5,11 +5,12 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
 
+from testing import servers
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 REGIONS = {"hall-1": "north", "hall-2": "north", "hall-3": "south"}
 DOMAINS = tuple(REGIONS)
@@ -20,19 +21,6 @@
 _PORTS = itertools.count(PORTS_START + os.getpid() % RUNS_MAX * PORTS_OF_A_RUN)
 
 
-def pick_address() -> str:
-    """Returns an address on loopback with a free port, never the same twice."""
-    for port in _PORTS:
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                # Another process has it.
-                continue
-        return f"127.0.0.1:{port}"
-    raise AssertionError("no free port")
-
-
 class Gateway:
     """One instance, over several starts of its process.
 
@@ -44,15 +32,13 @@
         self.domain = DOMAINS[number % len(DOMAINS)]
         self.folder = folder
         names = ("requests", "readiness", "lookups", "peer", "metrics")
-        self.addresses = {name: pick_address() for name in names}
+        self.addresses = {name: servers.pick_address(_PORTS) for name in names}
         self.start = 0
         self.process: subprocess.Popen | None = None
-        self.is_frozen = False
 
     def launch(self, store_address: str, seeds: list[str]) -> None:
         """Starts the process."""
         self.start += 1
-        self.is_frozen = False
         settings = self.folder / f"gateway-{self.number}.ini"
         settings.write_text(self._make_settings(store_address, seeds))
         with self.find_log(self.start).open("wb") as log:
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -3,6 +3,9 @@
 import dataclasses
 import enum
 
+# Last version that holds a route which no version has dropped.
+OPEN = 10**9
+
 
 class RequestKind(enum.Enum):
     """What a request asks for."""
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -16,7 +16,7 @@
 CALLERS = 16
 CALLER_PAUSE_SECONDS = 0.05
 WAIT_SECONDS = 3.0
-WORK_SECONDS = 0.04
+WORK_SECONDS = 0.08
 PROBE_SECONDS = 0.25
 SETTLE_SECONDS = 3.0
 START_SECONDS_MAX = 20.0
@@ -49,7 +49,7 @@
         self._read_service = "reader"
         self._numbers = itertools.count(1)
         self._is_over = False
-        self._away_until: dict[str, float] = {}
+        self._store_harmed_until = 0.0
 
     @property
     def now(self) -> float:
@@ -164,22 +164,22 @@
     # Operators.
 
     async def _confirm_version(self, dropped: tuple[int, ...] = ()) -> None:
-        """Writes the next version; the store's acknowledgement counts."""
+        """Writes the next version; the store's acknowledgement counts.
+
+        :param dropped: versions whose routes it leaves out; a route that was dropped stays out.
+        """
         self._version += self._chance.choice((1, 1, 2, 3))
-        kept = [*sorted(self.seen.confirmed)[-soak_parts.ROUTES_KEPT + 1 :], self._version]
-        kept = [number for number in kept if number not in dropped]
+        recent = sorted(self.seen.confirmed)[-soak_parts.ROUTES_KEPT + 1 :]
+        until = self.seen.routes_until
+        kept = [item for item in recent if item not in dropped and until[item] == records.OPEN]
         for number in set(self.seen.confirmed) - set(kept):
-            until = self.seen.routes_until[number]
-            self.seen.routes_until[number] = min(until, self._version - 1)
-        self.seen.routes_until[self._version] = 10**9
+            until[number] = min(until[number], self._version - 1)
+        until[self._version] = records.OPEN
         await soak_parts.write_configuration(
-            self._store, self._version, self._read_service, self._list_valid(kept)
+            self._store, self._version, self._read_service, [*kept, self._version]
         )
         self.seen.confirmed[self._version] = self.now
 
-    def _list_valid(self, kept: list[int]) -> list[int]:
-        return [item for item in kept if self.seen.routes_until[item] >= self._version]
-
     async def _register(self, number: int, state: str) -> None:
         server = self._servers[number]
         service = "reader" if number % 2 == 0 else "writer"
@@ -306,9 +306,9 @@
             item.mend()
 
     async def _harm_store(self, action: schedule.Action) -> None:
-        if self._away_until.get("store", 0.0) > self.now:
+        if self._store_harmed_until > self.now:
             return
-        self._away_until["store"] = self.now + action.seconds
+        self._store_harmed_until = self.now + action.seconds
         with self._disrupt(None):
             match action.kind:
                 case schedule.Kind.STORE_DOWN:
--- a/testing/platform/soak_parts.py
+++ b/testing/platform/soak_parts.py
@@ -14,6 +14,8 @@
 READ_PATH = "/read/1"
 BUY_PATH = "/buy/1"
 CHUNK_BYTES = 65536
+# Slots of a server: callers fill most of them, so that a fault leaves too few.
+SLOTS = 2
 
 make_store = fake_store.FakeStore
 
@@ -83,7 +85,7 @@
         self, store: fake_store.FakeStore, domain: str, service: str, state: str, sequence: int
     ) -> None:
         """Registers the server, or says that it leaves."""
-        entry = self.register(service, domain, state, sequence=sequence, slots=8)
+        entry = self.register(service, domain, state, sequence=sequence, slots=SLOTS)
         await store.put("servers", self.name, entry)
 
     async def drop_entry(self, store: fake_store.FakeStore) -> None:
--- a/testing/platform/stage.py
+++ b/testing/platform/stage.py
@@ -5,7 +5,6 @@
 import dataclasses
 import itertools
 import os
-import socket
 
 import aiosonic
 import testtools
@@ -60,15 +59,7 @@
 
 def pick_address() -> ids.Address:
     """Returns a loopback address with a free port, never the same twice."""
-    for port in _PORTS:
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                # Another process has it.
-                continue
-        return ids.Address(f"127.0.0.1:{port}")
-    raise AssertionError("no free port")
+    return ids.Address(servers.pick_address(_PORTS))
 
 
 class Stage:
--- a/testing/servers.py
+++ b/testing/servers.py
@@ -1,12 +1,26 @@
 """Servers on ephemeral ports of the loopback interface."""
 
 import asyncio
+import collections.abc
 import contextlib
 import socket
 
 from caperdyke.transport.http import http_server
 
 
+def pick_address(ports: collections.abc.Iterator[int]) -> str:
+    """Returns a loopback address with the next free port."""
+    for port in ports:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                # Another process has it.
+                continue
+        return f"127.0.0.1:{port}"
+    raise AssertionError("no free port")
+
+
 @contextlib.asynccontextmanager
 async def serve_app(app):
     """Serves an ASGI application and yields its address."""
--- a/testing/soak/test_checks.py
+++ b/testing/soak/test_checks.py
@@ -28,7 +28,7 @@
     """Returns what a run without trouble has seen, with some attempts in it."""
     seen = records.Records(attempts=[make_attempt(request="served", sent_at=60.0), *attempts])
     seen.confirmed = {1: 0.0, 2: 10.0}
-    seen.routes_until = {1: 10**9, 2: 10**9}
+    seen.routes_until = {1: records.OPEN, 2: records.OPEN}
     seen.faults_end_at = 50.0
     seen.explained = {item.request for item in attempts}
     for name, value in changes.items():
