Log the first answer that bears a header, by the header's name

What callers saw: nothing; on-call engineers could not tell which headers a backend server's answer bore, so the log of the exceeded limit does not show the limit, and its header's name is open.

Cause: headers of answers were read by name, and the others were passed on without a line.

Ruled out: a line for each answer, which is half as much log again; a list of names to look for, which would miss the next new one.

--- a/src/caperdyke/transport/events.py
+++ b/src/caperdyke/transport/events.py
@@ -76,6 +76,7 @@
     EVACUATION_CHANGED = (6203, "INFO", "evacuated failure domains: {domains}")
     INSTANCE_CHANGED = (6301, "INFO", "instance {instance} in {domain}: {change}")
     SERVER_AVOIDED = (6401, "INFO", "backend server {backend} is avoided: {cause}")
+    HEADER_SEEN = (6402, "INFO", "first answer with header {header}: {value}, from {backend}")
 
     @property
     def number(self) -> int:
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -10,7 +10,7 @@
 from caperdyke.protocol import dialect
 from caperdyke.state import request_heads, routes
 from caperdyke.transport.backends import connection
-from caperdyke.transport.gateway import context
+from caperdyke.transport.gateway import context, header_log
 
 # Largest answer that is read whole before its first byte is passed on; only such an answer can be
 # fetched again from another server when it breaks off.
@@ -110,6 +110,7 @@
 
     def __init__(self, node: context.GatewayContext) -> None:
         self._node = node
+        self._headers = header_log.HeaderLog()
 
     async def send(self, request: CallerRequest, placed: choice.Placed) -> Result:
         """Sends a request to the chosen server and reads its answer."""
@@ -175,6 +176,7 @@
             head = await used.read_head()
             placed.view.note_word(node.now())
             raw = [(bytes(name), bytes(value)) for name, value in head.headers]
+            self._headers.note(server.backend, raw)
             about = node.headers.read_server(head.status_code, raw)
             if about.request_id in ("", request.about.request_id):
                 break
--- a/testing/platform/fake_server.py
+++ b/testing/platform/fake_server.py
@@ -20,6 +20,7 @@
 
     :param name: its registered name.
     :ivar faults: what happens to each coming request, by name; see ``_play``.
+    :ivar headers: headers of every whole answer beside the usual ones.
     :ivar hold: while clear, requests are held before they are answered.
     """
 
@@ -28,6 +29,7 @@
         self.address = ""
         self.seen: list[Seen] = []
         self.faults: list[str] = []
+        self.headers: list[tuple[str, str]] = []
         self.hold = asyncio.Event()
         self.hold.set()
         self.connections = 0
@@ -146,6 +148,7 @@
             ("Caperdyke-Request-Id", request_id),
             ("Caperdyke-Server-Signature", f"signed-{self.name}"),
             ("Caperdyke-Server-Load", "1,0,4"),
+            *self.headers,
         ]
         return _make(status, headers, body)
 
--- a/testing/platform/test_gateway_explained.py
+++ b/testing/platform/test_gateway_explained.py
@@ -1,6 +1,8 @@
 """What the log of a gateway tells of a refused request."""
 
+from caperdyke.state import ids
 from caperdyke.transport import events
+from caperdyke.transport.gateway import header_log
 from testing.platform import stage
 
 
@@ -33,3 +35,34 @@
         self.assertTrue(known["adopted_ms"] >= 0, known)
         self.assertTrue(known["store_word_ms"] >= 0, known)
         self.assertNotIn("knowledge", ended["answered"])
+
+
+class HeaderLogTest(stage.StageCase):
+    """Headers of backend servers in the log."""
+
+    def test_each_header_of_an_answer_is_named_once(self) -> None:
+        seen = []
+
+        def note(event: events.Event, **fields) -> None:
+            if event is events.Event.HEADER_SEEN:
+                seen.append((fields["header"], fields["value"]))
+
+        async def scene() -> None:
+            async with stage.open_stage(["s1"]) as played:
+                self.patch(events, "log", note)
+                played.servers[0].headers = [("X-New", "4.7" * 30)]
+                for _ in range(3):
+                    await played.ask()
+                names = [name for name, _ in seen]
+                self.assertEqual(len(set(names)), len(names), names)
+                self.assertIn(("x-new", ("4.7" * 30)[:40]), seen)
+
+        self.play(scene)
+
+    def test_names_that_a_server_makes_up_do_not_fill_the_log(self) -> None:
+        seen = []
+        self.patch(events, "log", lambda event, **fields: seen.append(fields))
+        log = header_log.HeaderLog()
+        for number in range(header_log.NAMES_MAX * 2):
+            log.note(ids.BackendId("s1"), [(b"x-%d" % number, b"1")])
+        self.assertEqual(header_log.NAMES_MAX, len(seen))
