Keep the limits that backend servers name, over all instances together

What callers saw: nothing yet; a server in need got 8 to 17 requests a second though it had said that it takes 4.7 from all instances, which makes its need worse for everybody behind it.

The class is a bound on what many instances send together, kept without a shared count. Cold servers had such a bound with one owner each, which had gaps of its own: an instance that had just started, or woke up after a pause, heard nobody and owned every server.

Ruled out: equal parts with a token each (68 tokens for 33 requests at 68 instances); one owner, who can only use the requests that reach it; a count in the store (calls, and none while it is away).

Change: `shared_bounds` deals out one count by distance and rank, for named limits and cold servers alike. Instances that disagree about a few others deal a few requests too many; one that hears a part of the fleet deals out that part; one that started, was paused, leaves or hears too few of its failure domain takes none. `named_limits` keeps the newest word about each server; announcements (layout 4) tell limits and ends, at most eight each. A request is counted against the bounds at the moment it is written. Where the bounds keep all servers out, the refusal comes at once and says when the next part is free.

--- /dev/null
+++ b/src/caperdyke/coordination/placement/named_limits.py
@@ -0,0 +1,120 @@
+"""What is known of the limits that backend servers name."""
+
+import dataclasses
+import math
+
+from caperdyke.state import ids, marks, request_heads
+
+# How much older the end of a limit counts when another instance tells of it: the way to this one
+# takes time, and the server may have named its limit again meanwhile. In seconds.
+TOLD_MARGIN_SECONDS = 0.5
+# How long the end of a limit is remembered and told, in seconds: word of it reaches all instances
+# by then, also where each announces itself once in 26 seconds.
+ENDED_SECONDS = 60.0
+# How long a limit holds that nobody has heard of again, in seconds; the server has gone, or nobody
+# had a request for it.
+FORGOTTEN_SECONDS = 300.0
+# Highest limit that is told apart, in requests a second; more than any server takes.
+LIMIT_MAX = 1e6
+# Limits that one announcement tells: about a hundred bytes.
+TOLD_MAX = 8
+
+
+@dataclasses.dataclass(slots=True)
+class KnownLimit:
+    """The latest word about one server's limit.
+
+    :param per_second: requests a second that the server takes; None where it names no limit.
+    :param known_at: time from which the word is.
+    :param told_at: time at which this instance told others last.
+    """
+
+    per_second: float | None
+    known_at: float
+    told_at: float = -math.inf
+
+
+class NamedLimits:
+    """Limits of all servers, by the mark of the server's name.
+
+    Pattern: a server in need names in its answers what it takes from all instances together, and
+    just some instances get these answers; later just some get the first answer without a limit. The
+    newest word counts, whoever heard it.
+    """
+
+    def __init__(self) -> None:
+        self._known: dict[int, KnownLimit] = {}
+
+    def find(self, server: ids.BackendId) -> float | None:
+        """Returns the limit of a server in requests a second, or None where there is none."""
+        if not self._known:
+            return None
+        known = self._known.get(marks.make_mark(server))
+        return known.per_second if known is not None else None
+
+    def note_answer(
+        self,
+        now: float,
+        server: ids.BackendId,
+        report: request_heads.LimitReport,
+        sent_at: float,
+        is_sound: bool,
+    ) -> None:
+        """Learns from an answer of a server.
+
+        A limit counts from any answer. That it ended counts from a sound answer alone, and just
+        where the request was sent after the limit was last named: others may be older.
+
+        :param sent_at: time at which the request was sent.
+        :param is_sound: whether this is the server's own answer to that request.
+        """
+        mark = marks.make_mark(server)
+        known = self._known.get(mark)
+        match report:
+            case request_heads.NamedLimit(per_second=per_second):
+                rate = min(per_second, LIMIT_MAX)
+                is_news = known is None or known.per_second != rate
+                self._known[mark] = KnownLimit(rate, now, -math.inf if is_news else known.told_at)
+            case request_heads.NoLimit():
+                is_limited = known is not None and known.per_second is not None
+                if is_limited and is_sound and sent_at > known.known_at:
+                    self._known[mark] = KnownLimit(None, sent_at)
+            case request_heads.UnreadableLimit():
+                return
+
+    def note_told(self, now: float, mark: int, per_second: float | None, age: float) -> None:
+        """Learns from another instance.
+
+        :param age: how long ago that instance learnt it, in seconds.
+        """
+        known_at = now - age
+        if per_second is None:
+            known_at -= TOLD_MARGIN_SECONDS
+        known = self._known.get(mark)
+        if known is None or known_at > known.known_at:
+            self._known[mark] = KnownLimit(per_second, known_at)
+
+    def restart(self, now: float, server: ids.BackendId) -> None:
+        """Forgets the limit that an earlier start of a server named."""
+        known = self._known.get(marks.make_mark(server))
+        if known is not None:
+            self._known[marks.make_mark(server)] = KnownLimit(None, now)
+
+    def forget(self, server: ids.BackendId) -> None:
+        """Forgets a server that has left."""
+        self._known.pop(marks.make_mark(server), None)
+
+    def choose_to_tell(self, now: float) -> dict[int, tuple[float | None, float]]:
+        """Returns limits and ages for one announcement, those told longest ago first."""
+        for mark, known in list(self._known.items()):
+            kept = ENDED_SECONDS if known.per_second is None else FORGOTTEN_SECONDS
+            if now > known.known_at + kept:
+                del self._known[mark]
+        if not self._known:
+            return {}
+        waiting = sorted(self._known.items(), key=lambda item: item[1].told_at)
+        told = {}
+        for mark, known in waiting[:TOLD_MAX]:
+            known.told_at = now
+            told[mark] = (known.per_second, max(0.0, now - known.known_at))
+        return told
--- a/src/caperdyke/coordination/registry/fleet.py
+++ b/src/caperdyke/coordination/registry/fleet.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 
+from caperdyke.coordination.placement import shared_bounds
 from caperdyke.state import ids, marks, member, store_rows
 
 # Announcements that may be lost in a row before an instance counts as gone, and the shortest
@@ -12,6 +13,12 @@
 # How long the part of a limit that an instance may have used is not dealt again, in seconds: above
 # the windows in which limits count.
 SHARE_SECONDS = 30.0
+# Longest time for which an instance that has just started, or was paused, only listens before it
+# takes a part of what is dealt out among all, in seconds: several announcements may be lost.
+SETTLE_SECONDS = 1.5
+# Time without a turn from which on an instance was paused, in seconds; shorter pauses do not make
+# others look silent.
+PAUSE_SECONDS = 1.0
 # A silent instance that the store lists is tried again this often, in seconds.
 RETRY_SECONDS = 3.0
 # An instance that was silent for this long is forgotten, in seconds.
@@ -59,6 +66,9 @@
         # Names by the mark that stands for them in announcements.
         self._names: dict[int, ids.InstanceId] = {}
         self._is_listed = False
+        # Time since which this instance listens for all others without a pause.
+        self._listens_since = math.inf
+        self._turn_at = -math.inf
 
     def apply_regions(self, regions: dict[ids.DomainName, ids.RegionName]) -> None:
         """Takes over a changed map of failure domains."""
@@ -85,9 +95,17 @@
             known.record = record
         return True
 
-    def note_listed(self) -> None:
+    def note_listed(self, now: float) -> None:
         """Records that the store has told which instances there are."""
-        self._is_listed = True
+        if not self._is_listed:
+            self._is_listed = True
+            self._listens_since = now
+
+    def note_turn(self, now: float) -> None:
+        """Records that this instance runs; called more often than pauses last."""
+        if self._is_listed and now > self._turn_at + PAUSE_SECONDS:
+            self._listens_since = max(self._listens_since, now)
+        self._turn_at = now
 
     def hear(
         self, now: float, mark: int, incarnation: ids.Incarnation, is_ready: bool, interval: float
@@ -139,6 +157,35 @@
             return 0.0
         return 1 / self.count_recent(now)
 
+    def find_sight(self, now: float) -> shared_bounds.Sight:
+        """Returns the fleet as it matters for what is dealt out among all instances.
+
+        Pattern: an instance that has just started, or that was paused, hears of nobody yet, and
+        would take everything for itself; one that leaves has been replaced by the others.
+        """
+        live = {other.record.instance: other.record.domain for other in self.list_live(now)}
+        live[self.own.instance] = self.own.domain
+        since = now - SHARE_SECONDS
+        silent = {
+            name: other.record.domain
+            for name, other in self._others.items()
+            if name not in live
+            and other.record.state is member.MemberState.LIVE
+            and max(other.heard_at, other.known_since) > since
+        }
+        sight = shared_bounds.make_sight(self.own.instance, live, silent)
+        if self._is_settled(now) and self.own.state is member.MemberState.LIVE:
+            return sight
+        return dataclasses.replace(sight, own=None)
+
+    def _is_settled(self, now: float) -> bool:
+        """Tells whether this instance has heard all others that live since it began to listen."""
+        if not self._is_listed or now > self._turn_at + PAUSE_SECONDS:
+            return False
+        if now >= self._listens_since + SETTLE_SECONDS:
+            return True
+        return all(other.heard_at >= self._listens_since for other in self._others.values())
+
     def forget_silent(self, now: float) -> list[member.Member]:
         """Forgets instances that were silent for long, or that left, and returns them."""
         gone = [
--- a/src/caperdyke/platform/headers.py
+++ b/src/caperdyke/platform/headers.py
@@ -13,6 +13,8 @@
 NOT_EXECUTED = b"caperdyke-not-executed"
 SERVER_LOAD = b"caperdyke-server-load"
 COLD_LEFT = b"caperdyke-cold-milliseconds"
+# Requests a second that the server takes; the platform's text leaves the prefix out.
+SERVER_LIMITS = (b"caperdyke-server-limit", b"server-limit")
 # Status of a backend server that is not the one expected; it did not run the request.
 MISDIRECTED_STATUS = 421
 
@@ -40,6 +42,7 @@
         is_misdirected,
         _read_load(found.get(SERVER_LOAD)),
         _read_number(found.get(COLD_LEFT)),
+        _read_limit(found),
     )
 
 
@@ -90,6 +93,16 @@
     return number if 0 <= number < float("inf") else None
 
 
+def _read_limit(found: dict[bytes, bytes]) -> request_heads.LimitReport:
+    text = next((found[name] for name in SERVER_LIMITS if name in found), None)
+    if text is None:
+        return request_heads.NoLimit()
+    number = _read_number(text)
+    if number is None:
+        return request_heads.UnreadableLimit(text.decode("latin-1"))
+    return request_heads.NamedLimit(number)
+
+
 def _read_load(text: bytes | None) -> request_heads.ServerLoad | None:
     if text is None:
         return None
--- a/src/caperdyke/protocol/announcements.py
+++ b/src/caperdyke/protocol/announcements.py
@@ -8,7 +8,7 @@
 from caperdyke.state import ids, member, store_rows
 
 # Raised with every change of the layout; others are left unread.
-LAYOUT = 3
+LAYOUT = 4
 # Tables that every instance follows, in the order in which an announcement names their positions.
 FOLLOWED = (store_rows.StoreTable.CONFIGURATION, store_rows.StoreTable.SERVERS)
 
@@ -28,6 +28,8 @@
         milliseconds; -1 where it has not.
     :param read_position: position up to which it knows the registrations.
     :param load: requests under way, by mark of the backend server's name.
+    :param limits: limits that backend servers name, by mark of the server's name: requests a
+        second, None where a limit ended, and how long ago that was learnt, in seconds.
     :param wants_answer: whether the receiver should announce itself at once.
     """
 
@@ -40,6 +42,7 @@
     read_age_ms: int
     read_position: store_rows.Position
     load: dict[int, int]
+    limits: dict[int, tuple[float | None, float]]
     wants_answer: bool
 
 
@@ -57,6 +60,7 @@
             item.read_age_ms,
             _list_position(item.read_position),
             item.load,
+            {mark: _list_limit(*limit) for mark, limit in item.limits.items()},
             item.wants_answer,
         ]
     )
@@ -72,7 +76,7 @@
         if layout != LAYOUT:
             raise ValueError(f"layout {layout}, expected {LAYOUT}")
         mark, incarnation, record, is_ready, interval_ms, changed, read_age_ms = fields[:7]
-        read_position, load, wants_answer = fields[7:]
+        read_position, load, limits, wants_answer = fields[7:]
         return Announcement(
             int(mark),
             ids.Incarnation(int(incarnation)),
@@ -83,6 +87,7 @@
             int(read_age_ms),
             _read_position(read_position),
             {int(mark): int(count) for mark, count in load.items()},
+            {int(mark): _read_limit(*limit) for mark, limit in limits.items()},
             bool(wants_answer),
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as error:
@@ -160,6 +165,16 @@
     return store_rows.Position(int(era), int(number))
 
 
+def _list_limit(per_second: float | None, age: float) -> list[int]:
+    """Returns thousandths of a request a second, or -1, and an age in milliseconds."""
+    return [-1 if per_second is None else round(per_second * 1000), round(age * 1000)]
+
+
+def _read_limit(thousandths: int, age_ms: int) -> tuple[float | None, float]:
+    per_second = None if int(thousandths) < 0 else int(thousandths) / 1000
+    return per_second, max(0, int(age_ms)) / 1000
+
+
 def _list_member(record: member.Member) -> list:
     return [
         record.instance,
--- a/src/caperdyke/state/request_heads.py
+++ b/src/caperdyke/state/request_heads.py
@@ -28,6 +28,31 @@
     slots: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """A backend server bounds what all instances together send to it.
+
+    :param per_second: requests a second.
+    """
+
+    per_second: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoLimit:
+    """A backend server names no limit."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnreadableLimit:
+    """A backend server names a limit that is no number of requests."""
+
+    text: str
+
+
+LimitReport = NamedLimit | NoLimit | UnreadableLimit
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerHeaders:
     """What a backend server says of its answer.
@@ -38,6 +63,7 @@
     :param is_misdirected: whether another backend server now has the address.
     :param load: None where the server does not tell it.
     :param cold_ms: how much longer the server is cold, in milliseconds; None where not told.
+    :param limit: what the server takes from all instances together.
     """
 
     request_id: str
@@ -46,3 +72,4 @@
     is_misdirected: bool
     load: ServerLoad | None
     cold_ms: float | None
+    limit: LimitReport
--- a/src/caperdyke/transport/events.py
+++ b/src/caperdyke/transport/events.py
@@ -76,6 +76,9 @@
     EVACUATION_CHANGED = (6203, "INFO", "evacuated failure domains: {domains}")
     INSTANCE_CHANGED = (6301, "INFO", "instance {instance} in {domain}: {change}")
     SERVER_AVOIDED = (6401, "INFO", "backend server {backend} is avoided: {cause}")
+    LIMIT_NAMED = (6403, "INFO", "backend server {backend} takes {per_second} requests a second")
+    LIMIT_ENDED = (6404, "INFO", "backend server {backend} names no limit any more")
+    LIMIT_UNREADABLE = (6405, "WARNING", "limit of backend server {backend} is no number: {text}")
     HEADER_SEEN = (6402, "INFO", "first answer with header {header}: {value}, from {backend}")
 
     @property
--- a/src/caperdyke/transport/gateway/announcer.py
+++ b/src/caperdyke/transport/gateway/announcer.py
@@ -78,6 +78,8 @@
         node.provenance.others_word_at = now
         known.load = item.load
         known.changed = item.changed
+        for server, (per_second, age) in item.limits.items():
+            node.bounds.limits.note_told(now, server, per_second, age)
         if item.read_age_ms >= 0:
             known.read_at = now - item.read_age_ms / 1000
             self._tables.note_reading(known, item.read_position)
@@ -90,6 +92,7 @@
         """Announces this instance, for ever."""
         while True:
             now = self._node.now()
+            self._node.fleet.note_turn(now)
             for other in self._node.fleet.list_others():
                 if now >= other.announce_at:
                     is_stranger = now >= other.trusted_until
@@ -181,7 +184,7 @@
         self._row_changes.clear()
         for row in changes.rows:
             self._learn_row(row)
-        self._node.fleet.note_listed()
+        self._node.fleet.note_listed(self._node.now())
         return changes
 
     def say_goodbye(self) -> None:
@@ -264,6 +267,7 @@
             self._tables.find_read_age_ms(),
             self._tables.servers.position or store_rows.FIRST_POSITION,
             load,
+            node.bounds.limits.choose_to_tell(node.now()),
             wants_answer,
         )
 
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -2,23 +2,32 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import statistics
 import time
 
 from caperdyke.coordination.placement import (
     choice,
-    cold_starts,
     homes,
     retry_quota,
     server_view,
+    shared_bounds,
     splits,
     work_times,
 )
 from caperdyke.coordination.registry import first_reads, fleet, provenance, server_registry
 from caperdyke.protocol import dialect
-from caperdyke.state import backend, clock, gateway_settings, ids, member, routes
+from caperdyke.state import (
+    backend,
+    clock,
+    gateway_settings,
+    ids,
+    member,
+    routes,
+)
 from caperdyke.transport import events, metrics
 from caperdyke.transport.backends import pool
+from caperdyke.transport.gateway import server_bounds
 
 # Round trip that is assumed for a failure domain before a connection was opened, in seconds.
 ROUND_TRIP_FIRST = 0.005
@@ -60,7 +69,7 @@
         self.pool = pool.ConnectionPool(now)
         self.splits = splits.SplitCounter()
         self.times = work_times.WorkTimes()
-        self.cold = cold_starts.ColdStarts()
+        self.bounds = server_bounds.ServerBounds(self.fleet, checked.domains)
         bounds = checked.bounds
         self.retries = retry_quota.RetryQuota(
             bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window, now()
@@ -82,6 +91,7 @@
         """Takes over changed limits and failure domains."""
         self.settings = changed
         self.fleet.apply_regions(changed.domains)
+        self.bounds.apply_regions(changed.domains)
         bounds = changed.bounds
         self.retries.apply_limits(bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window)
         self._orders.clear()
@@ -122,7 +132,7 @@
         self._services = services
         for name in self.servers.forget_gone(now):
             self.views.pop(name, None)
-            self.cold.forget(name)
+            self.bounds.forget(name)
             self.pool.drop(name)
 
     def find_registrations_age_ms(self) -> int:
@@ -150,20 +160,20 @@
         if view is not None:
             view.reset()
             self.pool.drop(name)
+        self.bounds.restart(self.now(), name)
 
     def list_candidates(
         self, service: ids.ServiceName, key: ids.ObjectKey, route: routes.Route
     ) -> list[choice.Candidate]:
         """Returns the servers of a service that a request may go to now, in the object's order."""
         now = self.now()
-        names = self.fleet.list_names(now)
         candidates = []
         for place in self._order(service, key, route.kind is routes.RouteKind.DOWNLOAD):
             server = place.server
             if route.homes and place.region not in route.homes:
                 continue
             known = self.servers.find(server.backend)
-            if known is None or not self._may_use_cold(now, known, names):
+            if known is None or self.find_room_at(now, known) > now:
                 continue
             candidates.append(
                 choice.Candidate(
@@ -224,18 +234,47 @@
             speed=round(view.speed, 2),
         )
 
-    def _may_use_cold(
-        self,
-        now: float,
-        known: server_registry.RegisteredServer,
-        names: list[ids.InstanceId],
-    ) -> bool:
-        if not self.is_cold(now, known):
-            return True
+    def find_room_at(self, now: float, known: server_registry.RegisteredServer) -> float:
+        """Returns from when on a server may get one more request of this instance.
+
+        :returns: infinite where this instance has no part of what the server may get.
+        """
         server = known.registration.server
-        if not self.cold.is_owner(server.backend, self.settings.instance, names):
+        return self.bounds.find_room_at(now, server, self._find_cold_bound(now, known))
+
+    def admit(self, name: ids.BackendId) -> bool:
+        """Counts a request that is sent now, or tells that the server's bounds have no room.
+
+        Pattern: requests were placed, or waited for a connection, when a server named a limit.
+        """
+        now, known = self.now(), self.servers.find(name)
+        if known is not None and self.find_room_at(now, known) > now:
             return False
-        return self.cold.may_send(now, server.backend, self._find_cold_bound(known))
+        self.bounds.note_send(now, name)
+        return True
+
+    def correct_room(
+        self, no_room: choice.NoRoom, route: routes.Route, service: ids.ServiceName
+    ) -> choice.NoRoom:
+        """Returns when to come back, with the servers in mind that their bounds kept out.
+
+        Pattern: all servers of a service name limits, and more is asked for than they take.
+        """
+        now = self.now()
+        waits = []
+        for known in self._services.get(service, ()):
+            server = known.registration.server
+            region = self.settings.domains.get(server.domain, "")
+            if not route.homes or region in route.homes:
+                cold = self._find_cold_bound(now, known)
+                waits.append(self.bounds.find_wait(now, server, cold))
+        waits = [wait for wait in waits if wait > 0]
+        if not waits:
+            return no_room
+        soonest = min(waits)
+        retry_after = soonest if no_room.is_empty else min(soonest, no_room.retry_after)
+        retry_after = min(choice.RETRY_MAX_SECONDS, max(choice.RETRY_MIN_SECONDS, retry_after))
+        return dataclasses.replace(no_room, retry_after=retry_after, is_empty=False)
 
     def _find_terms(self, known: server_registry.RegisteredServer) -> routes.ServiceTerms | None:
         if self.routes is None:
@@ -246,11 +285,14 @@
         terms = self._find_terms(known)
         return terms.cold_ms / 1000 if terms else 0.0
 
-    def _find_cold_bound(self, known: server_registry.RegisteredServer) -> float:
-        bounds = self.settings.bounds
-        terms = self._find_terms(known)
+    def _find_cold_bound(
+        self, now: float, known: server_registry.RegisteredServer
+    ) -> shared_bounds.Bound | None:
+        if not self.is_cold(now, known):
+            return None
+        terms, bounds = self._find_terms(known), self.settings.bounds
         rate = terms.cold_per_second if terms else 0.0
-        return rate * bounds.cold_factor + bounds.cold_allowance
+        return shared_bounds.bound_cold_start(rate, bounds.cold_factor, bounds.cold_allowance)
 
 
 def _list_names(
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -11,7 +11,6 @@
 # A caller returns no later than this part of the time that it has left.
 RETRY_PART_MAX = 0.3
 SERVER_ERROR_STATUS = 500
-SUCCESS_STATUS_END = 300
 # Part of the budget for repeated sends that copies which warm a near home leave to failed requests.
 WARMING_SPARE_PART = 0.5
 
@@ -174,7 +173,10 @@
         demand = self._make_demand(request, route, service, frozenset(tried), trace)
         candidates = node.list_candidates(service, demand.key, route)
         times = node.times.find(route.name, route.objective_ms / 1000)
-        return choice.choose(node.now(), demand, candidates, times)
+        chosen = choice.choose(node.now(), demand, candidates, times)
+        if isinstance(chosen, choice.NoRoom):
+            return node.correct_room(chosen, route, service)
+        return chosen
 
     def _learn(
         self,
@@ -190,7 +192,7 @@
             if result.status >= SERVER_ERROR_STATUS:
                 return
             took = now - sent_at
-            if result.status < SUCCESS_STATUS_END:
+            if result.status < sender.SUCCESS_STATUS_END:
                 node.times.find(route.name, objective).learn_size(result.length or len(result.body))
             ratio = None
             is_queue_seen = result.load is not None and result.load.waiting > 0
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -8,13 +8,14 @@
 from caperdyke import errors
 from caperdyke.coordination.placement import choice
 from caperdyke.protocol import dialect
-from caperdyke.state import request_heads, routes
+from caperdyke.state import backend, request_heads, routes
 from caperdyke.transport.backends import connection
 from caperdyke.transport.gateway import context, header_log
 
 # Largest answer that is read whole before its first byte is passed on; only such an answer can be
 # fetched again from another server when it breaks off.
 WHOLE_MAX_BYTES = 1024 * 1024
+SUCCESS_STATUS_END = 300
 # Answers to other requests that are skipped on one connection before it is given up.
 SKIPPED_MAX = 2
 # Headers that concern one connection only.
@@ -117,7 +118,6 @@
         node, view = self._node, placed.view
         sent_at = node.now()
         pending = view.note_send(sent_at, placed.due_at)
-        node.cold.note_send(sent_at, view.server.backend)
         try:
             return await self._exchange(request, placed)
         finally:
@@ -137,7 +137,7 @@
                 return Failure(FailureKind.UNREACHABLE, str(error))
             node.note_round_trip(server.domain, node.now() - opened_at)
         # Opening a connection takes up to half a second.
-        reason = self._find_reason_to_stay(request)
+        reason = self._find_reason_to_stay(request, server)
         if reason is not None:
             node.pool.give_back(server.backend, used, None)
             return Failure(FailureKind.NOT_SENT, reason)
@@ -155,12 +155,16 @@
             if not is_done:
                 used.close()
 
-    def _find_reason_to_stay(self, request: CallerRequest) -> str | None:
-        """Returns why a request is not sent at this moment, or None."""
+    def _find_reason_to_stay(
+        self, request: CallerRequest, server: backend.BackendServer
+    ) -> str | None:
+        """Returns why a request is not sent at this moment, or None and counts it as sent."""
         if self._node.now() >= request.deadline:
             return "no time left"
         if self._node.routes is not request.table:
             return "the configuration changed"
+        if not self._node.admit(server.backend):
+            return "the server's part for this instance is used up"
         return None
 
     async def _run(
@@ -171,6 +175,7 @@
         headers = node.headers.make_server_headers(request.headers, wait_ms, server.backend)
         if request.body:
             headers.append((b"content-length", b"%d" % len(request.body)))
+        sent_at = node.now()
         used.send(request.method, request.target, headers, request.body)
         for _ in range(SKIPPED_MAX + 1):
             head = await used.read_head()
@@ -178,7 +183,11 @@
             raw = [(bytes(name), bytes(value)) for name, value in head.headers]
             self._headers.note(server.backend, raw)
             about = node.headers.read_server(head.status_code, raw)
-            if about.request_id in ("", request.about.request_id):
+            is_own = about.request_id in ("", request.about.request_id)
+            if not about.is_misdirected:
+                is_sound = is_own and about.is_signed and head.status_code < SUCCESS_STATUS_END
+                node.bounds.note_answer(node.now(), server.backend, about.limit, sent_at, is_sound)
+            if is_own:
                 break
             # An answer to an earlier request; it belongs to nobody.
             await _read_whole(used)
--- /dev/null
+++ b/src/caperdyke/transport/gateway/server_bounds.py
@@ -0,0 +1,120 @@
+"""What this instance may send to servers that bound the requests of all instances together."""
+
+import math
+
+from caperdyke.coordination.placement import named_limits, shared_bounds
+from caperdyke.coordination.registry import fleet
+from caperdyke.state import backend, ids, request_heads
+from caperdyke.transport import events
+
+# How long the view of the fleet is used before it is made again, in seconds.
+SIGHT_SECONDS = 0.05
+# Shortest time between two log lines about one server's limit, in seconds.
+LOG_SECONDS = 2.0
+# Longest part of a limit that is no number in a log line, in characters.
+TEXT_MAX = 40
+
+
+class ServerBounds:
+    """Keeps the limits that servers name, and counts what is sent to each server.
+
+    :param regions: the region of each failure domain.
+    """
+
+    def __init__(
+        self, instances: fleet.Fleet, regions: dict[ids.DomainName, ids.RegionName]
+    ) -> None:
+        self.limits = named_limits.NamedLimits()
+        self._fleet = instances
+        self._regions = regions
+        self._sends = shared_bounds.SendHistory()
+        self._places = shared_bounds.Places()
+        self._sight = shared_bounds.Sight(None, {}, 0.0)
+        self._sight_until = -math.inf
+        # Limits as they were logged last, and when.
+        self._logged: dict[ids.BackendId, tuple[request_heads.LimitReport, float]] = {}
+
+    def apply_regions(self, regions: dict[ids.DomainName, ids.RegionName]) -> None:
+        """Takes over a changed map of failure domains."""
+        self._regions = regions
+        self._places = shared_bounds.Places()
+
+    def note_send(self, now: float, server: ids.BackendId) -> None:
+        """Counts a request that is sent."""
+        self._sends.note_send(now, server)
+
+    def note_answer(
+        self,
+        now: float,
+        server: ids.BackendId,
+        report: request_heads.LimitReport,
+        sent_at: float,
+        is_sound: bool,
+    ) -> None:
+        """Learns what an answer of a server says of its limit; see `named_limits`."""
+        self.limits.note_answer(now, server, report, sent_at, is_sound)
+        logged, logged_at = self._logged.get(server, (request_heads.NoLimit(), -math.inf))
+        if report == logged or now < logged_at + LOG_SECONDS:
+            return
+        match report:
+            case request_heads.NamedLimit(per_second=per_second):
+                events.log(events.Event.LIMIT_NAMED, backend=server, per_second=per_second)
+            case request_heads.UnreadableLimit(text=text):
+                events.log(events.Event.LIMIT_UNREADABLE, backend=server, text=text[:TEXT_MAX])
+            case request_heads.NoLimit():
+                if self.limits.find(server) is not None:
+                    return
+                events.log(events.Event.LIMIT_ENDED, backend=server)
+        self._logged[server] = (report, now)
+
+    def restart(self, now: float, server: ids.BackendId) -> None:
+        """Forgets what an earlier start of a server said."""
+        self.limits.restart(now, server)
+
+    def forget(self, server: ids.BackendId) -> None:
+        """Forgets a server that has left."""
+        self._sends.forget(server)
+        self.limits.forget(server)
+        self._logged.pop(server, None)
+
+    def find_room_at(
+        self, now: float, server: backend.BackendServer, cold: shared_bounds.Bound | None
+    ) -> float:
+        """Returns from when on a server may get one more request of this instance.
+
+        :param cold: what holds while the server is cold; None where it is not.
+        :returns: infinite where this instance has no part of a bound.
+        """
+        room_at = now
+        for bound in self._list_bounds(server, cold):
+            sight = self._find_sight(now)
+            place = self._places.find(server.backend, server.domain, sight, self._regions)
+            part = shared_bounds.find_part(bound, place, sight)
+            if part == 0:
+                return math.inf
+            bound_room_at = self._sends.find_room_at(now, server.backend, part, bound.window)
+            room_at = max(room_at, bound_room_at)
+        return room_at
+
+    def find_wait(
+        self, now: float, server: backend.BackendServer, cold: shared_bounds.Bound | None
+    ) -> float:
+        """Returns the time until some instance may send one more request, in seconds."""
+        room_at = self.find_room_at(now, server, cold)
+        if room_at < math.inf:
+            return room_at - now
+        # The parts of other instances come free one by one in the course of a window.
+        return max(item.window / item.count for item in self._list_bounds(server, cold))
+
+    def _list_bounds(
+        self, server: backend.BackendServer, cold: shared_bounds.Bound | None
+    ) -> list[shared_bounds.Bound]:
+        limit = self.limits.find(server.backend)
+        found = [] if limit is None else [shared_bounds.bound_named_limit(limit)]
+        return found if cold is None else [*found, cold]
+
+    def _find_sight(self, now: float) -> shared_bounds.Sight:
+        if not self._sight_until - SIGHT_SECONDS <= now < self._sight_until:
+            self._sight = self._fleet.find_sight(now)
+            self._sight_until = now + SIGHT_SECONDS
+        return self._sight
--- a/testing/placement/test_limits.py
+++ b/testing/placement/test_limits.py
@@ -3,11 +3,10 @@
 import testtools
 from parameterized import parameterized
 
-from caperdyke.coordination.placement import attempts, cold_starts, retry_quota, splits
+from caperdyke.coordination.placement import attempts, retry_quota, splits
 from caperdyke.state import ids, routes
 
 SERVICE = ids.ServiceName("reader")
-SERVER = ids.BackendId("s1")
 
 
 class RetryQuotaTest(testtools.TestCase):
@@ -66,31 +65,6 @@
             self.assertTrue(sent <= bound, f"from {start}: got {sent}, expected at most {bound}")
 
 
-class ColdStartsTest(testtools.TestCase):
-    """What a cold server gets from all instances together."""
-
-    @parameterized.expand([(2,), (10,), (70,)])
-    def test_one_instance_owns_a_server(self, count) -> None:
-        names = [ids.InstanceId(f"gateway-{number}") for number in range(count)]
-        owners = [cold_starts.ColdStarts().is_owner(SERVER, name, names) for name in names]
-        self.assertEqual(1, sum(owners))
-
-    def test_two_owners_stay_within_the_bound(self) -> None:
-        """Pattern: a cut leaves an owner on each side, and callers press on both."""
-        bound = 10.4
-        owners = [cold_starts.ColdStarts(), cold_starts.ColdStarts()]
-        sent = []
-        for step in range(400):
-            now = step * 0.01
-            owner = owners[step % 2]
-            if owner.may_send(now, SERVER, bound):
-                owner.note_send(now, SERVER)
-                sent.append(now)
-        for start in sent:
-            count = sum(start <= at < start + 1.0 for at in sent)
-            self.assertTrue(count <= bound, f"got {count}, expected at most {bound}")
-
-
 class SplitCounterTest(testtools.TestCase):
     """Parts of a split route."""
 
--- /dev/null
+++ b/testing/placement/test_shared_bounds.py
@@ -0,0 +1,109 @@
+"""Bounds on what one server gets from all instances together."""
+
+import itertools
+
+import testtools
+from parameterized import parameterized
+
+from caperdyke.coordination.placement import shared_bounds
+from caperdyke.state import ids
+from testing.placement import fleet_views
+
+SERVER = fleet_views.SERVER
+SIZES = (10, 68, 750)
+LIMITS = (0.0, 0.3, 1.0, 4.7, 20.0, 1e6)
+# What a cold server may get in a second: 11 a second, half as much again, and 5.
+COLD = (11.0, 1.5, 5.0)
+
+
+class WorstSumTest(testtools.TestCase):
+    """No trouble lets the parts of all instances add up to more than is allowed."""
+
+    @parameterized.expand(list(itertools.product(fleet_views.TROUBLES, SIZES, LIMITS)))
+    def test_named_limit(self, trouble, size, limit) -> None:
+        bound = shared_bounds.bound_named_limit(limit)
+        got = fleet_views.play(trouble, size).sum_parts(bound)
+        # Windows of several seconds contain the judged window of 4 s.
+        allowed = 1.5 * limit * 4 + 5
+        self.assertTrue(got <= allowed, f"got {got}, allowed {allowed}")
+
+    @parameterized.expand(list(itertools.product(fleet_views.TROUBLES, SIZES)))
+    def test_cold_server(self, trouble, size) -> None:
+        rate, factor, allowance = COLD
+        bound = shared_bounds.bound_cold_start(*COLD)
+        got = fleet_views.play(trouble, size).sum_parts(bound)
+        allowed = rate * factor + allowance
+        self.assertTrue(got <= allowed, f"got {got}, allowed {allowed}")
+
+    @parameterized.expand(list(itertools.product(SIZES, LIMITS)))
+    def test_calm_fleet_deals_out_the_whole_bound(self, size, limit) -> None:
+        bound = shared_bounds.bound_named_limit(limit)
+        self.assertEqual(bound.count, fleet_views.play("calm", size).sum_parts(bound))
+
+    def test_bound_is_not_above_the_limit(self) -> None:
+        for limit in LIMITS[1:]:
+            bound = shared_bounds.bound_named_limit(limit)
+            got = bound.count / bound.window
+            self.assertTrue(got <= limit, f"{got} a second, expected at most {limit}")
+
+
+class PlaceTest(testtools.TestCase):
+    """Who sends to a server first."""
+
+    def test_instances_near_a_server_get_the_larger_parts(self) -> None:
+        """Pattern: a server's objects are asked for near it, and others have none to send."""
+        fleet = fleet_views.play("calm", 10)
+        bound = shared_bounds.bound_named_limit(4.7)
+        parts = {}
+        for name, (sight,) in fleet.views.items():
+            place = shared_bounds.Places().find(
+                SERVER, fleet_views.SERVER_DOMAIN, sight, fleet_views.REGIONS
+            )
+            parts[name] = shared_bounds.find_part(bound, place, sight)
+        near = [part for name, part in parts.items() if fleet.domains[name] == "hall-0"]
+        far = [part for name, part in parts.items() if fleet.domains[name] != "hall-0"]
+        self.assertTrue(min(near) > max(far), parts)
+
+    def test_instance_that_takes_no_part_has_none(self) -> None:
+        sight = shared_bounds.Sight(None, {ids.InstanceId("a"): "hall-0"}, 1.0)
+        place = shared_bounds.Places().find(SERVER, "hall-0", sight, fleet_views.REGIONS)
+        self.assertEqual(0, shared_bounds.find_part(shared_bounds.Bound(9, 1.0), place, sight))
+
+    def test_place_follows_the_fleet(self) -> None:
+        places, own = shared_bounds.Places(), ids.InstanceId("a")
+        counts = []
+        for others in ("", "b", "bc", "c"):
+            domains = {ids.InstanceId(name): "hall-0" for name in "a" + others}
+            sight = shared_bounds.Sight(own, domains, 1.0)
+            counts.append(places.find(SERVER, "hall-0", sight, fleet_views.REGIONS).counts[0])
+        self.assertEqual([1, 2, 3, 2], counts)
+
+
+class SendHistoryTest(testtools.TestCase):
+    """Windows slide, whatever the callers do."""
+
+    @parameterized.expand([(1, 4.2), (3, 4.2), (9, 1.0), (1, 8.0)])
+    def test_any_window_holds_no_more_than_the_part(self, count, window) -> None:
+        """Pattern: callers press without a pause."""
+        history, sent = shared_bounds.SendHistory(), []
+        for step in range(4000):
+            now = step * 0.01
+            if history.find_room_at(now, SERVER, count, window) <= now:
+                history.note_send(now, SERVER)
+                sent.append(now)
+        for start in sent:
+            got = sum(start <= at < start + window - 1e-9 for at in sent)
+            self.assertTrue(got <= count, f"from {start}: got {got}, allowed {count}")
+        self.assertTrue(len(sent) >= 0.9 * count * 40 / window, len(sent))
+
+    def test_requests_before_the_limit_was_named_count(self) -> None:
+        history = shared_bounds.SendHistory()
+        for step in range(20):
+            history.note_send(step * 0.1, SERVER)
+        self.assertEqual(19 * 0.1 + 4.2, history.find_room_at(2.0, SERVER, 1, 4.2))
+
+    def test_server_that_left_is_forgotten(self) -> None:
+        history = shared_bounds.SendHistory()
+        history.note_send(1.0, SERVER)
+        history.forget(SERVER)
+        self.assertEqual(1.1, history.find_room_at(1.1, SERVER, 1, 4.2))
--- a/testing/platform/fake_server.py
+++ b/testing/platform/fake_server.py
@@ -103,9 +103,9 @@
             case "":
                 writer.write(whole)
             case "shed":
-                writer.write(_make(503, [("Caperdyke-Not-Executed", "1")], b""))
+                writer.write(_make(503, [("Caperdyke-Not-Executed", "1"), *self.headers], b""))
             case "misdirected":
-                writer.write(_make(421, [("Caperdyke-Instance-Id", "other")], b""))
+                writer.write(_make(421, [("Caperdyke-Instance-Id", "other"), *self.headers], b""))
             case "error":
                 writer.write(self.make_answer(request_id, b"broken", 500))
             case "reset":
@@ -118,7 +118,9 @@
                 writer.write(b"\x00\x01 these bytes are no answer\r\n\r\n")
                 return False
             case "unsigned":
-                writer.write(_make(200, [("Caperdyke-Request-Id", request_id)], self.body))
+                writer.write(
+                    _make(200, [("Caperdyke-Request-Id", request_id), *self.headers], self.body)
+                )
             case "unframed":
                 head = whole.split(b"\r\n\r\n")[0].split(b"\r\n")
                 head = [line for line in head if not line.startswith(b"Content-Length")]
--- a/testing/platform/fleet_stage.py
+++ b/testing/platform/fleet_stage.py
@@ -47,6 +47,7 @@
         self.nodes = [self._make_node(f"gateway-{n}", next(domains)) for n in range(count)]
         for node in self.nodes:
             self.introduce(node, self.nodes)
+            node.fleet.note_turn(self.now)
         self.dispatchers = [dispatcher.Dispatcher(node) for node in self.nodes]
 
     def introduce(self, node: context.GatewayContext, others: list[context.GatewayContext]) -> None:
@@ -57,7 +58,7 @@
                 known.is_ready = True
                 known.heard_at = self.now
                 known.trusted_until = math.inf
-        node.fleet.note_listed()
+        node.fleet.note_listed(self.now - 100)
 
     def add_server(self, server: fake_server.FakeServer, domain: str) -> None:
         """Lets all gateways know a server."""
@@ -96,6 +97,16 @@
         trace = verdicts.RequestTrace(about.request_id, self.now, about.object_key)
         return await self.dispatchers[number].serve(request, self.route, trace)
 
+    def run_for(self, seconds: float) -> None:
+        """Lets time pass without a request."""
+        until = self.now + seconds
+        while True:
+            for node in self.nodes:
+                node.fleet.note_turn(self.now)
+            if self.now >= until:
+                return
+            self.now = min(until, self.now + 0.5)
+
     async def press(self, seconds: float, rate: float) -> list[float]:
         """Lets callers send at random moments, and returns when.
 
@@ -109,6 +120,7 @@
                 self.now = until
                 return times
             times.append(self.now)
+            self.run_for(0.0)
             await self.ask(self.random.randrange(len(self.nodes)))
 
     def close(self) -> None:
--- a/testing/platform/test_gateway_limits.py
+++ b/testing/platform/test_gateway_limits.py
@@ -2,6 +2,8 @@
 
 from parameterized import parameterized
 
+from caperdyke.state import request_heads
+from caperdyke.transport.gateway import verdicts
 from testing.platform import fleet_stage, stage
 
 # What the rule allows in any window: a factor on the limit, and requests besides.
@@ -39,3 +41,131 @@
                 )
 
         self.play(scene)
+
+    @parameterized.expand([(10, 4.7), (68, 4.7), (10, 0.5), (68, 2.0)])
+    def test_named_limit_is_used_while_there_is_demand(self, instances, limit) -> None:
+        """Goal: a server in need gets work, though each instance has a small part to give."""
+
+        async def scene() -> None:
+            async with fleet_stage.open_fleet(instances, 4) as played:
+                needy = played.servers[0]
+                needy.headers = [("Caperdyke-Server-Limit", str(limit))]
+                await played.press(6.0, 200.0)
+                count = len(needy.times)
+                await played.press(16.0, 200.0)
+                used = (len(needy.times) - count) / 16.0 / limit
+                self.assertTrue(0.7 <= used <= 1.0, f"used {used:.2f} of the limit")
+
+        self.play(scene)
+
+    @parameterized.expand(
+        [("alternating", ["3", "1", "4.7"]), ("by turns none", ["3", None]), ("huge", ["1e308"])]
+    )
+    def test_limit_may_change_with_each_answer(self, _name, texts) -> None:
+        async def scene() -> None:
+            async with fleet_stage.open_fleet(3, 2) as played:
+                needy = played.servers[0]
+                for step in range(60):
+                    text = texts[step % len(texts)]
+                    needy.headers = [("Caperdyke-Server-Limit", text)] if text else []
+                    await played.press(0.1, 100.0)
+                self.assertTrue(needy.times)
+
+        self.play(scene)
+
+    def test_request_that_waits_for_a_connection_when_a_limit_is_named_goes_elsewhere(self) -> None:
+        """Pattern: requests were placed, and a connection opens while the server names 0."""
+
+        async def scene() -> None:
+            async with fleet_stage.open_fleet(1, 2) as played:
+                node, needy = played.nodes[0], played.servers[0]
+                needy.headers = [("Caperdyke-Server-Limit", "0")]
+                real_open = node.pool.open
+
+                async def open_slowly(address, timeout):
+                    opened = await real_open(address, timeout)
+                    if address == needy.address:
+                        node.bounds.note_answer(
+                            played.now,
+                            needy.name,
+                            request_heads.NamedLimit(0.0),
+                            played.now,
+                            True,
+                        )
+                        node.bounds.note_send(played.now, needy.name)
+                    return opened
+
+                node.pool.open = open_slowly
+                for number in range(20):
+                    result = await played.ask(0, f"k{number}")
+                    self.assertEqual(200, result.status)
+                self.assertEqual([], needy.times)
+
+        self.play(scene)
+
+    @parameterized.expand(
+        [
+            ("refused", "shed", True),
+            ("broken off", "truncated", True),
+            ("failed", "error", True),
+            ("of an earlier request", "earlier", True),
+            ("of another server", "misdirected", False),
+            ("unsigned", "unsigned", True),
+        ]
+    )
+    def test_limit_counts_from_any_answer_of_the_server(self, _name, fault, is_counted) -> None:
+        async def scene() -> None:
+            async with fleet_stage.open_fleet(1, 1) as played:
+                needy = played.servers[0]
+                needy.headers = [("Caperdyke-Server-Limit", "2")]
+                needy.faults = [fault]
+                await played.ask(0)
+                found = played.nodes[0].bounds.limits.find(needy.name)
+                self.assertEqual(2.0 if is_counted else None, found)
+
+        self.play(scene)
+
+    @parameterized.expand(
+        [
+            ("sound answer", "", True),
+            ("refused", "shed", False),
+            ("failed", "error", False),
+            ("unsigned", "unsigned", False),
+            ("of another server", "misdirected", False),
+        ]
+    )
+    def test_limit_ends_by_a_sound_answer_alone(self, _name, fault, is_ended) -> None:
+        async def scene() -> None:
+            async with fleet_stage.open_fleet(1, 1) as played:
+                needy = played.servers[0]
+                needy.headers = [("Caperdyke-Server-Limit", "2")]
+                await played.ask(0)
+                played.run_for(5.0)
+                needy.headers, needy.faults = [], [fault]
+                await played.ask(0)
+                found = played.nodes[0].bounds.limits.find(needy.name)
+                self.assertEqual(None if is_ended else 2.0, found)
+
+        self.play(scene)
+
+    def test_all_servers_limited_refuses_at_once_and_says_when_to_come_back(self) -> None:
+        """Pattern: all servers of a service name limits, and more is asked for than they take."""
+
+        async def scene() -> None:
+            async with fleet_stage.open_fleet(2, 2) as played:
+                for server in played.servers:
+                    server.headers = [("Caperdyke-Server-Limit", "2")]
+                await played.press(6.0, 60.0)
+                refused = []
+                for _ in range(40):
+                    result = await played.ask(0)
+                    if isinstance(result, verdicts.OwnAnswer):
+                        refused.append(result)
+                self.assertTrue(refused)
+                for answer in refused:
+                    self.assertEqual(
+                        (503, verdicts.Verdict.NO_ROOM), (answer.status, answer.verdict)
+                    )
+                    self.assertTrue(0.1 <= answer.retry_seconds <= 1.5, answer)
+
+        self.play(scene)
--- a/testing/platform/test_headers.py
+++ b/testing/platform/test_headers.py
@@ -76,3 +76,18 @@
             ],
             made,
         )
+
+    @parameterized.expand(
+        [
+            ("decimal", [(b"caperdyke-server-limit", b"4.7")], request_heads.NamedLimit(4.7)),
+            ("without the prefix", [(b"server-limit", b"5")], request_heads.NamedLimit(5.0)),
+            ("none at all", [(b"server-limit", b"0")], request_heads.NamedLimit(0.0)),
+            ("missing", [], request_heads.NoLimit()),
+            ("no number", [(b"server-limit", b"few")], request_heads.UnreadableLimit("few")),
+            ("negative", [(b"server-limit", b"-1")], request_heads.UnreadableLimit("-1")),
+            ("not finite", [(b"server-limit", b"nan")], request_heads.UnreadableLimit("nan")),
+            ("empty", [(b"server-limit", b"")], request_heads.UnreadableLimit("")),
+        ]
+    )
+    def test_limit(self, _name, raw, expected) -> None:
+        self.assertEqual(expected, headers.read_server(200, raw).limit)
--- a/testing/registry/test_fleet.py
+++ b/testing/registry/test_fleet.py
@@ -1,5 +1,7 @@
 """Which instances a caller is told of."""
 
+import dataclasses
+
 import testtools
 from parameterized import parameterized
 
@@ -75,9 +77,87 @@
     def test_instance_behind_a_cut_takes_no_part(self) -> None:
         alone = fleet.Fleet(builders.make_member("a", "hall-1"), REGIONS)
         self.assertEqual(0.0, alone.find_part(1.0))
-        alone.note_listed()
+        alone.note_listed(0.0)
         self.assertEqual(1.0, alone.find_part(1.0))
 
     def test_silent_instances_are_forgotten(self) -> None:
         gone = self.fleet.forget_silent(fleet.FORGET_SECONDS + 1.0)
         self.assertEqual(["b", "c"], sorted(record.instance for record in gone))
+
+
+class SightTest(testtools.TestCase):
+    """Who takes part in what is dealt out among all instances."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = fleet.Fleet(builders.make_member("a", "hall-1"), REGIONS)
+        self.fleet.note_listed(0.0)
+        self.run_until(0.0, 10.0)
+
+    def run_until(self, since: float, until: float, heard: str = "bcd") -> None:
+        """Lets the instance run, and hear of others."""
+        now = since
+        while now < until:
+            now = round(now + 0.5, 1)
+            self.fleet.note_turn(now)
+            for name in heard:
+                domain = "hall-1" if name == "b" else "hall-2"
+                self.fleet.merge(now, builders.make_member(name, domain))
+                mark = marks.make_mark(name)
+                self.fleet.hear(now, mark, ids.Incarnation(1), True, 0.4)
+
+    def test_all_are_seen(self) -> None:
+        sight = self.fleet.find_sight(10.0)
+        self.assertEqual(("a", set("abcd"), 1.0), (sight.own, set(sight.domains), sight.part))
+
+    def test_instance_that_was_paused_listens_first(self) -> None:
+        """Pattern: an instance wakes up, and all others look silent to it."""
+        self.assertIsNone(self.fleet.find_sight(15.0).own)
+        self.fleet.note_turn(15.0)
+        self.assertIsNone(self.fleet.find_sight(15.0).own)
+        self.run_until(15.0, 15.5, heard="bc")
+        self.assertIsNone(self.fleet.find_sight(15.5).own)
+        self.run_until(15.5, 16.0, heard="d")
+        self.assertEqual("a", self.fleet.find_sight(16.0).own)
+
+    def test_instance_that_was_paused_does_not_wait_for_the_dead_for_ever(self) -> None:
+        self.run_until(15.0, 15.5, heard="bc")
+        self.run_until(15.5, 17.0, heard="bc")
+        self.assertEqual("a", self.fleet.find_sight(17.0).own)
+
+    def test_instance_that_started_takes_no_part_at_once(self) -> None:
+        started = fleet.Fleet(builders.make_member("z", "hall-1"), REGIONS)
+        started.note_turn(0.0)
+        self.assertIsNone(started.find_sight(0.0).own)
+        started.merge(100.0, builders.make_member("b", "hall-2"))
+        started.note_listed(100.0)
+        for now in (100.0, 100.5, 101.0, 101.4):
+            started.note_turn(now)
+            self.assertIsNone(started.find_sight(now).own)
+        started.note_turn(100.0 + fleet.SETTLE_SECONDS)
+        self.assertEqual("z", started.find_sight(100.0 + fleet.SETTLE_SECONDS).own)
+
+    def test_only_instance_takes_all_at_once(self) -> None:
+        started = fleet.Fleet(builders.make_member("z", "hall-1"), REGIONS)
+        started.note_turn(0.0)
+        started.note_listed(0.0)
+        self.assertEqual("z", started.find_sight(0.0).own)
+
+    def test_instance_that_leaves_takes_no_part(self) -> None:
+        leaving = member.MemberState.LEAVING
+        self.fleet.own = dataclasses.replace(self.fleet.own, state=leaving)
+        self.assertIsNone(self.fleet.find_sight(10.0).own)
+
+    def test_silent_instances_keep_their_part_for_a_while(self) -> None:
+        """Pattern: the fleet is cut in two, and the other side goes on."""
+        self.run_until(10.0, 16.0, heard="b")
+        sight = self.fleet.find_sight(16.0)
+        self.assertEqual(("a", set("ab"), 0.5), (sight.own, set(sight.domains), sight.part))
+        self.run_until(16.0, 50.0, heard="b")
+        self.assertEqual(1.0, self.fleet.find_sight(50.0).part)
+
+    def test_instance_that_hears_nobody_of_its_domain_takes_no_part(self) -> None:
+        for name in "ef":
+            self.fleet.merge(10.0, builders.make_member(name, "hall-1"))
+        self.run_until(10.0, 16.0, heard="cd")
+        self.assertIsNone(self.fleet.find_sight(16.0).own)
