Leave the first window of a named limit to what was sent before it was known

Not ruled out: limits that fall while they hold.

Change: nobody sends to a server for a window after its limit was heard of first, or fell by a quarter; its queue holds what came before. The newest four limits are in every announcement, others by turns.

--- a/src/caperdyke/coordination/placement/named_limits.py
+++ b/src/caperdyke/coordination/placement/named_limits.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 
+from caperdyke.coordination.placement import shared_bounds
 from caperdyke.state import ids, marks, request_heads
 
 # How much older the end of a limit counts when another instance tells of it: the way to this one
@@ -16,8 +17,14 @@
 FORGOTTEN_SECONDS = 300.0
 # Highest limit that is told apart, in requests a second; more than any server takes.
 LIMIT_MAX = 1e6
-# Limits that one announcement tells: about a hundred bytes.
+# Limits that one announcement tells, about a hundred bytes, and how many of these are the newest.
 TOLD_MAX = 8
+TOLD_NEWEST = 4
+# Part of a limit to which it falls where it counts as named anew.
+FALL_PART = 0.75
+# How long nobody sends to a server after it named its limit, in seconds: what was sent by instances
+# that had not heard of the limit yet counts in the first window.
+PAUSE_SECONDS = shared_bounds.LIMIT_WINDOW_SECONDS + shared_bounds.LIMIT_MARGIN_SECONDS
 
 
 @dataclasses.dataclass(slots=True)
@@ -26,11 +33,13 @@
 
     :param per_second: requests a second that the server takes; None where it names no limit.
     :param known_at: time from which the word is.
+    :param since: time at which this instance heard first of this limit, or of its end.
     :param told_at: time at which this instance told others last.
     """
 
     per_second: float | None
     known_at: float
+    since: float
     told_at: float = -math.inf
 
 
@@ -52,6 +61,13 @@
         known = self._known.get(marks.make_mark(server))
         return known.per_second if known is not None else None
 
+    def find_pause_until(self, server: ids.BackendId) -> float:
+        """Returns until when nothing is sent to a server that has just named its limit."""
+        known = self._known.get(marks.make_mark(server)) if self._known else None
+        if known is None or known.per_second is None:
+            return -math.inf
+        return known.since + PAUSE_SECONDS
+
     def note_answer(
         self,
         now: float,
@@ -59,8 +75,8 @@
         report: request_heads.LimitReport,
         sent_at: float,
         is_sound: bool,
-    ) -> None:
-        """Learns from an answer of a server.
+    ) -> bool:
+        """Learns from an answer of a server; tells whether others should hear of it at once.
 
         A limit counts from any answer. That it ended counts from a sound answer alone, and just
         where the request was sent after the limit was last named: others may be older.
@@ -72,18 +88,18 @@
         known = self._known.get(mark)
         match report:
             case request_heads.NamedLimit(per_second=per_second):
-                rate = min(per_second, LIMIT_MAX)
-                is_news = known is None or known.per_second != rate
-                self._known[mark] = KnownLimit(rate, now, -math.inf if is_news else known.told_at)
+                return self._note_limit(now, mark, min(per_second, LIMIT_MAX), now)
             case request_heads.NoLimit():
                 is_limited = known is not None and known.per_second is not None
                 if is_limited and is_sound and sent_at > known.known_at:
-                    self._known[mark] = KnownLimit(None, sent_at)
+                    self._known[mark] = KnownLimit(None, sent_at, now)
             case request_heads.UnreadableLimit():
-                return
+                # The limit that was named before still holds.
+                return False
+        return False
 
-    def note_told(self, now: float, mark: int, per_second: float | None, age: float) -> None:
-        """Learns from another instance.
+    def note_told(self, now: float, mark: int, per_second: float | None, age: float) -> bool:
+        """Learns from another instance; tells whether others should hear of it at once.
 
         :param age: how long ago that instance learnt it, in seconds.
         """
@@ -91,30 +107,48 @@
         if per_second is None:
             known_at -= TOLD_MARGIN_SECONDS
         known = self._known.get(mark)
-        if known is None or known_at > known.known_at:
-            self._known[mark] = KnownLimit(per_second, known_at)
+        if known is not None and known_at <= known.known_at:
+            return False
+        if per_second is not None:
+            return self._note_limit(now, mark, per_second, known_at)
+        if known is None or known.per_second is not None:
+            self._known[mark] = KnownLimit(None, known_at, now)
+        return False
 
     def restart(self, now: float, server: ids.BackendId) -> None:
         """Forgets the limit that an earlier start of a server named."""
         known = self._known.get(marks.make_mark(server))
         if known is not None:
-            self._known[marks.make_mark(server)] = KnownLimit(None, now)
+            self._known[marks.make_mark(server)] = KnownLimit(None, now, now)
 
     def forget(self, server: ids.BackendId) -> None:
         """Forgets a server that has left."""
         self._known.pop(marks.make_mark(server), None)
 
     def choose_to_tell(self, now: float) -> dict[int, tuple[float | None, float]]:
-        """Returns limits and ages for one announcement, those told longest ago first."""
+        """Returns limits and ages for one announcement: the newest, and others by turns."""
         for mark, known in list(self._known.items()):
             kept = ENDED_SECONDS if known.per_second is None else FORGOTTEN_SECONDS
             if now > known.known_at + kept:
                 del self._known[mark]
         if not self._known:
             return {}
-        waiting = sorted(self._known.items(), key=lambda item: item[1].told_at)
-        told = {}
-        for mark, known in waiting[:TOLD_MAX]:
-            known.told_at = now
-            told[mark] = (known.per_second, max(0.0, now - known.known_at))
-        return told
+        newest = sorted(self._known, key=lambda mark: self._known[mark].since, reverse=True)
+        chosen, others = newest[:TOLD_NEWEST], newest[TOLD_NEWEST:]
+        others.sort(key=lambda mark: self._known[mark].told_at)
+        for mark in others[: TOLD_MAX - TOLD_NEWEST]:
+            self._known[mark].told_at = now
+            chosen.append(mark)
+        told = {mark: self._known[mark] for mark in chosen}
+        return {
+            mark: (known.per_second, max(0.0, now - known.known_at)) for mark, known in told.items()
+        }
+
+    def _note_limit(self, now: float, mark: int, per_second: float, known_at: float) -> bool:
+        known = self._known.get(mark)
+        is_held = known is not None and known.per_second is not None
+        if is_held and per_second >= known.per_second * FALL_PART:
+            known.per_second, known.known_at = per_second, known_at
+            return False
+        self._known[mark] = KnownLimit(per_second, known_at, now)
+        return True
--- a/src/caperdyke/transport/gateway/announcer.py
+++ b/src/caperdyke/transport/gateway/announcer.py
@@ -78,8 +78,7 @@
         node.provenance.others_word_at = now
         known.load = item.load
         known.changed = item.changed
-        for server, (per_second, age) in item.limits.items():
-            node.bounds.limits.note_told(now, server, per_second, age)
+        node.bounds.note_told(now, item.limits)
         if item.read_age_ms >= 0:
             known.read_at = now - item.read_age_ms / 1000
             self._tables.note_reading(known, item.read_position)
@@ -116,6 +115,16 @@
         for other in self._random.sample(mates, min(len(mates), TELL_MAX)):
             other.announce_at = 0.0
 
+    def tell_limits(self) -> None:
+        """Announces this instance to some others at once, as a backend server named a limit.
+
+        Pattern: all send to a server in need until they hear of its limit, and most get their own
+        first answer only when they have sent it more than it takes.
+        """
+        live = self._node.fleet.list_live(self._node.now())
+        for other in self._random.sample(live, min(len(live), TELL_MAX)):
+            other.announce_at = 0.0
+
     async def enrol(self) -> None:
         """Keeps this instance's row in the store and learns of the others, for ever.
 
--- a/src/caperdyke/transport/gateway/server_bounds.py
+++ b/src/caperdyke/transport/gateway/server_bounds.py
@@ -1,5 +1,6 @@
 """What this instance may send to servers that bound the requests of all instances together."""
 
+import collections.abc
 import math
 
 from caperdyke.coordination.placement import named_limits, shared_bounds
@@ -19,12 +20,14 @@
     """Keeps the limits that servers name, and counts what is sent to each server.
 
     :param regions: the region of each failure domain.
+    :ivar on_news: called where others should hear at once of a limit.
     """
 
     def __init__(
         self, instances: fleet.Fleet, regions: dict[ids.DomainName, ids.RegionName]
     ) -> None:
         self.limits = named_limits.NamedLimits()
+        self.on_news: collections.abc.Callable[[], None] = lambda: None
         self._fleet = instances
         self._regions = regions
         self._sends = shared_bounds.SendHistory()
@@ -52,7 +55,8 @@
         is_sound: bool,
     ) -> None:
         """Learns what an answer of a server says of its limit; see `named_limits`."""
-        self.limits.note_answer(now, server, report, sent_at, is_sound)
+        if self.limits.note_answer(now, server, report, sent_at, is_sound):
+            self.on_news()
         logged, logged_at = self._logged.get(server, (request_heads.NoLimit(), -math.inf))
         if report == logged or now < logged_at + LOG_SECONDS:
             return
@@ -67,6 +71,12 @@
                 events.log(events.Event.LIMIT_ENDED, backend=server)
         self._logged[server] = (report, now)
 
+    def note_told(self, now: float, told: dict[int, tuple[float | None, float]]) -> None:
+        """Learns limits and their ages from another instance."""
+        news = [self.limits.note_told(now, mark, *limit) for mark, limit in told.items()]
+        if any(news):
+            self.on_news()
+
     def restart(self, now: float, server: ids.BackendId) -> None:
         """Forgets what an earlier start of a server said."""
         self.limits.restart(now, server)
@@ -85,7 +95,7 @@
         :param cold: what holds while the server is cold; None where it is not.
         :returns: infinite where this instance has no part of a bound.
         """
-        room_at = now
+        room_at = max(now, self.limits.find_pause_until(server.backend))
         for bound in self._list_bounds(server, cold):
             sight = self._find_sight(now)
             place = self._places.find(server.backend, server.domain, sight, self._regions)
--- a/testing/placement/replay.py
+++ b/testing/placement/replay.py
@@ -12,8 +12,8 @@
 import math
 import random
 
-from caperdyke.coordination.placement import choice, homes, server_view, work_times
-from caperdyke.state import ids
+from caperdyke.coordination.placement import choice, homes, server_view, shared_bounds, work_times
+from caperdyke.state import backend, ids
 from testing.placement import builders
 
 # Intervals in which a gateway hears of the requests of others in its region, and of all others, in
@@ -43,6 +43,8 @@
     :param parts: how the callers are spread over the regions.
     :param warm: seconds of work for a warm object; ``cold`` for any other.
     :param crash: time at which a third of the servers end, and at which they are back, cold.
+    :param limited: time from which on, and until which, one in ``limited_step`` servers takes
+        ``limit`` requests a second from all gateways together.
     :param slow: time from which on, and until which, a sixth of the servers takes ``SLOW_FACTOR``
         times as long.
     """
@@ -61,6 +63,9 @@
     deadline: float = 3.0
     crash: tuple[float, float] = (math.inf, math.inf)
     slow: tuple[float, float] = (math.inf, math.inf)
+    limited: tuple[float, float] = (math.inf, math.inf)
+    limited_step: int = 2
+    limit: float = 4.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -119,7 +124,10 @@
 class _Gateway:
     """One gateway: its own views of all servers."""
 
-    def __init__(self, region: str, servers: list[_Server]) -> None:
+    def __init__(self, region: str, servers: list[_Server], name: str) -> None:
+        self.name = ids.InstanceId(name)
+        self.places = shared_bounds.Places()
+        self.sends = shared_bounds.SendHistory()
         self.region = ids.RegionName(region)
         self.servers = {server.place.server.backend: server for server in servers}
         self.views = {
@@ -130,14 +138,14 @@
         places = [server.place for server in servers]
         self.nearness = homes.Nearness(ids.DomainName(""), self.region, False)
         self.weight = homes.find_near_weight(self.nearness, places)
-        self.places = places
+        self.homes = places
         self.heard: dict[int, dict[ids.BackendId, int]] = {}
         self.orders: dict[ids.ObjectKey, list[homes.Place]] = {}
 
     def order(self, key: ids.ObjectKey) -> list[homes.Place]:
         """Returns the servers in the object's order."""
         if key not in self.orders:
-            self.orders[key] = homes.order_places(key, self.nearness, self.weight, self.places)
+            self.orders[key] = homes.order_places(key, self.nearness, self.weight, self.homes)
         return self.orders[key]
 
 
@@ -158,7 +166,15 @@
             for region, count in load.servers
             for n in range(count)
         ]
-        self._gateways = [_Gateway(region, self._servers) for region in load.regions for _ in "123"]
+        self._gateways = [
+            _Gateway(region, self._servers, f"{region}-{number}")
+            for region in load.regions
+            for number in "123"
+        ]
+        self._regions = {ids.DomainName(f"{region}-1"): region for region in load.regions}
+        self._fleet = {
+            gateway.name: ids.DomainName(f"{gateway.region}-1") for gateway in self._gateways
+        }
         self._order = itertools.count()
         self._events: list[tuple] = []
         self.outcome = Outcome()
@@ -222,6 +238,7 @@
             view.note_unreachable(now)
             return choice.RETRY_MIN_SECONDS
         pending = view.note_send(now)
+        gateway.sends.note_send(now, view.server.backend)
         known = view.is_warm(now, caller.key)
         request = _Request(gateway, server, caller, pending, waits, known)
         if server.running < self._load.slots:
@@ -231,7 +248,11 @@
         return None
 
     def _choose(self, now: float, gateway: _Gateway, caller: _Caller):
-        open_views = [view for view in gateway.views.values() if now >= view.suspended_until]
+        open_views = [
+            view
+            for view in gateway.views.values()
+            if now >= view.suspended_until and self._may_send(now, gateway, view.server)
+        ]
         retry_after = choice.RETRY_MIN_SECONDS
         match self._policy:
             case Policy.LEAST_OUTSTANDING:
@@ -243,6 +264,7 @@
         candidates = [
             choice.Candidate(gateway.views[place.server.backend], place.region == gateway.region, 0)
             for place in gateway.order(caller.key)
+            if self._may_send(now, gateway, place.server)
         ]
         load = self._load
         demand = choice.Demand(
@@ -257,6 +279,20 @@
             return None, False, chosen.retry_after
         return chosen.view, chosen.waits, retry_after
 
+    def _may_send(self, now: float, gateway: _Gateway, server: backend.BackendServer) -> bool:
+        load = self._load
+        if not load.limited[0] <= now < load.limited[1]:
+            return True
+        position = [item.place.server for item in self._servers].index(server)
+        if position % load.limited_step:
+            return True
+        sight = shared_bounds.Sight(gateway.name, self._fleet, 1.0)
+        bound = shared_bounds.bound_named_limit(load.limit)
+        place = gateway.places.find(server.backend, server.domain, sight, self._regions)
+        part = shared_bounds.find_part(bound, place, sight)
+        name = server.backend
+        return part > 0 and gateway.sends.find_room_at(now, name, part, bound.window) <= now
+
     def _run(self, now: float, request: _Request) -> None:
         server, load = request.server, self._load
         server.running += 1
--- a/testing/platform/test_gateway_life.py
+++ b/testing/platform/test_gateway_life.py
@@ -139,6 +139,20 @@
 
         self.play(scene)
 
+    def test_limit_of_a_server_is_known_where_none_of_its_answers_came(self) -> None:
+        """Pattern: one instance hears of a limit, and the others would find it out themselves."""
+
+        async def scene() -> None:
+            async with stage.open_stage(["s1"]) as played:
+                first = played.gateway.node
+                played.servers[0].headers = [("Caperdyke-Server-Limit", "4.7")]
+                async with open_second(first.settings.store_address) as second:
+                    await played.wait_until(lambda: first.fleet.list_live(first.now()))
+                    await played.ask()
+                    await played.wait_until(lambda: second.bounds.limits.find("s1") == 4.7)
+
+        self.play(scene)
+
     def test_instance_whose_record_was_lost_is_asked_for_it(self) -> None:
         """Pattern: the datagram that carries an instance's record is lost; later ones are short."""
 
