End answers of backend servers that have no end

A server that sends informational answers without end, or a refusal whose body goes on, held its request until the deadline; a signed body without length and end was passed on for as long as the caller read.

Cause: heads were awaited over any number of informational answers, whose bytes stopped the reading for good; bodies that nobody wants were read whole; the rest of a long body was outside every time limit.

Ruled out: heads and chunk heads without end, which the parser ends at 64 KiB; memory, which back pressure bounds.

Change: at most 8 informational answers; a body that is not passed on is read for 64 KiB and 0.2 s at the most, as its head has said enough; a body of unknown length ends when the caller would leave by its own word, without the mark of a complete answer, and counts against the server. A body with a length goes on as before, for callers on slow links.

Not bounded: a trickling head or body below 1 MiB holds its request until the deadline, as the answer may still come.

--- a/src/caperdyke/transport/backends/connection.py
+++ b/src/caperdyke/transport/backends/connection.py
@@ -16,6 +16,8 @@
 BUFFER_LOW_BYTES = 64 * 1024
 # Largest head of an answer in bytes.
 HEAD_MAX_BYTES = 64 * 1024
+# Informational answers that are skipped before the answer itself.
+INFORMATIONAL_MAX = 8
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -93,7 +95,7 @@
 
         :raises errors.BackendFailedError: where none came.
         """
-        while True:
+        for _ in range(INFORMATIONAL_MAX + 1):
             event = await self._next_event()
             match event:
                 case h11.Response():
@@ -102,6 +104,7 @@
                     continue
                 case _:
                     raise errors.BackendFailedError(f"got {event!r}, expected a head", True)
+        raise errors.BackendFailedError("only informational answers", True)
 
     async def read_chunk(self) -> bytes | None:
         """Returns the next part of the body, or None at its end.
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -140,6 +140,9 @@
         trace: verdicts.RequestTrace,
     ) -> sender.CallerRequest:
         wait_ms = WAIT_DEFAULT_MS if about.wait_ms is None else about.wait_ms
+        leaves_at = None
+        if about.wait_ms is not None:
+            leaves_at = trace.received_at + about.wait_ms / 1000
         wait_ms = min(wait_ms, route.timeout_ms)
         host = next(value for name, value in scope["headers"] if name == b"host")
         return sender.CallerRequest(
@@ -152,6 +155,7 @@
             body,
             trace.received_at + wait_ms / 1000 - ANSWER_MARGIN_SECONDS,
             table,
+            leaves_at,
         )
 
     async def _answer(
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -4,6 +4,7 @@
 import collections.abc
 import dataclasses
 import enum
+import math
 
 from caperdyke import errors
 from caperdyke.coordination.placement import choice
@@ -16,6 +17,13 @@
 # fetched again from another server when it breaks off.
 WHOLE_MAX_BYTES = 1024 * 1024
 SUCCESS_STATUS_END = 300
+# Largest body that is read to its end only so that the connection can be kept, in bytes, and the
+# longest time for it, in seconds.
+UNUSED_MAX_BYTES = 64 * 1024
+UNUSED_SECONDS = 0.2
+# Longest time for an answer of unknown length to a caller that did not say how long it waits, in
+# seconds.
+STREAM_SECONDS = 600.0
 # Answers to other requests that are skipped on one connection before it is given up.
 SKIPPED_MAX = 2
 # Headers that concern one connection only.
@@ -43,6 +51,7 @@
     :param path: the decoded target without its query, by which a route is found.
     :param headers: without those that concern the caller's connection only.
     :param deadline: time after which an answer is of no use.
+    :param leaves_at: time at which the caller leaves, by its own word; None where it did not say.
     :param table: the configuration by which it is sent.
     """
 
@@ -55,6 +64,7 @@
     body: bytes
     deadline: float
     table: routes.RouteTable
+    leaves_at: float | None = None
 
 
 class FailureKind(enum.Enum):
@@ -190,15 +200,16 @@
             if is_own:
                 break
             # An answer to an earlier request; it belongs to nobody.
-            await _read_whole(used)
+            await _skip_body(used)
             if not used.expect_next_answer():
                 raise errors.BackendFailedError("answer to another request", True)
         else:
             raise errors.BackendFailedError("only answers to other requests", True)
-        return await self._judge(placed, used, head.status_code, raw, about)
+        return await self._judge(request, placed, used, head.status_code, raw, about)
 
     async def _judge(
         self,
+        request: CallerRequest,
         placed: choice.Placed,
         used: connection.ServerConnection,
         status: int,
@@ -207,7 +218,8 @@
     ) -> Result:
         node, found = self._node, dict(raw)
         length = _read_length(found)
-        body, is_whole = await _read_start(used)
+        is_wanted = about.is_signed and not about.is_refused
+        body, is_whole = await _read_start(used) if is_wanted else await _try_to_skip(used)
         if is_whole:
             self._finish(placed, used, found)
         if about.load is not None:
@@ -223,18 +235,34 @@
         kept = [item for item in raw if item[0] not in HOP_HEADERS]
         if is_whole:
             return ServerAnswer(status, kept, body, None, len(body), about.load)
-        rest = self._iterate(placed, used, found)
+        rest = self._iterate(request, placed, used, found)
         return ServerAnswer(status, kept, body, rest, length, about.load)
 
     async def _iterate(
-        self, placed: choice.Placed, used: connection.ServerConnection, found: dict[bytes, bytes]
+        self,
+        request: CallerRequest,
+        placed: choice.Placed,
+        used: connection.ServerConnection,
+        found: dict[bytes, bytes],
     ) -> collections.abc.AsyncGenerator[bytes, None]:
+        """Yields the rest of a long body.
+
+        :raises errors.BackendFailedError: where it broke off, or has no length and no end.
+        """
+        node, view = self._node, placed.view
+        ends_at = math.inf
+        if _read_length(found) is None:
+            ends_at = request.leaves_at or node.now() + STREAM_SECONDS
         is_whole = False
         try:
-            while (chunk := await used.read_chunk()) is not None:
+            while (chunk := await _read_chunk_until(used, ends_at, node.now)) is not None:
                 yield chunk
             is_whole = True
             self._finish(placed, used, found)
+        except errors.BackendFailedError as error:
+            if view.note_failure(node.now(), node.measure_failing(view)):
+                node.note_unusable(view, str(error))
+            raise
         finally:
             if not is_whole:
                 used.close()
@@ -247,9 +275,45 @@
             self._node.pool.give_back(placed.view.server.backend, used, idle)
 
 
-async def _read_whole(used: connection.ServerConnection) -> None:
-    while await used.read_chunk() is not None:
-        continue
+async def _read_chunk_until(
+    used: connection.ServerConnection, ends_at: float, now: collections.abc.Callable[[], float]
+) -> bytes | None:
+    """Returns the next part of a body of unknown length, or None at its end."""
+    if ends_at == math.inf:
+        return await used.read_chunk()
+    try:
+        async with asyncio.timeout(max(0.0, ends_at - now())):
+            # Parts that have arrived are returned without a pause in which the time could run out.
+            await asyncio.sleep(0)
+            return await used.read_chunk()
+    except TimeoutError as error:
+        raise errors.BackendFailedError("an answer without length and end", True) from error
+
+
+async def _skip_body(used: connection.ServerConnection) -> None:
+    """Reads a body that belongs to nobody.
+
+    :raises errors.BackendFailedError: where it is too large to be worth the connection.
+    """
+    size = 0
+    while (chunk := await used.read_chunk()) is not None:
+        size += len(chunk)
+        if size > UNUSED_MAX_BYTES:
+            raise errors.BackendFailedError(f"unused body over {UNUSED_MAX_BYTES} bytes", True)
+
+
+async def _try_to_skip(used: connection.ServerConnection) -> tuple[bytes, bool]:
+    """Returns no body, and whether the whole of it was read.
+
+    Pattern: the head says that nothing can be passed on, and the body does not end.
+    """
+    try:
+        async with asyncio.timeout(UNUSED_SECONDS):
+            await _skip_body(used)
+    except (TimeoutError, errors.BackendFailedError):
+        # The connection is closed by the caller of this function; the head has said enough.
+        return b"", False
+    return b"", True
 
 
 async def _read_start(used: connection.ServerConnection) -> tuple[bytes, bool]:
--- a/testing/platform/fake_server.py
+++ b/testing/platform/fake_server.py
@@ -33,8 +33,9 @@
         self.hold = asyncio.Event()
         self.hold.set()
         self.connections = 0
-        self._writers: list[asyncio.StreamWriter] = []
+        self.writers: list[asyncio.StreamWriter] = []
         self.cut = 0
+        self.endless_bytes = 0
         self.body = b"body of " + name.encode()
 
     @contextlib.asynccontextmanager
@@ -67,11 +68,11 @@
 
     def count_unsent(self) -> int:
         """Returns how many bytes of answers wait because nobody reads them."""
-        return sum(writer.transport.get_write_buffer_size() for writer in self._writers)
+        return sum(writer.transport.get_write_buffer_size() for writer in self.writers)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
-        self._writers.append(writer)
+        self.writers.append(writer)
         with contextlib.suppress(OSError, EOFError):
             while True:
                 seen = await _read_request(reader)
@@ -139,11 +140,48 @@
                 writer.write(whole.replace(b"\r\n", b"\r\nConnection: close\r\n", 1))
                 await writer.drain()
                 return False
+            case _ if fault.startswith("endless "):
+                await self._play_endless(fault, request_id, writer)
+                return False
             case _:
                 raise ValueError(f"unknown fault {fault!r}")
         await writer.drain()
         return True
 
+    async def _play_endless(
+        self, fault: str, request_id: str, writer: asyncio.StreamWriter
+    ) -> None:
+        """Sends bytes until the connection is closed, in large pieces or a few at a time."""
+        _, what, pace = fault.split(" ")
+        chunked = b"Transfer-Encoding: chunked\r\n\r\n"
+        signed = self.make_answer(request_id, b"").split(b"\r\n\r\n")[0].split(b"\r\n")
+        signed = b"\r\n".join(line for line in signed if not line.startswith(b"Content-Length"))
+        start, piece = {
+            "informational": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            "head": (b"HTTP/1.1 200 OK\r\n", b"X-Filler: yes\r\n"),
+            "lines": (b"", b"\r\n"),
+            "noise": (b"", b"\x00\x01\x02"),
+            "body": (signed + b"\r\n" + chunked, b"1000\r\n" + b"more" * 1024 + b"\r\n"),
+            "unframed": (signed + b"\r\n\r\n", b"more" * 1024),
+            "chunk-head": (signed + b"\r\n" + chunked, b"0"),
+            "refusal": (
+                b"HTTP/1.1 503 Full\r\nCaperdyke-Not-Executed: 1\r\n" + chunked,
+                b"4\r\nmore\r\n",
+            ),
+            "unsigned": (b"HTTP/1.1 200 OK\r\n" + chunked, b"4\r\nmore\r\n"),
+            "foreign": (
+                signed.replace(request_id.encode(), b"another") + b"\r\n" + chunked,
+                b"4\r\nmore\r\n",
+            ),
+        }[what]
+        writer.write(start)
+        while True:
+            data = piece * max(1, 65536 // len(piece)) if pace == "fast" else piece
+            writer.write(data)
+            await writer.drain()
+            self.endless_bytes += len(data)
+            await asyncio.sleep(0 if pace == "fast" else 0.02)
+
     def make_answer(self, request_id: str, body: bytes, status: int = 200) -> bytes:
         """Returns the bytes of an answer with the server's signature."""
         headers = [
