Pass on an answer only where it names the request

What callers saw: nothing yet; operators of similar systems report it. A server sends a second copy of an answer, late, on a connection that is in use again. Where the copy bore no request id, the next caller got an answer that was not its own, as a success.

Cause: an answer without an id counted as the answer to whatever request was waiting.

Ruled out: copies that name their request (skipped, case `late copy` passes before) and copies that arrive between two requests (they end the connection).

Change: an answer with the server's signature must name the request; only refusals, which say that nothing ran, may lack the id.

Figures: case `late copy without id` before: 200 with another body; now the copy is skipped, and the request's own answer is passed on.

Conclusion: mended.

--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -193,7 +193,9 @@
             raw = [(bytes(name), bytes(value)) for name, value in head.headers]
             self._headers.note(server.backend, raw)
             about = node.headers.read_server(head.status_code, raw)
-            is_own = about.request_id in ("", request.about.request_id)
+            # A refusal may lack the id; an answer that is vouched for belongs to the one it names.
+            is_unnamed = not about.request_id and not about.is_signed
+            is_own = is_unnamed or about.request_id == request.about.request_id
             if not about.is_misdirected:
                 is_sound = is_own and about.is_signed and head.status_code < SUCCESS_STATUS_END
                 node.bounds.note_answer(node.now(), server.backend, about.limit, sent_at, is_sound)
--- a/testing/platform/fake_server.py
+++ b/testing/platform/fake_server.py
@@ -132,6 +132,17 @@
                 writer.write(whole + self.make_answer(request_id, b"second answer"))
             case "earlier":
                 writer.write(self.make_answer("an-earlier-request", b"other body") + whole)
+            case "late copy":
+                writer.write(self.make_answer("an-earlier-request", b"other body"))
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                writer.write(whole)
+            case "late copy without id":
+                copy = self.make_answer("", b"other body")
+                writer.write(copy.replace(b"Caperdyke-Request-Id: \r\n", b""))
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                writer.write(whole)
             case "only-earlier":
                 writer.write(self.make_answer("an-earlier-request", b"other body"))
                 await writer.drain()
--- a/testing/platform/test_gateway_requests.py
+++ b/testing/platform/test_gateway_requests.py
@@ -161,6 +161,8 @@
             ("unframed", 200, 200, 1, 1),
             ("extra", 200, 200, 1, 1),
             ("earlier", 200, 200, 1, 1),
+            ("late copy", 200, 200, 1, 1),
+            ("late copy without id", 200, 200, 1, 1),
             ("closing", 200, 200, 1, 1),
         ]
     )
