Test planned stops under load, and answers that a reset ends

Cause: none found. 16 callers use each connection until it ends while a gateway stops: no request that was passed on to a server ends without an answer. An answer without a length that a reset ends is no success.

Ruled out by these tests: requests cut off right after they were accepted; half answers that look complete.

Change: two tests, no logic.

Conclusion: sound as far as these tests reach; a stop with connections that wait in the listen queue is not played.

--- a/testing/platform/fake_server.py
+++ b/testing/platform/fake_server.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import dataclasses
+import socket
+import struct
 
 
 @dataclasses.dataclass(slots=True)
@@ -128,6 +130,17 @@
                 writer.write(b"\r\n".join(head) + b"\r\n\r\n" + self.body)
                 await writer.drain()
                 return False
+            case "unframed reset":
+                lines = whole.split(b"\r\n\r\n")[0].split(b"\r\n")
+                lines = [line for line in lines if not line.startswith(b"Content-Length")]
+                writer.write(b"\r\n".join(lines) + b"\r\n\r\n" + self.body)
+                await writer.drain()
+                # Unsent bytes are dropped and the peer gets a reset.
+                linger = struct.pack("ii", 1, 0)
+                used = writer.get_extra_info("socket")
+                used.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.transport.abort()
+                return False
             case "extra":
                 writer.write(whole + self.make_answer(request_id, b"second answer"))
             case "earlier":
--- a/testing/platform/test_gateway_life.py
+++ b/testing/platform/test_gateway_life.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import re
 
 from caperdyke.platform import documents, headers, store
 from caperdyke.transport.gateway import context, node
@@ -91,12 +92,75 @@
 
         self.play(scene)
 
+    def test_no_request_that_was_passed_on_is_cut_off_under_load(self) -> None:
+        """Pattern: callers use their open connections until the process is gone."""
+
+        async def scene() -> None:
+            async with stage.open_stage(["s1", "s2"]) as played:
+                address = played.gateway.node.settings.caller_address
+                callers = [Caller(address, f"c{number}") for number in range(16)]
+                asking = [asyncio.create_task(caller.run()) for caller in callers]
+                await asyncio.sleep(0.3)
+                played.stop.set()
+                await asyncio.wait_for(played.running, 10)
+                for task in asking:
+                    task.cancel()
+                await asyncio.gather(*asking, return_exceptions=True)
+                passed_on = {
+                    seen.headers["caperdyke-request-id"]
+                    for server in played.servers
+                    for seen in server.seen
+                }
+                cut = set().union(*(caller.cut for caller in callers))
+                self.assertTrue(sum(caller.answered for caller in callers) > 200)
+                self.assertEqual(set(), cut & passed_on)
+
+        self.play(scene)
+
     def test_server_library_waits_as_long_as_the_platform(self) -> None:
         """Pattern: a platform that allows 20 s, and a download that needs ten of them."""
         server = http_server.make_server(None, "127.0.0.1:0", stop_seconds=20.0)
         self.assertEqual(20.0, server.config.timeout_graceful_shutdown)
 
 
+class Caller:
+    """A caller that uses each connection until it ends, then opens another.
+
+    :ivar cut: requests that were sent whole and whose connection ended without a whole answer.
+    """
+
+    def __init__(self, address: str, name: str) -> None:
+        self.host, _, self.port = address.rpartition(":")
+        self.name = name
+        self.answered = 0
+        self.cut: set[str] = set()
+
+    async def run(self) -> None:
+        """Asks until nobody listens."""
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection(self.host, int(self.port))
+            except ConnectionError:
+                return
+            while await self._ask(reader, writer):
+                await asyncio.sleep(0.003)
+            writer.close()
+
+    async def _ask(self, reader, writer) -> bool:
+        request_id = f"{self.name}-{self.answered}-{len(self.cut)}"
+        head = f"GET /read/1 HTTP/1.1\r\nHost: {stage.HOST}\r\nCaperdyke-Request-Id: {request_id}"
+        try:
+            writer.write(head.encode() + b"\r\nCaperdyke-Request-Deadline: 3000\r\n\r\n")
+            answer = (await reader.readuntil(b"\r\n\r\n")).lower()
+            length = re.search(rb"content-length: (\d+)", answer)
+            await reader.readexactly(int(length[1]))
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.cut.add(request_id)
+            return False
+        self.answered += 1
+        return b"connection: close" not in answer
+
+
 @contextlib.asynccontextmanager
 async def open_second(store_address: str, seeds: tuple[str, ...] = ()):
     """Yields the state of another gateway, which runs."""
--- a/testing/platform/test_gateway_requests.py
+++ b/testing/platform/test_gateway_requests.py
@@ -159,6 +159,7 @@
             ("only-earlier", 200, 502, 2, 1),
             ("error", 200, 500, 2, 1),
             ("unframed", 200, 200, 1, 1),
+            ("unframed reset", 200, 502, 2, 1),
             ("extra", 200, 200, 1, 1),
             ("earlier", 200, 200, 1, 1),
             ("late copy", 200, 200, 1, 1),
