Spare a server that says in an answer that it is cold

A server's word about itself in an answer was read and dropped: it stayed in full use until its registration told the same.

Ruled out: that the registration comes first; it is written once a heartbeat, the answer at once.

Change: the registry takes the longer of both times.

Conclusion: mended.

--- a/src/caperdyke/coordination/registry/server_registry.py
+++ b/src/caperdyke/coordination/registry/server_registry.py
@@ -101,6 +101,12 @@
         known.gone_at = now if is_draining else max(now, self._lapse_until)
         return True
 
+    def note_cold(self, now: float, name: ids.BackendId, seconds: float) -> None:
+        """Takes over a server's own word that it is cold, which comes before its registration."""
+        known = self._servers.get(name)
+        if known is not None:
+            known.cold_until = max(known.cold_until, now + seconds)
+
     def mark_misdirected(self, name: ids.BackendId) -> None:
         """Records that another server answers at the address of a server."""
         known = self._servers.get(name)
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -199,6 +199,8 @@
             if not about.is_misdirected:
                 is_sound = is_own and about.is_signed and head.status_code < SUCCESS_STATUS_END
                 node.bounds.note_answer(node.now(), server.backend, about.limit, sent_at, is_sound)
+                if about.cold_ms and is_own:
+                    node.servers.note_cold(node.now(), server.backend, about.cold_ms / 1000)
             if is_own:
                 break
             # An answer to an earlier request; it belongs to nobody.
--- a/testing/platform/test_gateway_limits.py
+++ b/testing/platform/test_gateway_limits.py
@@ -168,3 +168,19 @@
                     self.assertTrue(0.1 <= answer.retry_seconds <= 1.5, answer)
 
         self.play(scene)
+
+    def test_server_that_says_in_an_answer_that_it_is_cold_is_spared(self) -> None:
+        """Pattern: a server becomes cold again, and its registration tells it a second later."""
+
+        async def scene() -> None:
+            async with fleet_stage.open_fleet(2, 1) as played:
+                served = played.servers[0]
+                await played.ask(0)
+                known = played.nodes[0].servers.find(served.name)
+                self.assertFalse(played.nodes[0].is_cold(played.now, known))
+                served.headers = [("Caperdyke-Cold-Milliseconds", "2500")]
+                await played.ask(0)
+                self.assertTrue(played.nodes[0].is_cold(played.now + 2.4, known))
+                self.assertFalse(played.nodes[0].is_cold(played.now + 2.6, known))
+
+        self.play(scene)
