Take no part of a limit before the store has listed the instances

An instance that starts while the store is away knows only the seeds, so each of seven such instances took a fourth of the allowance for repeats.

Cause: parts were dealt by the instances that are known, whether that were all of them or not.

Ruled out: knowing nobody, which was covered; the ratio of own requests, which needs no list and stays.

Change: no part of a fixed allowance until the store has named the instances once.

Figures: `test_part_of_a_limit` got 1/3 where 0 is expected before; passes now.

Conclusion: mended; such an instance repeats by its ratio alone until the store is back.

--- a/src/caperdyke/coordination/registry/fleet.py
+++ b/src/caperdyke/coordination/registry/fleet.py
@@ -151,9 +151,10 @@
     def find_part(self, now: float) -> float:
         """Returns the part of a limit of all instances that this one may use, 0 to 1.
 
-        Pattern: an instance starts behind a cut, hears of nobody, and is not the only one.
+        Pattern: an instance starts while the store is away, hears of nobody or of a few, and is not
+        the only one.
         """
-        if not self._is_listed and not self._others:
+        if not self._is_listed:
             return 0.0
         return 1 / self.count_recent(now)
 
--- a/testing/registry/test_fleet.py
+++ b/testing/registry/test_fleet.py
@@ -69,6 +69,8 @@
         self.assertEqual(["a", "b", "c"], self.fleet.list_names(1.0))
 
     def test_part_of_a_limit(self) -> None:
+        self.assertEqual(0.0, self.fleet.find_part(1.0))
+        self.fleet.note_listed(0.0)
         self.assertEqual(1 / 3, self.fleet.find_part(1.0))
         self.fleet.merge(1.0, builders.make_member("d", "hall-1"))
         self.assertEqual(1 / 4, self.fleet.find_part(1.0))
