Look at bounds of servers only where one holds

What callers saw: nothing; each choice of a server cost more processor time, which seventy instances pay.

Cause: every candidate's bounds were listed, also where no server is cold or names a limit.

Ruled out: the look at the fleet, which is made only for a server with a bound.

Change: no bound is looked for where no limit is known and the server is not cold.

--- a/src/caperdyke/coordination/placement/named_limits.py
+++ b/src/caperdyke/coordination/placement/named_limits.py
@@ -54,16 +54,19 @@
     def __init__(self) -> None:
         self._known: dict[int, KnownLimit] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is known of any limit."""
+        return not self._known
+
     def find(self, server: ids.BackendId) -> float | None:
         """Returns the limit of a server in requests a second, or None where there is none."""
-        if not self._known:
-            return None
         known = self._known.get(marks.make_mark(server))
         return known.per_second if known is not None else None
 
     def find_pause_until(self, server: ids.BackendId) -> float:
         """Returns until when nothing is sent to a server that has just named its limit."""
-        known = self._known.get(marks.make_mark(server)) if self._known else None
+        known = self._known.get(marks.make_mark(server))
         if known is None or known.per_second is None:
             return -math.inf
         return known.since + PAUSE_SECONDS
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -239,8 +239,11 @@
 
         :returns: infinite where this instance has no part of what the server may get.
         """
-        server = known.registration.server
-        return self.bounds.find_room_at(now, server, self._find_cold_bound(now, known))
+        is_cold = self.is_cold(now, known)
+        if not is_cold and self.bounds.limits.is_empty:
+            return now
+        cold = self._make_cold_bound(known) if is_cold else None
+        return self.bounds.find_room_at(now, known.registration.server, cold)
 
     def admit(self, name: ids.BackendId) -> bool:
         """Counts a request that is sent now, or tells that the server's bounds have no room.
@@ -266,7 +269,7 @@
             server = known.registration.server
             region = self.settings.domains.get(server.domain, "")
             if not route.homes or region in route.homes:
-                cold = self._find_cold_bound(now, known)
+                cold = self._make_cold_bound(known) if self.is_cold(now, known) else None
                 waits.append(self.bounds.find_wait(now, server, cold))
         waits = [wait for wait in waits if wait > 0]
         if not waits:
@@ -285,11 +288,7 @@
         terms = self._find_terms(known)
         return terms.cold_ms / 1000 if terms else 0.0
 
-    def _find_cold_bound(
-        self, now: float, known: server_registry.RegisteredServer
-    ) -> shared_bounds.Bound | None:
-        if not self.is_cold(now, known):
-            return None
+    def _make_cold_bound(self, known: server_registry.RegisteredServer) -> shared_bounds.Bound:
         terms, bounds = self._find_terms(known), self.settings.bounds
         rate = terms.cold_per_second if terms else 0.0
         return shared_bounds.bound_cold_start(rate, bounds.cold_factor, bounds.cold_allowance)
