Deal half of a limit out in its first window rather than nothing

Where all servers of a service name limits at once, nobody sent anything for 4.1 s.

Cause: the pause after the first word was total. Requests are refused only where every server of the service is bounded: with 2, 8 or 14 of 16 servers limited, all of 4,087 requests at 265 a second are served; with all 16 limited to 4 a second, 832.

Change: half of the count in the first window.

--- a/src/caperdyke/coordination/placement/named_limits.py
+++ b/src/caperdyke/coordination/placement/named_limits.py
@@ -22,9 +22,9 @@
 TOLD_NEWEST = 4
 # Part of a limit to which it falls where it counts as named anew.
 FALL_PART = 0.75
-# How long nobody sends to a server after it named its limit, in seconds: what was sent by instances
+# How long a server that has just named its limit gets less, in seconds: what was sent by instances
 # that had not heard of the limit yet counts in the first window.
-PAUSE_SECONDS = shared_bounds.LIMIT_WINDOW_SECONDS + shared_bounds.LIMIT_MARGIN_SECONDS
+FIRST_SECONDS = shared_bounds.LIMIT_WINDOW_SECONDS + shared_bounds.LIMIT_MARGIN_SECONDS
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,12 +64,12 @@
         known = self._known.get(marks.make_mark(server))
         return known.per_second if known is not None else None
 
-    def find_pause_until(self, server: ids.BackendId) -> float:
-        """Returns until when nothing is sent to a server that has just named its limit."""
+    def find_first_until(self, server: ids.BackendId) -> float:
+        """Returns until when a server that has just named its limit gets less."""
         known = self._known.get(marks.make_mark(server))
         if known is None or known.per_second is None:
             return -math.inf
-        return known.since + PAUSE_SECONDS
+        return known.since + FIRST_SECONDS
 
     def note_answer(
         self,
--- a/src/caperdyke/coordination/placement/shared_bounds.py
+++ b/src/caperdyke/coordination/placement/shared_bounds.py
@@ -18,6 +18,8 @@
 # Part of the instances of its failure domain that an instance hears at least, itself included, if
 # it is not cut off alone.
 MATES_PART_MIN = 0.5
+# Part of the count that is dealt out in the first window of a limit.
+FIRST_PART = 0.5
 # Longest interval of requests to a server with a low limit: one that names 0 is asked this often
 # whether it still does, in seconds.
 ASK_SECONDS = 8.0
@@ -90,6 +92,14 @@
     return Bound(1, min(ASK_SECONDS, 1 / rate) if rate > 0 else ASK_SECONDS)
 
 
+def bound_first_window(bound: Bound) -> Bound:
+    """Returns the bound for a server that has just named its limit.
+
+    Pattern: all send to a server until they hear of its limit, and it has that to work on.
+    """
+    return Bound(math.floor(bound.count * FIRST_PART), bound.window)
+
+
 def bound_cold_start(per_second: float, factor: float, allowance: float) -> Bound:
     """Returns the bound for a cold server.
 
@@ -181,7 +191,7 @@
 
     :param place: None where the instance takes no part.
     """
-    if place is None:
+    if place is None or bound.count == 0:
         return 0
     count = max(1, math.floor(bound.count * sight.part))
     total = sum(map(operator.mul, place.counts, DISTANCE_WEIGHTS))
--- a/src/caperdyke/transport/gateway/server_bounds.py
+++ b/src/caperdyke/transport/gateway/server_bounds.py
@@ -95,8 +95,8 @@
         :param cold: what holds while the server is cold; None where it is not.
         :returns: infinite where this instance has no part of a bound.
         """
-        room_at = max(now, self.limits.find_pause_until(server.backend))
-        for bound in self._list_bounds(server, cold):
+        room_at = now
+        for bound in self._list_bounds(now, server, cold):
             sight = self._find_sight(now)
             place = self._places.find(server.backend, server.domain, sight, self._regions)
             part = shared_bounds.find_part(bound, place, sight)
@@ -114,14 +114,20 @@
         if room_at < math.inf:
             return room_at - now
         # The parts of other instances come free one by one in the course of a window.
-        return max(item.window / item.count for item in self._list_bounds(server, cold))
+        bounds = self._list_bounds(now, server, cold)
+        return max(item.window / max(1, item.count) for item in bounds)
 
     def _list_bounds(
-        self, server: backend.BackendServer, cold: shared_bounds.Bound | None
+        self, now: float, server: backend.BackendServer, cold: shared_bounds.Bound | None
     ) -> list[shared_bounds.Bound]:
+        found = [] if cold is None else [cold]
         limit = self.limits.find(server.backend)
-        found = [] if limit is None else [shared_bounds.bound_named_limit(limit)]
-        return found if cold is None else [*found, cold]
+        if limit is not None:
+            bound = shared_bounds.bound_named_limit(limit)
+            if now < self.limits.find_first_until(server.backend):
+                bound = shared_bounds.bound_first_window(bound)
+            found.append(bound)
+        return found
 
     def _find_sight(self, now: float) -> shared_bounds.Sight:
         if not self._sight_until - SIGHT_SECONDS <= now < self._sight_until:
