Let servers of the soak name limits, and judge them

What callers saw: nothing; the soak could not draw the incident.

Cause: its servers named no limit, and no check counted what a server gets from all gateways.

Ruled out: judging only calm moments of the store; its trouble excuses nobody here, only a gateway's own does.

Change: each schedule has servers that name 0, 0.7, 2 or 4.7 requests a second for 6 to 14 s, through all other faults; a check of the rule from what servers saw.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -15,6 +15,11 @@
 SERVED_PART = 0.9
 # Time after its last byte from which a request that a stopping gateway took must be answered.
 CROSSING_SECONDS = 0.2
+# Requests that a server which names a limit may get in a window, in seconds: a factor on what the
+# limit allows, and some besides.
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
 # Lateness of the machine above which a run is not judged, in seconds.
 LATENESS_MAX = 1.0
 DESCRIPTORS_MAX = 400
@@ -43,6 +48,7 @@
         _check_in_force(seen),
         _check_never_older(seen),
         _check_leaving(seen),
+        _check_limits(seen),
         _check_stops(seen),
         _check_recovery(seen),
         _check_explained(seen),
@@ -126,6 +132,29 @@
     return Verdict("a leaving server gets nothing new", judged + len(seen.left), tuple(problems))
 
 
+def _check_limits(seen: records.Records) -> Verdict:
+    judged, problems = 0, []
+    took = {item.request: item.gateway for item in seen.attempts}
+    for limit in seen.limits:
+        allowed = LIMIT_FACTOR * limit.per_second * LIMIT_WINDOW_SECONDS + LIMIT_EXTRA
+        times = sorted(
+            run.at
+            for run in seen.runs
+            if run.server == limit.server
+            and limit.began_at <= run.at <= limit.ended_at
+            and _is_calm(seen, took.get(run.request), run.at, is_store_excused=False)
+        )
+        judged += limit.ended_at > limit.began_at + STABLE_SECONDS
+        ends = [at for at in times if at >= limit.began_at + STABLE_SECONDS]
+        counts = [sum(end - LIMIT_WINDOW_SECONDS < at <= end for at in times) for end in ends]
+        if max(counts, default=0) > allowed:
+            problems.append(
+                f"server {limit.server} named {limit.per_second} a second and got {max(counts)} in"
+                f" {LIMIT_WINDOW_SECONDS} s, allowed {allowed:.0f}"
+            )
+    return Verdict("a named limit is kept", judged, tuple(problems))
+
+
 def _check_stops(seen: records.Records) -> Verdict:
     judged, problems = 0, []
     ran = {run.request for run in seen.runs}
@@ -194,10 +223,13 @@
     )
 
 
-def _is_calm(seen: records.Records, gateway: int, at: float) -> bool:
-    """Tells whether nothing disturbed a gateway or the store for a while before a time."""
+def _is_calm(seen: records.Records, gateway: int, at: float, is_store_excused: bool = True) -> bool:
+    """Tells whether nothing disturbed a gateway for a while before a time.
+
+    :param is_store_excused: whether trouble of the store counts as well.
+    """
     return not any(
-        item.gateway in (None, gateway)
+        (item.gateway == gateway or (is_store_excused and item.gateway is None))
         and item.began_at <= at
         and item.ended_at >= at - STABLE_SECONDS - seen.lateness
         for item in seen.disruptions
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -46,6 +46,19 @@
     at: float
 
 
+@dataclasses.dataclass(slots=True)
+class Limit:
+    """A limit that a backend server named in its answers.
+
+    :param per_second: requests a second from all gateways together.
+    """
+
+    server: int
+    per_second: float
+    began_at: float
+    ended_at: float
+
+
 @dataclasses.dataclass(slots=True)
 class Disruption:
     """A fault, from its start until it was mended.
@@ -80,6 +93,7 @@
     faults_end_at: float = 0.0
     explained: set[str] = dataclasses.field(default_factory=set)
     killed: set[tuple[int, int]] = dataclasses.field(default_factory=set)
+    limits: list[Limit] = dataclasses.field(default_factory=list)
     bad_lines: list[str] = dataclasses.field(default_factory=list)
     descriptors: dict[int, int] = dataclasses.field(default_factory=dict)
     memory_mb: dict[int, float] = dataclasses.field(default_factory=dict)
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -33,6 +33,7 @@
     SERVER_CRASHES = "server crashes"
     SERVER_LIES = "server lies"
     SERVER_LEAVES = "server leaves"
+    SERVER_LIMITS = "server limits"
     CHANGE_ADD = "change add"
     CHANGE_MOVE = "change move"
     CHANGE_DROP = "change drop"
@@ -71,9 +72,14 @@
 
 
 def draw(seed: int, gateways: int, servers: int, count: int) -> Schedule:
-    """Returns the schedule of a seed; actions come in series and overlap."""
+    """Returns the schedule of a seed; actions come in series and overlap.
+
+    In each one some servers name limits, since these must hold through every other fault.
+    """
     chance = random.Random(seed)
-    actions = []
+    limited = tuple(sorted(chance.sample(range(servers), max(1, servers // 4))))
+    at, seconds = round(chance.uniform(0.0, FAULT_SECONDS / 2), 2), round(chance.uniform(1, 9), 2)
+    actions = [Action(at, Kind.SERVER_LIMITS, limited, seconds)]
     while len(actions) < count:
         kind = chance.choice(CHANGES if chance.random() < CHANGE_PART else FAULTS)
         size = servers if kind.value.startswith("server") else gateways
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -30,6 +30,9 @@
 # One way between the gateways of a region and the store, in seconds.
 STORE_DISTANCES = {"north": 0.001, "south": 0.055}
 CLOSING_SECONDS = 0.2
+# Limits that servers name, in requests a second, and how long they do at least, in seconds.
+LIMITS = (0.0, 0.7, 2.0, 4.7)
+LIMITED_SECONDS = 5.0
 NEVER = float("inf")
 
 
@@ -213,6 +216,8 @@
                 await asyncio.gather(*(self._harm_path(n, action) for n in action.targets))
             case kinds.STORE_DOWN | kinds.STORE_SLOW | kinds.STORE_FORGETS | kinds.STORE_COPY:
                 await self._harm_store(action)
+            case kinds.SERVER_LIMITS:
+                await asyncio.gather(*(self._name_limit(n, action) for n in action.targets))
             case (
                 kinds.SERVER_HANGS | kinds.SERVER_CRASHES | kinds.SERVER_LIES | kinds.SERVER_LEAVES
             ):
@@ -350,6 +355,18 @@
         await asyncio.sleep(action.seconds)
         server.work_seconds, server.is_down, server.is_lying = WORK_SECONDS, False, False
 
+    async def _name_limit(self, number: int, action: schedule.Action) -> None:
+        server = self._servers[number]
+        if server.limit is not None:
+            return
+        server.limit = self._chance.choice(LIMITS)
+        item = records.Limit(number, server.limit, self.now, NEVER)
+        self.seen.limits.append(item)
+        # The promise holds from some seconds after the first word on.
+        await asyncio.sleep(LIMITED_SECONDS + action.seconds)
+        item.ended_at = self.now
+        server.limit = None
+
     # Watching.
 
     async def _watch(self) -> None:
--- a/testing/platform/soak_parts.py
+++ b/testing/platform/soak_parts.py
@@ -55,6 +55,7 @@
 
     :ivar on_run: called with the id of each request that it begins to work on.
     :ivar work_seconds: time that a request takes.
+    :ivar limit: requests a second that it names in its answers; None where it names none.
     """
 
     def __init__(
@@ -65,6 +66,7 @@
         self.work_seconds = work_seconds
         self.is_lying = False
         self.is_down = False
+        self.limit: float | None = None
         self._count = 0
 
     async def _play(self, fault, seen, writer) -> bool:
@@ -79,6 +81,8 @@
             self.on_run(request)
             await asyncio.sleep(self.work_seconds)
         self.body = make_body(request)
+        limit = [] if self.limit is None else [("Caperdyke-Server-Limit", str(self.limit))]
+        self.headers = limit
         return await super()._play(fault, seen, writer)
 
     async def write_entry(
--- a/testing/soak/test_checks.py
+++ b/testing/soak/test_checks.py
@@ -57,6 +57,15 @@
     ),
     ("other_body", make_records(make_attempt(is_right=False)), "whole and right answers"),
     ("late_version", make_records(LATE_PROBE), "in force within the bound"),
+    (
+        "limited_server",
+        make_records(
+            make_attempt(),
+            runs=[records.Run("r1", 3, 20.0 + number * 0.1) for number in range(60)],
+            limits=[records.Limit(3, 4.7, 20.0, 30.0)],
+        ),
+        "a named limit is kept",
+    ),
     ("leaving_server", make_records(make_attempt(), runs=[RUN], left={3: 17.0}), "a leaving"),
     ("cut_after_it_ran", make_records(CUT, runs=[RUN], stops=[STOP]), "a planned stop"),
     ("not_served", make_records(make_attempt(sent_at=61.0, status=503)), "service is back"),
