--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -20,6 +20,10 @@
 LIMIT_WINDOW_SECONDS = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_EXTRA = 5
+# Requests of one gateway that may reach a server from this time after it named a rest until the end
+# of the rest, in seconds.
+REST_ALLOWED = 2
+REST_AFTER_SECONDS = 0.5
 # Lateness of the machine above which a run is not judged, in seconds.
 LATENESS_MAX = 1.0
 DESCRIPTORS_MAX = 400
@@ -49,6 +53,8 @@
         _check_never_older(seen),
         _check_leaving(seen),
         _check_limits(seen),
+        _check_rests(seen),
+        _check_said_leaving(seen),
         _check_stops(seen),
         _check_recovery(seen),
         _check_explained(seen),
@@ -155,6 +161,59 @@
     return Verdict("a named limit is kept", judged, tuple(problems))
 
 
+def _check_rests(seen: records.Records) -> Verdict:
+    judged, problems = 0, []
+    for gateway, arrivals in _group_arrivals(seen).items():
+        for named in arrivals:
+            if named.rest_seconds is None:
+                continue
+            since, until = named.at + REST_AFTER_SECONDS, named.at + named.rest_seconds
+            found = [
+                item
+                for item in arrivals
+                if item.server == named.server
+                and since + seen.lateness < item.at < until
+                and _is_calm(seen, gateway[0], item.at, is_store_excused=False)
+            ]
+            judged += until > since
+            if len(found) > REST_ALLOWED:
+                problems.append(
+                    f"server {named.server} named a rest of {named.rest_seconds:.1f} s at"
+                    f" {named.at:.2f} and got {len(found)} requests of gateway {gateway} in it"
+                )
+    return Verdict("a named rest is kept", judged, tuple(problems))
+
+
+def _check_said_leaving(seen: records.Records) -> Verdict:
+    judged, problems = 0, []
+    for gateway, arrivals in _group_arrivals(seen).items():
+        said_at: dict[int, float] = {}
+        for item in arrivals:
+            since = said_at.get(item.server)
+            is_late = since is not None and item.at > since + LEAVING_SECONDS + seen.lateness
+            if is_late and _is_calm(seen, gateway[0], item.at, is_store_excused=False):
+                problems.append(
+                    f"server {item.server} said at {since:.2f} that it leaves and got"
+                    f" {item.request} of gateway {gateway} at {item.at:.2f}"
+                )
+            if item.says_leaving and since is None:
+                said_at[item.server] = item.at
+                judged += 1
+    return Verdict("a server that says it leaves gets nothing new", judged, tuple(problems))
+
+
+def _group_arrivals(
+    seen: records.Records,
+) -> dict[tuple[int, int], list[records.Arrival]]:
+    """Returns arrivals in the order of time, by gateway and start of its process."""
+    took = {item.request: (item.gateway, item.start) for item in seen.attempts}
+    groups: dict[tuple[int, int], list[records.Arrival]] = collections.defaultdict(list)
+    for item in sorted(seen.arrivals, key=lambda item: item.at):
+        if item.request in took:
+            groups[took[item.request]].append(item)
+    return groups
+
+
 def _check_stops(seen: records.Records) -> Verdict:
     judged, problems = 0, []
     ran = {run.request for run in seen.runs}
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -46,6 +46,21 @@
     at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that reached a backend server, and what the server said of itself in its answer.
+
+    :param rest_seconds: for how long it wants nothing from the gateway; None where it does not say.
+    :param says_leaving: whether it says that it leaves.
+    """
+
+    request: str
+    server: int
+    at: float
+    rest_seconds: float | None
+    says_leaving: bool
+
+
 @dataclasses.dataclass(slots=True)
 class Limit:
     """A limit that a backend server named in its answers.
@@ -94,6 +109,7 @@
     explained: set[str] = dataclasses.field(default_factory=set)
     killed: set[tuple[int, int]] = dataclasses.field(default_factory=set)
     limits: list[Limit] = dataclasses.field(default_factory=list)
+    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     bad_lines: list[str] = dataclasses.field(default_factory=list)
     descriptors: dict[int, int] = dataclasses.field(default_factory=dict)
     memory_mb: dict[int, float] = dataclasses.field(default_factory=dict)
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -34,6 +34,8 @@
     SERVER_LIES = "server lies"
     SERVER_LEAVES = "server leaves"
     SERVER_LIMITS = "server limits"
+    SERVER_RESTS = "server rests"
+    SERVER_SAYS_LEAVING = "server says leaving"
     CHANGE_ADD = "change add"
     CHANGE_MOVE = "change move"
     CHANGE_DROP = "change drop"
@@ -74,12 +76,18 @@
 def draw(seed: int, gateways: int, servers: int, count: int) -> Schedule:
     """Returns the schedule of a seed; actions come in series and overlap.
 
-    In each one some servers name limits, since these must hold through every other fault.
+    In each one some servers name limits and rests, and one says that it leaves, since their words
+    must hold through every other fault.
     """
     chance = random.Random(seed)
     limited = tuple(sorted(chance.sample(range(servers), max(1, servers // 4))))
     at, seconds = round(chance.uniform(0.0, FAULT_SECONDS / 2), 2), round(chance.uniform(1, 9), 2)
     actions = [Action(at, Kind.SERVER_LIMITS, limited, seconds)]
+    resting = tuple(sorted(chance.sample(range(servers), max(1, servers // 4))))
+    at, seconds = round(chance.uniform(0.0, FAULT_SECONDS / 2), 2), round(chance.uniform(2, 9), 2)
+    actions.append(Action(at, Kind.SERVER_RESTS, resting, seconds))
+    at = round(chance.uniform(0.0, FAULT_SECONDS / 2), 2)
+    actions.append(Action(at, Kind.SERVER_SAYS_LEAVING, (servers - 2,), 0.0))
     while len(actions) < count:
         kind = chance.choice(CHANGES if chance.random() < CHANGE_PART else FAULTS)
         size = servers if kind.value.startswith("server") else gateways
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -33,6 +33,10 @@
 # Limits that servers name, in requests a second, and how long they do at least, in seconds.
 LIMITS = (0.0, 0.7, 2.0, 4.7)
 LIMITED_SECONDS = 5.0
+# Rests that servers name, in seconds.
+RESTS = (0.8, 2.0, 5.0)
+# Time between the word of a server that it leaves and its registration that says so, in seconds.
+SAYS_BEFORE_SECONDS = 6.0
 NEVER = float("inf")
 
 
@@ -87,6 +91,7 @@
             server = soak_parts.SoakServer(
                 f"server-{number}", self._make_note(number), WORK_SECONDS
             )
+            server.on_arrival = self._make_arrival_note(number)
             self._servers.append(await stack.enter_async_context(server.listen()))
             await self._register(number, "ready")
         await self._confirm_version()
@@ -108,6 +113,14 @@
 
         return note
 
+    def _make_arrival_note(self, number: int):
+        def note(request: str, rest_seconds: float | None, says_leaving: bool) -> None:
+            self.seen.arrivals.append(
+                records.Arrival(request, number, self.now, rest_seconds, says_leaving)
+            )
+
+        return note
+
     def _launch(self, gateway: gateways.Gateway) -> None:
         seeds = [other.addresses["peer"] for other in self._gateways[:2]]
         gateway.launch(self._relays[gateway.number].address, seeds)
@@ -218,6 +231,10 @@
                 await self._harm_store(action)
             case kinds.SERVER_LIMITS:
                 await asyncio.gather(*(self._name_limit(n, action) for n in action.targets))
+            case kinds.SERVER_RESTS:
+                await asyncio.gather(*(self._name_rest(n, action) for n in action.targets))
+            case kinds.SERVER_SAYS_LEAVING:
+                await self._say_leaving(SERVERS - 2)
             case (
                 kinds.SERVER_HANGS | kinds.SERVER_CRASHES | kinds.SERVER_LIES | kinds.SERVER_LEAVES
             ):
@@ -349,7 +366,9 @@
                 server.is_down = True
             case schedule.Kind.SERVER_LIES:
                 server.is_lying = True
-            case schedule.Kind.SERVER_LEAVES if number == SERVERS - 1 and not self.seen.left:
+            case schedule.Kind.SERVER_LEAVES if (
+                number == SERVERS - 1 and number not in self.seen.left
+            ):
                 await self._register(number, "draining")
                 self.seen.left[number] = self.now
         await asyncio.sleep(action.seconds)
@@ -367,6 +386,22 @@
         item.ended_at = self.now
         server.limit = None
 
+    async def _name_rest(self, number: int, action: schedule.Action) -> None:
+        server = self._servers[number]
+        server.rest_seconds = self._chance.choice(RESTS)
+        await asyncio.sleep(action.seconds)
+        server.rest_seconds = None
+
+    async def _say_leaving(self, number: int) -> None:
+        """Lets a server say in its answers that it leaves; its registration follows."""
+        server = self._servers[number]
+        if server.says_leaving:
+            return
+        server.says_leaving = True
+        await asyncio.sleep(SAYS_BEFORE_SECONDS)
+        await self._register(number, "draining")
+        self.seen.left.setdefault(number, self.now)
+
     # Watching.
 
     async def _watch(self) -> None:
--- a/src/caperdyke/coordination/placement/choice.py
+++ b/src/caperdyke/coordination/placement/choice.py
@@ -66,11 +66,13 @@
     """A backend server that may get the request.
 
     :param round_trip: seconds to the server and back.
+    :param is_spared: whether the server asked another instance to leave it alone for now.
     """
 
     view: server_view.ServerView
     is_near: bool
     round_trip: float
+    is_spared: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,12 +100,14 @@
     :param is_empty: whether there is no server at all, rather than no room.
     :param open_servers: servers that were weighed.
     :param pressure: requests under way per slot of these.
+    :param is_named: whether the servers themselves named the time after which they take requests.
     """
 
     retry_after: float
     is_empty: bool
     open_servers: int = 0
     pressure: float = 0.0
+    is_named: bool = False
 
 
 Choice = Placed | NoRoom
@@ -120,8 +124,21 @@
     fuller the service, the more a cold run costs the others, so that overload does not spread
     objects over all servers and make itself worse.
 
+    Servers that asked other instances for a rest are used where no other server has room.
+
     :param candidates: in the order of the object's homes.
     """
+    if any(item.is_spared for item in candidates):
+        unspared = [item for item in candidates if not item.is_spared]
+        chosen = _choose_among(now, demand, unspared, times)
+        if isinstance(chosen, Placed):
+            return chosen
+    return _choose_among(now, demand, candidates, times)
+
+
+def _choose_among(
+    now: float, demand: Demand, candidates: list[Candidate], times: work_times.WorkTime
+) -> Choice:
     open_candidates = [item for item in candidates if _is_open(now, item, demand)]
     if not open_candidates:
         return NoRoom(RETRY_MAX_SECONDS if not candidates else RETRY_MIN_SECONDS * 3, True)
@@ -181,7 +198,7 @@
         if not candidate.is_near:
             continue
         has_room = view.busy + 1 <= WARMING_PRESSURE * view.server.slots
-        if has_room and not view.is_warm(now, demand.key):
+        if has_room and not candidate.is_spared and not view.is_warm(now, demand.key):
             return _estimate(now, demand, candidate, place, times).placed
         return None
     return None
--- a/src/caperdyke/coordination/placement/named_limits.py
+++ b/src/caperdyke/coordination/placement/named_limits.py
@@ -3,7 +3,7 @@
 import dataclasses
 import math
 
-from caperdyke.coordination.placement import shared_bounds
+from caperdyke.coordination.placement import shared_bounds, turn_order
 from caperdyke.state import ids, marks, request_heads
 
 # How much older the end of a limit counts when another instance tells of it: the way to this one
@@ -17,9 +17,6 @@
 FORGOTTEN_SECONDS = 300.0
 # Highest limit that is told apart, in requests a second; more than any server takes.
 LIMIT_MAX = 1e6
-# Limits that one announcement tells, about a hundred bytes, and how many of these are the newest.
-TOLD_MAX = 8
-TOLD_NEWEST = 4
 # Part of a limit to which it falls where it counts as named anew.
 FALL_PART = 0.75
 # How long a server that has just named its limit gets less, in seconds: what was sent by instances
@@ -28,19 +25,15 @@
 
 
 @dataclasses.dataclass(slots=True)
-class KnownLimit:
-    """The latest word about one server's limit.
+class KnownLimit(turn_order.Told):
+    """The latest word about one server's limit, or its end.
 
     :param per_second: requests a second that the server takes; None where it names no limit.
     :param known_at: time from which the word is.
-    :param since: time at which this instance heard first of this limit, or of its end.
-    :param told_at: time at which this instance told others last.
     """
 
     per_second: float | None
     known_at: float
-    since: float
-    told_at: float = -math.inf
 
 
 class NamedLimits:
@@ -95,7 +88,7 @@
             case request_heads.NoLimit():
                 is_limited = known is not None and known.per_second is not None
                 if is_limited and is_sound and sent_at > known.known_at:
-                    self._known[mark] = KnownLimit(None, sent_at, now)
+                    self._known[mark] = KnownLimit(None, sent_at, since=now)
             case request_heads.UnreadableLimit():
                 # The limit that was named before still holds.
                 return False
@@ -115,14 +108,14 @@
         if per_second is not None:
             return self._note_limit(now, mark, per_second, known_at)
         if known is None or known.per_second is not None:
-            self._known[mark] = KnownLimit(None, known_at, now)
+            self._known[mark] = KnownLimit(None, known_at, since=now)
         return False
 
     def restart(self, now: float, server: ids.BackendId) -> None:
         """Forgets the limit that an earlier start of a server named."""
         known = self._known.get(marks.make_mark(server))
         if known is not None:
-            self._known[marks.make_mark(server)] = KnownLimit(None, now, now)
+            self._known[marks.make_mark(server)] = KnownLimit(None, now, since=now)
 
     def forget(self, server: ids.BackendId) -> None:
         """Forgets a server that has left."""
@@ -134,15 +127,7 @@
             kept = ENDED_SECONDS if known.per_second is None else FORGOTTEN_SECONDS
             if now > known.known_at + kept:
                 del self._known[mark]
-        if not self._known:
-            return {}
-        newest = sorted(self._known, key=lambda mark: self._known[mark].since, reverse=True)
-        chosen, others = newest[:TOLD_NEWEST], newest[TOLD_NEWEST:]
-        others.sort(key=lambda mark: self._known[mark].told_at)
-        for mark in others[: TOLD_MAX - TOLD_NEWEST]:
-            self._known[mark].told_at = now
-            chosen.append(mark)
-        told = {mark: self._known[mark] for mark in chosen}
+        told = {mark: self._known[mark] for mark in turn_order.choose_to_tell(now, self._known)}
         return {
             mark: (known.per_second, max(0.0, now - known.known_at)) for mark, known in told.items()
         }
@@ -153,5 +138,5 @@
         if is_held and per_second >= known.per_second * FALL_PART:
             known.per_second, known.known_at = per_second, known_at
             return False
-        self._known[mark] = KnownLimit(per_second, known_at, now)
+        self._known[mark] = KnownLimit(per_second, known_at, since=now)
         return True
--- a/src/caperdyke/coordination/registry/server_registry.py
+++ b/src/caperdyke/coordination/registry/server_registry.py
@@ -124,6 +124,18 @@
         """Returns a server, or None."""
         return self._servers.get(name)
 
+    def list_all(self) -> list[RegisteredServer]:
+        """Returns every server that is known, whether it may get new work or not."""
+        return list(self._servers.values())
+
+    def list_at(self, address: ids.Address, other: ids.BackendId) -> list[RegisteredServer]:
+        """Returns the servers registered at an address, but for one that has left it."""
+        return [
+            known
+            for name, known in self._servers.items()
+            if name != other and known.registration.server.address == address
+        ]
+
     def forget_gone(self, now: float) -> list[ids.BackendId]:
         """Forgets servers that left a while ago and returns their names."""
         old = now - 10 * LAPSE_GRACE_SECONDS
--- a/src/caperdyke/platform/headers.py
+++ b/src/caperdyke/platform/headers.py
@@ -1,5 +1,7 @@
 """Headers of callers and backend servers on the users' platform."""
 
+import datetime
+import email.utils
 import http.cookies
 
 from caperdyke.state import ids, request_heads
@@ -15,6 +17,11 @@
 COLD_LEFT = b"caperdyke-cold-milliseconds"
 # Requests a second that the server takes; the platform's text leaves the prefix out.
 SERVER_LIMITS = (b"caperdyke-server-limit", b"server-limit")
+# Says 1 while the server is about to end; the platform's text leaves the prefix out.
+SERVER_LEAVING = (b"caperdyke-server-leaving", b"server-leaving")
+RETRY_AFTER = b"retry-after"
+# Status of a backend server that turns a request away, and may say for how long it wants none.
+UNAVAILABLE_STATUS = 503
 # Status of a backend server that is not the one expected; it did not run the request.
 MISDIRECTED_STATUS = 421
 
@@ -43,6 +50,8 @@
         _read_load(found.get(SERVER_LOAD)),
         _read_number(found.get(COLD_LEFT)),
         _read_limit(found),
+        _read_rest(status, headers),
+        _read_leaving(headers),
     )
 
 
@@ -65,7 +74,7 @@
     """
     headers = [(REQUEST_ID, request_id.encode("latin-1"))] if request_id else []
     if retry_seconds is not None:
-        headers.append((b"retry-after", b"%.2f" % retry_seconds))
+        headers.append((RETRY_AFTER, b"%.2f" % retry_seconds))
     return headers
 
 
@@ -103,6 +112,42 @@
     return request_heads.NamedLimit(number)
 
 
+def _read_rest(status: int, headers: RawHeaders) -> request_heads.RestReport:
+    """Returns the longest rest that an answer asks for."""
+    texts = [value for name, value in headers if name == RETRY_AFTER]
+    if status != UNAVAILABLE_STATUS or not texts:
+        return request_heads.NoRest()
+    sent_at = _read_date(dict(headers).get(b"date", b""))
+    found = [_read_rest_seconds(text, sent_at) for text in texts]
+    readable = [seconds for seconds in found if seconds is not None]
+    if not readable:
+        return request_heads.UnreadableRest(texts[0].decode("latin-1"))
+    return request_heads.NamedRest(max(readable))
+
+
+def _read_rest_seconds(text: bytes, sent_at: datetime.datetime | None) -> float | None:
+    seconds = _read_number(text)
+    until = _read_date(text)
+    if seconds is not None or until is None:
+        return seconds
+    if sent_at is None:
+        sent_at = datetime.datetime.now(datetime.UTC)
+    return max(0.0, (until - sent_at).total_seconds())
+
+
+def _read_date(text: bytes) -> datetime.datetime | None:
+    try:
+        found = email.utils.parsedate_to_datetime(text.decode("latin-1"))
+    except ValueError:
+        return None
+    return found if found.tzinfo is not None else found.replace(tzinfo=datetime.UTC)
+
+
+def _read_leaving(headers: RawHeaders) -> bool:
+    values = [value.strip() for name, value in headers if name in SERVER_LEAVING]
+    return any(value not in (b"", b"0") for value in values)
+
+
 def _read_load(text: bytes | None) -> request_heads.ServerLoad | None:
     if text is None:
         return None
--- a/src/caperdyke/protocol/announcements.py
+++ b/src/caperdyke/protocol/announcements.py
@@ -8,7 +8,7 @@
 from caperdyke.state import ids, member, store_rows
 
 # Raised with every change of the layout; others are left unread.
-LAYOUT = 4
+LAYOUT = 5
 # Tables that every instance follows, in the order in which an announcement names their positions.
 FOLLOWED = (store_rows.StoreTable.CONFIGURATION, store_rows.StoreTable.SERVERS)
 
@@ -30,6 +30,10 @@
     :param load: requests under way, by mark of the backend server's name.
     :param limits: limits that backend servers name, by mark of the server's name: requests a
         second, None where a limit ended, and how long ago that was learnt, in seconds.
+    :param rests: time for which backend servers want nothing from the sender, by mark of the
+        server's name, in seconds.
+    :param leaving: backend servers that leave, by mark of their start, and how long ago that was
+        learnt, in seconds.
     :param wants_answer: whether the receiver should announce itself at once.
     """
 
@@ -43,6 +47,8 @@
     read_position: store_rows.Position
     load: dict[int, int]
     limits: dict[int, tuple[float | None, float]]
+    rests: dict[int, float]
+    leaving: dict[int, float]
     wants_answer: bool
 
 
@@ -61,6 +67,8 @@
             _list_position(item.read_position),
             item.load,
             {mark: _list_limit(*limit) for mark, limit in item.limits.items()},
+            _list_milliseconds(item.rests),
+            _list_milliseconds(item.leaving),
             item.wants_answer,
         ]
     )
@@ -76,7 +84,7 @@
         if layout != LAYOUT:
             raise ValueError(f"layout {layout}, expected {LAYOUT}")
         mark, incarnation, record, is_ready, interval_ms, changed, read_age_ms = fields[:7]
-        read_position, load, limits, wants_answer = fields[7:]
+        read_position, load, limits, rests, leaving, wants_answer = fields[7:]
         return Announcement(
             int(mark),
             ids.Incarnation(int(incarnation)),
@@ -88,6 +96,8 @@
             _read_position(read_position),
             {int(mark): int(count) for mark, count in load.items()},
             {int(mark): _read_limit(*limit) for mark, limit in limits.items()},
+            _read_milliseconds(rests),
+            _read_milliseconds(leaving),
             bool(wants_answer),
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as error:
@@ -170,6 +180,14 @@
     return [-1 if per_second is None else round(per_second * 1000), round(age * 1000)]
 
 
+def _list_milliseconds(seconds: dict[int, float]) -> dict[int, int]:
+    return {mark: round(value * 1000) for mark, value in seconds.items()}
+
+
+def _read_milliseconds(items: dict) -> dict[int, float]:
+    return {int(mark): max(0, int(value)) / 1000 for mark, value in items.items()}
+
+
 def _read_limit(thousandths: int, age_ms: int) -> tuple[float | None, float]:
     per_second = None if int(thousandths) < 0 else int(thousandths) / 1000
     return per_second, max(0, int(age_ms)) / 1000
--- a/src/caperdyke/protocol/gateway_files.py
+++ b/src/caperdyke/protocol/gateway_files.py
@@ -37,6 +37,9 @@
             1e6,
             gateway_settings.FAR_SECONDS_PER_MEGABYTE,
         ),
+        rest_seconds_max=document.read_decimal(
+            "placing", "rest_max_s", 0.0, 1e6, gateway_settings.REST_SECONDS_MAX
+        ),
     )
     document.check_all_read()
     return result
--- a/src/caperdyke/state/gateway_settings.py
+++ b/src/caperdyke/state/gateway_settings.py
@@ -6,6 +6,8 @@
 
 # Callers wait a tenth of a second rather than have five kilobytes leave the failure domain.
 FAR_SECONDS_PER_MEGABYTE = 20.0
+# Longest rest of a backend server that is believed, in seconds.
+REST_SECONDS_MAX = 3600.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,6 +41,8 @@
     :param domains: region of each failure domain.
     :param far_seconds_per_megabyte: waiting of callers that the operators accept to spare a
         megabyte between failure domains, in seconds.
+    :param rest_seconds_max: longest time for which a backend server that turned a request away is
+        left alone at its word, in seconds.
     :param seeds: peer addresses of other instances that may exist.
     """
 
@@ -56,3 +60,4 @@
     bounds: GatewayBounds
     logs: settings.LogSettings
     far_seconds_per_megabyte: float = FAR_SECONDS_PER_MEGABYTE
+    rest_seconds_max: float = REST_SECONDS_MAX
--- a/src/caperdyke/state/marks.py
+++ b/src/caperdyke/state/marks.py
@@ -1,8 +1,21 @@
 """Short numbers that stand for names in datagrams."""
 
+import functools
 import zlib
 
+# Starts of servers whose marks are remembered; more than a fleet has in use at a time.
+STARTS_MAX = 8192
+
 
 def make_mark(name: str) -> int:
     """Returns a number of 32 bits for a name; two of a thousand names hardly ever share one."""
     return zlib.crc32(name.encode())
+
+
+@functools.lru_cache(STARTS_MAX)
+def make_start_mark(name: str, started_ms: int) -> int:
+    """Returns a number of 32 bits for one start of a process.
+
+    :param started_ms: start of the process, milliseconds since 1970.
+    """
+    return make_mark(f"{name}/{started_ms}")
--- a/src/caperdyke/state/request_heads.py
+++ b/src/caperdyke/state/request_heads.py
@@ -53,6 +53,31 @@
 LimitReport = NamedLimit | NoLimit | UnreadableLimit
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NamedRest:
+    """A backend server that turned a request away wants nothing from this instance for a while.
+
+    :param seconds: from its answer on.
+    """
+
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoRest:
+    """A backend server asks for no rest."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnreadableRest:
+    """A backend server asks for a rest that is no time."""
+
+    text: str
+
+
+RestReport = NamedRest | NoRest | UnreadableRest
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerHeaders:
     """What a backend server says of its answer.
@@ -64,6 +89,8 @@
     :param load: None where the server does not tell it.
     :param cold_ms: how much longer the server is cold, in milliseconds; None where not told.
     :param limit: what the server takes from all instances together.
+    :param rest: for how long it wants nothing from this instance.
+    :param is_leaving: whether this start of the server is about to end and wants no new work.
     """
 
     request_id: str
@@ -73,3 +100,5 @@
     load: ServerLoad | None
     cold_ms: float | None
     limit: LimitReport
+    rest: RestReport
+    is_leaving: bool
--- a/src/caperdyke/transport/events.py
+++ b/src/caperdyke/transport/events.py
@@ -79,6 +79,9 @@
     LIMIT_NAMED = (6403, "INFO", "backend server {backend} takes {per_second} requests a second")
     LIMIT_ENDED = (6404, "INFO", "backend server {backend} names no limit any more")
     LIMIT_UNREADABLE = (6405, "WARNING", "limit of backend server {backend} is no number: {text}")
+    SERVER_LEAVING = (6406, "INFO", "backend server {backend} says that it leaves")
+    SERVER_RESTS = (6407, "INFO", "backend server {backend} wants nothing for {seconds} s")
+    REST_UNREADABLE = (6408, "WARNING", "rest of backend server {backend} is no time: {text}")
     HEADER_SEEN = (6402, "INFO", "first answer with header {header}: {value}, from {backend}")
 
     @property
--- a/src/caperdyke/transport/gateway/announcer.py
+++ b/src/caperdyke/transport/gateway/announcer.py
@@ -78,7 +78,7 @@
         node.provenance.others_word_at = now
         known.load = item.load
         known.changed = item.changed
-        node.bounds.note_told(now, item.limits)
+        node.note_told(item.limits, item.rests, item.leaving)
         if item.read_age_ms >= 0:
             known.read_at = now - item.read_age_ms / 1000
             self._tables.note_reading(known, item.read_position)
@@ -115,11 +115,11 @@
         for other in self._random.sample(mates, min(len(mates), TELL_MAX)):
             other.announce_at = 0.0
 
-    def tell_limits(self) -> None:
-        """Announces this instance to some others at once, as a backend server named a limit.
+    def tell_server_word(self) -> None:
+        """Announces this instance to some others at once, as a backend server spoke of itself.
 
-        Pattern: all send to a server in need until they hear of its limit, and most get their own
-        first answer only when they have sent it more than it takes.
+        Pattern: all send to a server in need until they hear of its limit or its rest, and most get
+        their own first answer only when they have sent it more than it takes.
         """
         live = self._node.fleet.list_live(self._node.now())
         for other in self._random.sample(live, min(len(live), TELL_MAX)):
@@ -277,6 +277,8 @@
             self._tables.servers.position or store_rows.FIRST_POSITION,
             load,
             node.bounds.limits.choose_to_tell(node.now()),
+            node.bounds.rests.choose_to_tell(node.now()),
+            node.bounds.leaving.choose_to_tell(node.now()),
             wants_answer,
         )
 
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import math
 import statistics
 import time
 
@@ -22,7 +23,9 @@
     clock,
     gateway_settings,
     ids,
+    marks,
     member,
+    request_heads,
     routes,
 )
 from caperdyke.transport import events, metrics
@@ -69,7 +72,9 @@
         self.pool = pool.ConnectionPool(now)
         self.splits = splits.SplitCounter()
         self.times = work_times.WorkTimes()
-        self.bounds = server_bounds.ServerBounds(self.fleet, checked.domains)
+        self.bounds = server_bounds.ServerBounds(
+            self.fleet, checked.domains, checked.rest_seconds_max
+        )
         bounds = checked.bounds
         self.retries = retry_quota.RetryQuota(
             bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window, now()
@@ -92,6 +97,7 @@
         self.settings = changed
         self.fleet.apply_regions(changed.domains)
         self.bounds.apply_regions(changed.domains)
+        self.bounds.rests.seconds_max = changed.rest_seconds_max
         bounds = changed.bounds
         self.retries.apply_limits(bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window)
         self._orders.clear()
@@ -124,7 +130,7 @@
         usable = [
             known
             for known in self.servers.list_usable(now)
-            if known.registration.server.domain not in self.evacuated
+            if known.registration.server.domain not in self.evacuated and not self.is_leaving(known)
         ]
         services = server_registry.list_services(usable)
         if _list_names(services) != _list_names(self._services):
@@ -180,6 +186,7 @@
                     self.find_view(server.backend),
                     server.domain == self.settings.domain,
                     self.round_trips.get(server.domain, ROUND_TRIP_FIRST),
+                    self.bounds.rests.is_spared(now, server.backend),
                 )
             )
         return candidates
@@ -202,6 +209,62 @@
             self._orders[service, key, is_large] = order
         return order
 
+    def note_server_word(
+        self,
+        server: backend.BackendServer,
+        about: request_heads.ServerHeaders,
+        sent_at: float,
+        is_own: bool,
+        is_success: bool,
+    ) -> None:
+        """Learns what an answer says of the server that sent it.
+
+        :param sent_at: time at which the request was sent.
+        :param is_own: whether it is the answer to that request.
+        """
+        now = self.now()
+        if about.is_misdirected:
+            if about.is_leaving:
+                self._note_leaving(now, self.servers.list_at(server.address, server.backend))
+            return
+        is_sound = is_own and about.is_signed and is_success
+        self.bounds.note_answer(now, server.backend, about.limit, sent_at, is_sound)
+        self.bounds.note_rest(now, server.backend, about.rest)
+        if about.is_leaving:
+            known = self.servers.find(server.backend)
+            self._note_leaving(now, [] if known is None else [known])
+        if about.cold_ms and is_own:
+            self.servers.note_cold(now, server.backend, about.cold_ms / 1000)
+
+    def note_told(
+        self,
+        limits: dict[int, tuple[float | None, float]],
+        rests: dict[int, float],
+        leaving: dict[int, float],
+    ) -> None:
+        """Learns what servers said of themselves to another instance."""
+        if self.bounds.note_told(self.now(), limits, rests, leaving):
+            self._drop_leaving(self.servers.list_all())
+
+    def is_leaving(self, known: server_registry.RegisteredServer) -> bool:
+        """Tells whether this start of a server says in its answers that it leaves."""
+        return not self.bounds.leaving.is_empty and self.bounds.leaving.holds(_mark_start(known))
+
+    def _note_leaving(self, now: float, found: list[server_registry.RegisteredServer]) -> None:
+        news = [
+            known
+            for known in found
+            if self.bounds.note_leaving(now, known.registration.server.backend, _mark_start(known))
+        ]
+        if news:
+            self._drop_leaving(news)
+
+    def _drop_leaving(self, servers: list[server_registry.RegisteredServer]) -> None:
+        for known in servers:
+            if self.is_leaving(known):
+                self.pool.drop(known.registration.server.backend)
+        self.refresh_servers()
+
     def is_cold(self, now: float, known: server_registry.RegisteredServer) -> bool:
         """Tells whether a server must be spared."""
         domain = known.registration.server.domain
@@ -239,8 +302,10 @@
 
         :returns: infinite where this instance has no part of what the server may get.
         """
+        if self.is_leaving(known):
+            return math.inf
         is_cold = self.is_cold(now, known)
-        if not is_cold and self.bounds.limits.is_empty:
+        if not is_cold and self.bounds.is_empty:
             return now
         cold = self._make_cold_bound(known) if is_cold else None
         return self.bounds.find_room_at(now, known.registration.server, cold)
@@ -261,16 +326,19 @@
     ) -> choice.NoRoom:
         """Returns when to come back, with the servers in mind that their bounds kept out.
 
-        Pattern: all servers of a service name limits, and more is asked for than they take.
+        Pattern: all servers of a service name limits, and more is asked for than they take; or all
+        have turned requests away and want none for a while.
         """
         now = self.now()
+        rest_end = self.find_rest_end(route, service)
+        if rest_end > now:
+            return dataclasses.replace(
+                no_room, retry_after=rest_end - now, is_empty=False, is_named=True
+            )
         waits = []
-        for known in self._services.get(service, ()):
-            server = known.registration.server
-            region = self.settings.domains.get(server.domain, "")
-            if not route.homes or region in route.homes:
-                cold = self._make_cold_bound(known) if self.is_cold(now, known) else None
-                waits.append(self.bounds.find_wait(now, server, cold))
+        for known in self._list_allowed(route, service):
+            cold = self._make_cold_bound(known) if self.is_cold(now, known) else None
+            waits.append(self.bounds.find_wait(now, known.registration.server, cold))
         waits = [wait for wait in waits if wait > 0]
         if not waits:
             return no_room
@@ -279,6 +347,30 @@
         retry_after = min(choice.RETRY_MAX_SECONDS, max(choice.RETRY_MIN_SECONDS, retry_after))
         return dataclasses.replace(no_room, retry_after=retry_after, is_empty=False)
 
+    def find_rest_end(self, route: routes.Route, service: ids.ServiceName) -> float:
+        """Returns the time at which the first of a service's servers ends its rest.
+
+        :returns: minus infinity where a server does not rest, or where there is none.
+        """
+        if self.bounds.rests.is_empty:
+            return -math.inf
+        ends = [
+            self.bounds.rests.find_end(known.registration.server.backend)
+            for known in self._list_allowed(route, service)
+        ]
+        return min(ends, default=-math.inf)
+
+    def _list_allowed(
+        self, route: routes.Route, service: ids.ServiceName
+    ) -> list[server_registry.RegisteredServer]:
+        """Returns the servers of a service in the regions where a route may be served."""
+        regions = self.settings.domains
+        return [
+            known
+            for known in self._services.get(service, ())
+            if not route.homes or regions.get(known.registration.server.domain, "") in route.homes
+        ]
+
     def _find_terms(self, known: server_registry.RegisteredServer) -> routes.ServiceTerms | None:
         if self.routes is None:
             return None
@@ -294,6 +386,11 @@
         return shared_bounds.bound_cold_start(rate, bounds.cold_factor, bounds.cold_allowance)
 
 
+def _mark_start(known: server_registry.RegisteredServer) -> int:
+    entry = known.registration
+    return marks.make_start_mark(entry.server.backend, entry.started_ms)
+
+
 def _list_names(
     services: dict[ids.ServiceName, list[server_registry.RegisteredServer]],
 ) -> dict[ids.ServiceName, list[backend.BackendServer]]:
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 
 from caperdyke.coordination.placement import attempts, choice
@@ -46,7 +47,7 @@
                 trace.sends.append(_describe_no_room(chosen))
                 return failed or self._give_up(request, tries, chosen)
             if tries.sent and not self._take_repeat(route, service):
-                return failed or self._give_up(request, tries, None)
+                return failed or self._give_up_refused(request, route, service, tries)
             tried.add(chosen.view.server.backend)
             sent_at = node.now()
             result = await self._sender.send(request, chosen)
@@ -67,7 +68,7 @@
                 case sender.Failure():
                     _note_failure(tries, result)
             if not tries.allows_another() or node.now() >= request.deadline:
-                return failed or self._give_up(request, tries, None)
+                return failed or self._give_up_refused(request, route, service, tries)
 
     def _follow_route(
         self, route: routes.Route, service: ids.ServiceName, trace: verdicts.RequestTrace
@@ -215,24 +216,46 @@
                 if view.note_failure(now, node.measure_failing(view)):
                     node.note_unusable(view, result.detail)
 
+    def _give_up_refused(
+        self,
+        request: sender.CallerRequest,
+        route: routes.Route,
+        service: ids.ServiceName,
+        tries: attempts.Attempts,
+    ) -> verdicts.OwnAnswer:
+        """Returns the answer to a request that servers turned away and that is not sent again."""
+        rest_end = self._node.find_rest_end(route, service)
+        return self._give_up(request, tries, None, rest_end)
+
     def _give_up(
         self,
         request: sender.CallerRequest,
         tries: attempts.Attempts,
         no_room: choice.NoRoom | None,
+        rest_end: float = -math.inf,
     ) -> verdicts.OwnAnswer:
+        """Returns the final answer to a request.
+
+        :param no_room: why no server was chosen; None where servers turned the request away.
+        :param rest_end: time until which all servers rest by their own word.
+        """
         left = request.deadline - self._node.now()
         if not tries.is_known_not_run:
             if left <= 0:
                 return verdicts.OwnAnswer(504, verdicts.Verdict.TIMED_OUT)
             return verdicts.OwnAnswer(502, verdicts.Verdict.FAILED)
         if no_room is None:
-            verdict, wanted = verdicts.Verdict.REFUSED, choice.RETRY_MIN_SECONDS
+            verdict = verdicts.Verdict.REFUSED
+            rest = rest_end - self._node.now()
+            is_named, wanted = rest > 0, max(choice.RETRY_MIN_SECONDS, rest)
         else:
             verdict = verdicts.Verdict.NO_SERVER if no_room.is_empty else verdicts.Verdict.NO_ROOM
-            wanted = no_room.retry_after
+            is_named, wanted = no_room.is_named, no_room.retry_after
         # Spread over time, so that callers who were refused together do not return together.
         spread = wanted * self._random.uniform(1.0, 1.5)
+        if is_named:
+            # Whoever returns before the servers take anything is turned away again for certain.
+            return verdicts.OwnAnswer(503, verdict, spread)
         return verdicts.OwnAnswer(503, verdict, max(0.0, min(spread, left * RETRY_PART_MAX)))
 
     def _describe(self, placed: choice.Placed, sent_at: float, result: sender.Result) -> str:
--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -47,7 +47,7 @@
         self.announcer = announcer.Announcer(node, self.follower)
         self.follower.on_servers_read = self.announcer.tell_domain
         self.follower.on_configuration_changed = self.announcer.tell_change
-        node.bounds.on_news = self.announcer.tell_limits
+        node.bounds.on_news = self.announcer.tell_server_word
         self.requests = request_app.RequestApp(node)
         self._tasks: list[asyncio.Task] = []
         self.is_listening = False
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -196,11 +196,8 @@
             # A refusal may lack the id; an answer that is vouched for belongs to the one it names.
             is_unnamed = not about.request_id and not about.is_signed
             is_own = is_unnamed or about.request_id == request.about.request_id
-            if not about.is_misdirected:
-                is_sound = is_own and about.is_signed and head.status_code < SUCCESS_STATUS_END
-                node.bounds.note_answer(node.now(), server.backend, about.limit, sent_at, is_sound)
-                if about.cold_ms and is_own:
-                    node.servers.note_cold(node.now(), server.backend, about.cold_ms / 1000)
+            is_success = head.status_code < SUCCESS_STATUS_END
+            node.note_server_word(server, about, sent_at, is_own, is_success)
             if is_own:
                 break
             # An answer to an earlier request; it belongs to nobody.
@@ -274,9 +271,13 @@
     def _finish(
         self, placed: choice.Placed, used: connection.ServerConnection, found: dict[bytes, bytes]
     ) -> None:
-        if used.finish():
+        server = placed.view.server.backend
+        known = self._node.servers.find(server)
+        if known is not None and self._node.is_leaving(known):
+            used.close()
+        elif used.finish():
             idle = _read_idle(found.get(b"keep-alive", b""))
-            self._node.pool.give_back(placed.view.server.backend, used, idle)
+            self._node.pool.give_back(server, used, idle)
 
 
 async def _read_chunk_until(
--- a/src/caperdyke/transport/gateway/server_bounds.py
+++ b/src/caperdyke/transport/gateway/server_bounds.py
@@ -1,9 +1,14 @@
-"""What this instance may send to servers that bound the requests of all instances together."""
+"""What this instance may send to servers that bound it by their own word."""
 
 import collections.abc
 import math
 
-from caperdyke.coordination.placement import named_limits, shared_bounds
+from caperdyke.coordination.placement import (
+    leaving_servers,
+    named_limits,
+    server_rests,
+    shared_bounds,
+)
 from caperdyke.coordination.registry import fleet
 from caperdyke.state import backend, ids, request_heads
 from caperdyke.transport import events
@@ -12,21 +17,30 @@
 SIGHT_SECONDS = 0.05
 # Shortest time between two log lines about one server's limit, in seconds.
 LOG_SECONDS = 2.0
-# Longest part of a limit that is no number in a log line, in characters.
+# Longest part of a text that is no number in a log line, in characters.
 TEXT_MAX = 40
+# Shortest time between two announcements at once of rests or leaving servers, in seconds: where a
+# whole service is full, each of its servers names a rest.
+NEWS_SECONDS = 0.5
 
 
 class ServerBounds:
-    """Keeps the limits that servers name, and counts what is sent to each server.
+    """Keeps what servers say of the work they want, and counts what is sent to each server.
 
     :param regions: the region of each failure domain.
-    :ivar on_news: called where others should hear at once of a limit.
+    :param rest_seconds_max: longest rest that is believed, in seconds.
+    :ivar on_news: called where others should hear at once of what a server said.
     """
 
     def __init__(
-        self, instances: fleet.Fleet, regions: dict[ids.DomainName, ids.RegionName]
+        self,
+        instances: fleet.Fleet,
+        regions: dict[ids.DomainName, ids.RegionName],
+        rest_seconds_max: float,
     ) -> None:
         self.limits = named_limits.NamedLimits()
+        self.rests = server_rests.ServerRests(rest_seconds_max)
+        self.leaving = leaving_servers.LeavingServers()
         self.on_news: collections.abc.Callable[[], None] = lambda: None
         self._fleet = instances
         self._regions = regions
@@ -36,6 +50,9 @@
         self._sight_until = -math.inf
         # Limits as they were logged last, and when.
         self._logged: dict[ids.BackendId, tuple[request_heads.LimitReport, float]] = {}
+        # When a rest of a server was logged last.
+        self._rest_logged_at: dict[ids.BackendId, float] = {}
+        self._news_at = -math.inf
 
     def apply_regions(self, regions: dict[ids.DomainName, ids.RegionName]) -> None:
         """Takes over a changed map of failure domains."""
@@ -71,21 +88,71 @@
                 events.log(events.Event.LIMIT_ENDED, backend=server)
         self._logged[server] = (report, now)
 
-    def note_told(self, now: float, told: dict[int, tuple[float | None, float]]) -> None:
-        """Learns limits and their ages from another instance."""
-        news = [self.limits.note_told(now, mark, *limit) for mark, limit in told.items()]
+    def note_rest(
+        self, now: float, server: ids.BackendId, report: request_heads.RestReport
+    ) -> None:
+        """Learns for how long a server wants nothing from this instance."""
+        if isinstance(report, request_heads.NoRest):
+            return
+        if self.rests.note_answer(now, server, report):
+            self._tell_soon(now)
+        if now < self._rest_logged_at.get(server, -math.inf) + LOG_SECONDS:
+            return
+        self._rest_logged_at[server] = now
+        match report:
+            case request_heads.NamedRest(seconds=seconds):
+                events.log(events.Event.SERVER_RESTS, backend=server, seconds=seconds)
+            case request_heads.UnreadableRest(text=text):
+                events.log(events.Event.REST_UNREADABLE, backend=server, text=text[:TEXT_MAX])
+
+    def note_leaving(self, now: float, server: ids.BackendId, mark: int) -> bool:
+        """Learns that a start of a server leaves, from its answer; tells whether it is news."""
+        if not self.leaving.note(now, mark):
+            return False
+        events.log(events.Event.SERVER_LEAVING, backend=server)
+        self._tell_soon(now)
+        return True
+
+    def note_told(
+        self,
+        now: float,
+        limits: dict[int, tuple[float | None, float]],
+        rests: dict[int, float],
+        leaving: dict[int, float],
+    ) -> bool:
+        """Learns what servers said to another instance; tells whether one leaves by that word.
+
+        :param limits: limits that they named, and how long ago, in seconds.
+        :param rests: rests that they asked for, in seconds left.
+        :param leaving: how long ago they said that they leave, in seconds.
+        """
+        news = [self.limits.note_told(now, mark, *limit) for mark, limit in limits.items()]
         if any(news):
             self.on_news()
+        for mark, seconds in rests.items():
+            self.rests.note_told(now, mark, seconds)
+        left = [self.leaving.note(now, mark, age) for mark, age in leaving.items()]
+        if any(left):
+            self._tell_soon(now)
+        return any(left)
 
     def restart(self, now: float, server: ids.BackendId) -> None:
         """Forgets what an earlier start of a server said."""
         self.limits.restart(now, server)
+        self.rests.forget(server)
 
     def forget(self, server: ids.BackendId) -> None:
         """Forgets a server that has left."""
         self._sends.forget(server)
         self.limits.forget(server)
+        self.rests.forget(server)
         self._logged.pop(server, None)
+        self._rest_logged_at.pop(server, None)
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no server has named a limit or a rest."""
+        return self.limits.is_empty and self.rests.is_empty
 
     def find_room_at(
         self, now: float, server: backend.BackendServer, cold: shared_bounds.Bound | None
@@ -95,7 +162,7 @@
         :param cold: what holds while the server is cold; None where it is not.
         :returns: infinite where this instance has no part of a bound.
         """
-        room_at = now
+        room_at = max(now, self.rests.find_end(server.backend))
         for bound in self._list_bounds(now, server, cold):
             sight = self._find_sight(now)
             place = self._places.find(server.backend, server.domain, sight, self._regions)
@@ -115,7 +182,13 @@
             return room_at - now
         # The parts of other instances come free one by one in the course of a window.
         bounds = self._list_bounds(now, server, cold)
-        return max(item.window / max(1, item.count) for item in bounds)
+        wait = max(item.window / max(1, item.count) for item in bounds)
+        return max(wait, self.rests.find_end(server.backend) - now)
+
+    def _tell_soon(self, now: float) -> None:
+        if now >= self._news_at + NEWS_SECONDS:
+            self._news_at = now
+            self.on_news()
 
     def _list_bounds(
         self, now: float, server: backend.BackendServer, cold: shared_bounds.Bound | None
--- a/testing/placement/test_named_limits.py
+++ b/testing/placement/test_named_limits.py
@@ -3,7 +3,7 @@
 import testtools
 from parameterized import parameterized
 
-from caperdyke.coordination.placement import named_limits
+from caperdyke.coordination.placement import named_limits, turn_order
 from caperdyke.state import ids, marks, request_heads
 
 SERVER = ids.BackendId("s1")
@@ -89,7 +89,7 @@
         told = set()
         for turn in range(7):
             found = limits.choose_to_tell(2.0 + turn)
-            self.assertTrue(len(found) <= named_limits.TOLD_MAX)
+            self.assertTrue(len(found) <= turn_order.TOLD_MAX)
             told |= found.keys()
         self.assertEqual({marks.make_mark(name) for name in names}, told)
 
--- a/testing/placement/test_server_bounds.py
+++ b/testing/placement/test_server_bounds.py
@@ -46,7 +46,7 @@
         ]
         self.fleets = [fleet.Fleet(record, fleet_views.REGIONS) for record in own]
         self.bounds = [
-            server_bounds.ServerBounds(item, fleet_views.REGIONS) for item in self.fleets
+            server_bounds.ServerBounds(item, fleet_views.REGIONS, 60.0) for item in self.fleets
         ]
         self.told_at = [NAMED_AT + self.random.uniform(0.2, delay) for _ in own]
         self.leaving: set[ids.InstanceId] = set()
@@ -105,7 +105,7 @@
             for item in self.bounds:
                 told = item.limits.choose_to_tell(self.now)
                 for other in self.bounds:
-                    other.note_told(self.now, told)
+                    other.note_told(self.now, told, {}, {})
 
     def _draw_arrivals(self) -> int:
         mean = self.rate * TICK_SECONDS
--- a/testing/platform/fleet_stage.py
+++ b/testing/platform/fleet_stage.py
@@ -123,6 +123,39 @@
             self.run_for(0.0)
             await self.ask(self.random.randrange(len(self.nodes)))
 
+    def tell_server_words(self, teller: int = 0) -> None:
+        """Lets a gateway tell all others what servers said of themselves."""
+        bounds = self.nodes[teller].bounds
+        words = (
+            bounds.limits.choose_to_tell(self.now),
+            bounds.rests.choose_to_tell(self.now),
+            bounds.leaving.choose_to_tell(self.now),
+        )
+        for number, node in enumerate(self.nodes):
+            if number != teller:
+                node.note_told(*words)
+
+    def register(
+        self,
+        server: fake_server.FakeServer,
+        change: int,
+        state: registration.RegistrationState = registration.RegistrationState.READY,
+        started_ms: int = 1,
+        era: int = 0,
+    ) -> None:
+        """Lets all gateways read a registration of a server that they know.
+
+        :param change: number of the change in the store's order.
+        """
+        for node in self.nodes:
+            known = node.servers.find(ids.BackendId(server.name))
+            entry = registration.Registration(
+                known.registration.server, state, started_ms, change, 0.0
+            )
+            if node.servers.merge(self.now, entry, store_rows.Position(era, change)):
+                node.restart_view(known.registration.server.backend)
+            node.refresh_servers()
+
     def close(self) -> None:
         """Closes the connections to servers."""
         for node in self.nodes:
--- a/testing/platform/soak_parts.py
+++ b/testing/platform/soak_parts.py
@@ -54,6 +54,8 @@
     """A backend server that works for a while and answers with the request's own body.
 
     :ivar on_run: called with the id of each request that it begins to work on.
+    :ivar on_arrival: called with the id of each request, the rest that its answer names, and
+        whether it says that the server leaves.
     :ivar work_seconds: time that a request takes.
     :ivar limit: requests a second that it names in its answers; None where it names none.
     """
@@ -67,6 +69,9 @@
         self.is_lying = False
         self.is_down = False
         self.limit: float | None = None
+        self.rest_seconds: float | None = None
+        self.says_leaving = False
+        self.on_arrival: collections.abc.Callable[[str, float | None, bool], None] | None = None
         self._count = 0
 
     async def _play(self, fault, seen, writer) -> bool:
@@ -75,14 +80,23 @@
             return False
         request = seen.headers.get("caperdyke-request-id", "")
         self._count += 1
-        if self.is_lying and self._count % 3 == 0:
+        if self.on_arrival is not None:
+            self.on_arrival(request, self.rest_seconds, self.says_leaving)
+        if self.rest_seconds is not None:
+            fault = "shed"
+        elif self.is_lying and self._count % 3 == 0:
             fault = ("shed", "error", "truncated", "earlier")[self._count // 3 % 4]
         if fault != "shed":
             self.on_run(request)
             await asyncio.sleep(self.work_seconds)
         self.body = make_body(request)
-        limit = [] if self.limit is None else [("Caperdyke-Server-Limit", str(self.limit))]
-        self.headers = limit
+        self.headers = []
+        if self.limit is not None:
+            self.headers.append(("Caperdyke-Server-Limit", str(self.limit)))
+        if self.rest_seconds is not None:
+            self.headers.append(("Retry-After", str(self.rest_seconds)))
+        if self.says_leaving:
+            self.headers.append(("Server-Leaving", "1"))
         return await super()._play(fault, seen, writer)
 
     async def write_entry(
--- a/testing/platform/test_headers.py
+++ b/testing/platform/test_headers.py
@@ -91,3 +91,47 @@
     )
     def test_limit(self, _name, raw, expected) -> None:
         self.assertEqual(expected, headers.read_server(200, raw).limit)
+
+    @parameterized.expand(
+        [
+            ("seconds", 503, [b"2"], request_heads.NamedRest(2.0)),
+            ("fraction", 503, [b"0.25"], request_heads.NamedRest(0.25)),
+            ("nothing", 503, [b"0"], request_heads.NamedRest(0.0)),
+            ("an hour", 503, [b"3600"], request_heads.NamedRest(3600.0)),
+            ("longest of several", 503, [b"1", b"4", b"2"], request_heads.NamedRest(4.0)),
+            ("readable one of two", 503, [b"soon", b"3"], request_heads.NamedRest(3.0)),
+            ("negative", 503, [b"-1"], request_heads.UnreadableRest("-1")),
+            ("no number", 503, [b"soon"], request_heads.UnreadableRest("soon")),
+            ("empty", 503, [b""], request_heads.UnreadableRest("")),
+            ("not finite", 503, [b"inf"], request_heads.UnreadableRest("inf")),
+            ("missing", 503, [], request_heads.NoRest()),
+            ("of a success", 200, [b"2"], request_heads.NoRest()),
+            ("of another failure", 429, [b"2"], request_heads.NoRest()),
+            (
+                "date",
+                503,
+                [b"Fri, 04 Dec 2026 10:00:07 GMT"],
+                request_heads.NamedRest(7.0),
+            ),
+            ("past", 503, [b"Fri, 04 Dec 2026 09:00:00 GMT"], request_heads.NamedRest(0.0)),
+        ]
+    )
+    def test_rest(self, _name, status, values, expected) -> None:
+        raw = [(b"date", b"Fri, 04 Dec 2026 10:00:00 GMT")]
+        raw += [(b"retry-after", value) for value in values]
+        for others in ([], [(b"caperdyke-not-executed", b"1")]):
+            self.assertEqual(expected, headers.read_server(status, raw + others).rest)
+
+    @parameterized.expand(
+        [
+            ("with the prefix", 200, [(b"caperdyke-server-leaving", b"1")], True),
+            ("without it", 503, [(b"server-leaving", b"1")], True),
+            ("in a 421", 421, [(b"server-leaving", b"1")], True),
+            ("twice", 200, [(b"server-leaving", b"0"), (b"server-leaving", b"1")], True),
+            ("taken back", 200, [(b"server-leaving", b"0")], False),
+            ("empty", 200, [(b"server-leaving", b" ")], False),
+            ("missing", 200, [], False),
+        ]
+    )
+    def test_leaving(self, _name, status, raw, expected) -> None:
+        self.assertEqual(expected, headers.read_server(status, raw).is_leaving)
--- a/testing/registry/test_announcements.py
+++ b/testing/registry/test_announcements.py
@@ -26,8 +26,9 @@
     changed = {table: store_rows.Position(2, 70_000) for table in announcements.FOLLOWED}
     reading = (40, store_rows.Position(2, 70_040))
     limits = {mark: (4.7, 0.25), mark + 1: (None, 12.0)} if record else {}
+    rests, leaving = ({mark: 2.5}, {mark + 2: 0.75}) if record else ({}, {})
     return announcements.Announcement(
-        mark, started, record, True, 250, changed, *reading, load, limits, False
+        mark, started, record, True, 250, changed, *reading, load, limits, rests, leaving, False
     )
 
 
--- a/testing/soak/test_checks.py
+++ b/testing/soak/test_checks.py
@@ -66,6 +66,28 @@
         ),
         "a named limit is kept",
     ),
+    (
+        "resting_server",
+        make_records(
+            make_attempt(),
+            arrivals=[
+                records.Arrival("r1", 3, 20.0, 3.0, False),
+                *(records.Arrival("r1", 3, 21.0 + n, None, False) for n in (0, 0.5, 1)),
+            ],
+        ),
+        "a named rest is kept",
+    ),
+    (
+        "said_leaving",
+        make_records(
+            make_attempt(),
+            arrivals=[
+                records.Arrival("r1", 3, 20.0, None, True),
+                records.Arrival("r1", 3, 23.0, None, False),
+            ],
+        ),
+        "a server that says it leaves",
+    ),
     ("leaving_server", make_records(make_attempt(), runs=[RUN], left={3: 17.0}), "a leaving"),
     ("cut_after_it_ran", make_records(CUT, runs=[RUN], stops=[STOP]), "a planned stop"),
     ("not_served", make_records(make_attempt(sent_at=61.0, status=503)), "service is back"),
