Count the check that a first failed reading is allowed

Cause: the test waited until the first failure was noted and then counted checks of the connection. The failure is noted before the reading returns, and the one check that it is allowed comes after that, so it was counted where the test was faster.

Ruled out: a second check by the product; the list held one entry in each of the five failures that were looked at.

Change: the check is counted from the start, the real one is called, and exactly one is expected over the same number of further tries. A second one fails the test as before, and now also one that never comes.

Conclusion: a race of the test, no fault of the product.

--- a/testing/platform/test_gateway_readings.py
+++ b/testing/platform/test_gateway_readings.py
@@ -155,13 +155,20 @@
             async with stage.open_stage() as played:
                 follower = played.gateway.follower
                 store = played.store
-                store.refuses_servers = True
-                await played.wait_until(lambda: follower.servers.away_since is not None)
                 cuts = []
-                follower.watch.check = lambda: cuts.append(follower.servers.away_since)
+                check = follower.watch.check
+
+                def count_check() -> None:
+                    cuts.append(follower.servers.away_since)
+                    check()
+
+                follower.watch.check = count_check
+                store.refuses_servers = True
+                # The first failure raises the question whether the connection is silent.
+                await played.wait_until(lambda: cuts)
                 tries = len(store.calls)
                 await played.wait_until(lambda: len(store.calls) > tries + 3)
-                self.assertEqual([], cuts)
+                self.assertEqual(1, len(cuts))
                 await store.put("op", "config", stage.make_configuration(2))
                 await played.wait_until(lambda: played.gateway.node.routes.version == 2)
 
