Keep the cost of a choice and of a tick flat as fleet and services grow

Cause: each instance did work that follows the size of the fleet and of the service again and again. Each request weighed all servers of its service (213); 20 times a second the load that all others told was added up anew and the mark of each server's name worked out; 10 times a second the position of every other instance was compared; which servers are near was worked out for each new object.

Ruled out: fewer or rarer announcements (load is told late already); a native hash (it would move every object and bring a dependency).

Change: the first 24 servers of an object's order are weighed, and all where none of these has room; a service of up to 24 is served as before. Sums of load follow the announcements that arrive. Positions are compared after news. Marks and near weights are kept. The context's orders and the words of servers got modules of their own.

--- a/src/caperdyke/coordination/placement/choice.py
+++ b/src/caperdyke/coordination/placement/choice.py
@@ -32,6 +32,9 @@
 # Costs that differ by less are equal but for rounding; the object's order decides then, so that it
 # does not leave its first home by chance. In seconds.
 TIE_SECONDS = 1e-6
+# Servers of a service that are weighed for one request, in the object's order: its homes, and some
+# others, of which one mostly has room. All are weighed only where none of these has.
+CANDIDATES_MAX = 24
 # Part of the remaining time that must be left when the answer is expected.
 SPARE_PART = 0.05
 # Silence after which a server is doubted: a multiple of the time that an object that is not warm
@@ -156,7 +159,10 @@
             continue
         cost = placed.expected + pressure * estimate.work
         cost += second_cost if place == 1 else 0.0
-        cost += _find_place_cost(candidate, place, times, far_cost)
+        if place >= len(WARM_CHANCES):
+            cost += HOME_PART * max(0.0, times.cold - times.warm)
+        if not candidate.is_near:
+            cost += far_cost
         if best is None or cost < best_cost - TIE_SECONDS:
             best, best_cost = placed, cost
     if best is not None:
@@ -307,15 +313,3 @@
     if any(item.is_near and item.view.is_warm(now, demand.key) for item in candidates):
         return demand.far_seconds
     return min(FAR_SECONDS, demand.far_seconds)
-
-
-def _find_place_cost(
-    candidate: Candidate, place: int, times: work_times.WorkTime, far_cost: float
-) -> float:
-    """Returns what a server costs beyond its time, in seconds."""
-    cost = 0.0
-    if place >= len(WARM_CHANCES):
-        cost += HOME_PART * max(0.0, times.cold - times.warm)
-    if not candidate.is_near:
-        cost += far_cost
-    return cost
--- a/src/caperdyke/coordination/placement/server_view.py
+++ b/src/caperdyke/coordination/placement/server_view.py
@@ -4,7 +4,7 @@
 import dataclasses
 import math
 
-from caperdyke.state import backend, ids
+from caperdyke.state import backend, ids, marks
 
 # Objects that are remembered for one server; more than servers are known to keep warm.
 OBJECTS_MAX = 64
@@ -52,6 +52,7 @@
     :param failing: part of the latest answers that failed.
     :param avoided_until: time until which the server gets no work of its own account.
     :param suspended_until: time until which no connection is opened.
+    :param mark: mark of the server's name.
     """
 
     server: backend.BackendServer
@@ -68,6 +69,10 @@
     warm_until: collections.OrderedDict[ids.ObjectKey, float] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
+    mark: int = 0
+
+    def __post_init__(self) -> None:
+        self.mark = marks.make_mark(self.server.backend)
 
     @property
     def busy(self) -> int:
--- a/src/caperdyke/coordination/registry/fleet.py
+++ b/src/caperdyke/coordination/registry/fleet.py
@@ -31,7 +31,6 @@
 
     :param trusted_until: time until which it counts as alive without further word.
     :param announce_at: time at which this instance tells it of itself again.
-    :param load: requests that it has in flight, by mark of the backend server.
     :param changed: position of the newest change that it knows of each table.
     :param read_at: time at which it read the registrations from the store.
     """
@@ -46,7 +45,6 @@
     changed: dict[store_rows.StoreTable, store_rows.Position] = dataclasses.field(
         default_factory=dict
     )
-    load: dict[int, int] = dataclasses.field(default_factory=dict)
 
 
 class Fleet:
@@ -107,6 +105,11 @@
             self._listens_since = max(self._listens_since, now)
         self._turn_at = now
 
+    def is_trusted(self, now: float, mark: int) -> bool:
+        """Tells whether an instance counts as alive without further word."""
+        known = self._others.get(self._names.get(mark, ids.InstanceId("")))
+        return known is not None and now < known.trusted_until
+
     def hear(
         self, now: float, mark: int, incarnation: ids.Incarnation, is_ready: bool, interval: float
     ) -> KnownInstance | None:
--- a/src/caperdyke/transport/gateway/announcer.py
+++ b/src/caperdyke/transport/gateway/announcer.py
@@ -7,7 +7,7 @@
 
 from caperdyke import errors
 from caperdyke.coordination import overlay
-from caperdyke.coordination.registry import fleet, intervals
+from caperdyke.coordination.registry import fleet, intervals, load_sums
 from caperdyke.protocol import announcements
 from caperdyke.state import ids, marks, member, store_rows
 from caperdyke.transport import events
@@ -21,6 +21,9 @@
 # Longest wait before the own row is looked for in a later era of the store, in seconds: the calls
 # of 750 instances, three each, stay under what the store serves.
 ENROL_SPREAD_SECONDS = 2.0
+# Interval between two looks at whether an instance was silent for so long that it is forgotten, in
+# seconds.
+FORGET_LOOK_SECONDS = 1.0
 # Instances that are told of a change at once.
 TELL_MAX = 12
 
@@ -39,6 +42,8 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._size = 150
         self._live: set[ids.InstanceId] = set()
+        self._load_sums = load_sums.LoadSums()
+        self._forget_at = 0.0
         # Position of the last change of each instance's row when it was read.
         self._row_changes: dict[ids.InstanceId, store_rows.Position] = {}
         self._removals: set[asyncio.Task] = set()
@@ -69,6 +74,7 @@
         if item.record is not None:
             node.fleet.merge(now, item.record)
         interval = item.interval_ms / 1000
+        heard_before = node.fleet.is_trusted(now, item.mark)
         known = node.fleet.hear(now, item.mark, item.incarnation, item.is_ready, interval)
         if known is None:
             if item.record is None:
@@ -76,9 +82,12 @@
                 self._introduce(ids.Address(f"{address[0]}:{address[1]}"))
             return
         node.provenance.others_word_at = now
-        known.load = item.load
-        known.changed = item.changed
-        node.note_told(item.limits, item.rests, item.leaving)
+        if known.record.state is member.MemberState.LIVE:
+            self._load_sums.replace(known.record.instance, item.load)
+        if not heard_before or known.changed != item.changed:
+            known.changed = item.changed
+            self._tables.peer_rows.note_news()
+        node.words.note_told(now, item.limits, item.rests, item.leaving)
         if item.read_age_ms >= 0:
             known.read_at = now - item.read_age_ms / 1000
             self._tables.note_reading(known, item.read_position)
@@ -91,15 +100,19 @@
         """Announces this instance, for ever."""
         while True:
             now = self._node.now()
-            self._node.fleet.note_turn(now)
             for other in self._node.fleet.list_others():
                 if now >= other.announce_at:
                     is_stranger = now >= other.trusted_until
                     self._send(now, other, is_stranger, is_stranger)
-            self._log_changes(now)
-            self._spread_load(now)
+            self.look_after_fleet(now)
             await asyncio.sleep(TICK_SECONDS)
 
+    def look_after_fleet(self, now: float) -> None:
+        """Brings what is known of the others, and of their load, up to date."""
+        self._node.fleet.note_turn(now)
+        self._log_changes(now)
+        self._spread_load(now)
+
     def tell_domain(self) -> None:
         """Announces this instance to those of its failure domain at once."""
         for other in self._node.fleet.list_mates(self._node.now()):
@@ -261,11 +274,7 @@
         node, own = self._node, self._node.fleet.own
         # An instance that leaves says so until it is gone.
         is_told = has_record or own.state is not member.MemberState.LIVE
-        load = {
-            marks.make_mark(name): view.in_flight
-            for name, view in node.views.items()
-            if view.in_flight
-        }
+        load = {view.mark: view.in_flight for view in node.views.values() if view.in_flight}
         return announcements.Announcement(
             marks.make_mark(own.instance),
             own.incarnation,
@@ -283,13 +292,11 @@
         )
 
     def _spread_load(self, now: float) -> None:
-        node = self._node
-        sums: dict[int, int] = {}
-        for other in node.fleet.list_live(now):
-            for mark, count in other.load.items():
-                sums[mark] = sums.get(mark, 0) + count
-        for name, view in node.views.items():
-            view.note_others(now, sums.get(marks.make_mark(name), 0))
+        find = self._load_sums.find
+        for view in self._node.views.values():
+            others = find(view.mark)
+            if others != view.others:
+                view.note_others(now, others)
 
     def _log_changes(self, now: float) -> None:
         live = {other.record.instance: other for other in self._node.fleet.list_live(now)}
@@ -302,7 +309,12 @@
             events.log(
                 events.Event.INSTANCE_CHANGED, instance=name, domain="", change="is silent or left"
             )
-        self._live = set(live)
+        if self._live != live.keys():
+            self._load_sums.keep_only(live)
+            self._live = set(live)
+        if now < self._forget_at:
+            return
+        self._forget_at = now + FORGET_LOOK_SECONDS
         for record in self._node.fleet.forget_silent(now):
             events.log(
                 events.Event.INSTANCE_CHANGED,
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -9,8 +9,8 @@
 
 from caperdyke.coordination.placement import (
     choice,
-    homes,
     retry_quota,
+    server_orders,
     server_view,
     shared_bounds,
     splits,
@@ -19,18 +19,15 @@
 from caperdyke.coordination.registry import first_reads, fleet, provenance, server_registry
 from caperdyke.protocol import dialect
 from caperdyke.state import (
-    backend,
     clock,
     gateway_settings,
     ids,
-    marks,
     member,
-    request_heads,
     routes,
 )
 from caperdyke.transport import events, metrics
 from caperdyke.transport.backends import pool
-from caperdyke.transport.gateway import server_bounds
+from caperdyke.transport.gateway import server_bounds, server_words
 
 # Round trip that is assumed for a failure domain before a connection was opened, in seconds.
 ROUND_TRIP_FIRST = 0.005
@@ -76,6 +73,9 @@
             self.fleet, checked.domains, checked.rest_seconds_max
         )
         bounds = checked.bounds
+        self.words = server_words.ServerWords(
+            self.bounds, self.servers, self.pool, self.refresh_servers
+        )
         self.retries = retry_quota.RetryQuota(
             bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window, now()
         )
@@ -88,9 +88,7 @@
         self.active_requests = 0
         self.is_stopping = False
         self._services: dict[ids.ServiceName, list[server_registry.RegisteredServer]] = {}
-        # Order of a service's servers for each object, and for large answers, until the set of
-        # servers changes.
-        self._orders: dict[tuple[ids.ServiceName, ids.ObjectKey, bool], list[homes.Place]] = {}
+        self._orders = server_orders.ServerOrders()
 
     def apply_settings(self, changed: gateway_settings.GatewaySettings) -> None:
         """Takes over changed limits and failure domains."""
@@ -130,11 +128,16 @@
         usable = [
             known
             for known in self.servers.list_usable(now)
-            if known.registration.server.domain not in self.evacuated and not self.is_leaving(known)
+            if known.registration.server.domain not in self.evacuated
+            and not self.words.is_leaving(known)
         ]
         services = server_registry.list_services(usable)
-        if _list_names(services) != _list_names(self._services):
-            self._orders.clear()
+        self._orders.apply_servers(
+            {
+                name: [known.registration.server for known in group]
+                for name, group in services.items()
+            }
+        )
         self._services = services
         for name in self.servers.forget_gone(now):
             self.views.pop(name, None)
@@ -169,12 +172,20 @@
         self.bounds.restart(self.now(), name)
 
     def list_candidates(
-        self, service: ids.ServiceName, key: ids.ObjectKey, route: routes.Route
+        self,
+        service: ids.ServiceName,
+        key: ids.ObjectKey,
+        route: routes.Route,
+        count_max: float = choice.CANDIDATES_MAX,
     ) -> list[choice.Candidate]:
-        """Returns the servers of a service that a request may go to now, in the object's order."""
+        """Returns servers of a service that a request may go to now, in the object's order.
+
+        :param count_max: how many at most, the first ones of that order.
+        """
         now = self.now()
         candidates = []
-        for place in self._order(service, key, route.kind is routes.RouteKind.DOWNLOAD):
+        is_large = route.kind is routes.RouteKind.DOWNLOAD
+        for place in self._orders.find(self.settings, service, key, is_large):
             server = place.server
             if route.homes and place.region not in route.homes:
                 continue
@@ -189,82 +200,10 @@
                     self.bounds.rests.is_spared(now, server.backend),
                 )
             )
+            if len(candidates) >= count_max:
+                break
         return candidates
 
-    def _order(
-        self, service: ids.ServiceName, key: ids.ObjectKey, is_large: bool
-    ) -> list[homes.Place]:
-        order = self._orders.get((service, key, is_large))
-        if order is None:
-            places = [
-                homes.Place(
-                    known.registration.server,
-                    self.settings.domains.get(known.registration.server.domain, ""),
-                )
-                for known in self._services.get(service, ())
-            ]
-            nearness = homes.Nearness(self.settings.domain, self.settings.region, is_large)
-            weight = homes.find_near_weight(nearness, places)
-            order = homes.order_places(key, nearness, weight, places)
-            self._orders[service, key, is_large] = order
-        return order
-
-    def note_server_word(
-        self,
-        server: backend.BackendServer,
-        about: request_heads.ServerHeaders,
-        sent_at: float,
-        is_own: bool,
-        is_success: bool,
-    ) -> None:
-        """Learns what an answer says of the server that sent it.
-
-        :param sent_at: time at which the request was sent.
-        :param is_own: whether it is the answer to that request.
-        """
-        now = self.now()
-        if about.is_misdirected:
-            if about.is_leaving:
-                self._note_leaving(now, self.servers.list_at(server.address, server.backend))
-            return
-        is_sound = is_own and about.is_signed and is_success
-        self.bounds.note_answer(now, server.backend, about.limit, sent_at, is_sound)
-        self.bounds.note_rest(now, server.backend, about.rest)
-        if about.is_leaving:
-            known = self.servers.find(server.backend)
-            self._note_leaving(now, [] if known is None else [known])
-        if about.cold_ms and is_own:
-            self.servers.note_cold(now, server.backend, about.cold_ms / 1000)
-
-    def note_told(
-        self,
-        limits: dict[int, tuple[float | None, float]],
-        rests: dict[int, float],
-        leaving: dict[int, float],
-    ) -> None:
-        """Learns what servers said of themselves to another instance."""
-        if self.bounds.note_told(self.now(), limits, rests, leaving):
-            self._drop_leaving(self.servers.list_all())
-
-    def is_leaving(self, known: server_registry.RegisteredServer) -> bool:
-        """Tells whether this start of a server says in its answers that it leaves."""
-        return not self.bounds.leaving.is_empty and self.bounds.leaving.holds(_mark_start(known))
-
-    def _note_leaving(self, now: float, found: list[server_registry.RegisteredServer]) -> None:
-        news = [
-            known
-            for known in found
-            if self.bounds.note_leaving(now, known.registration.server.backend, _mark_start(known))
-        ]
-        if news:
-            self._drop_leaving(news)
-
-    def _drop_leaving(self, servers: list[server_registry.RegisteredServer]) -> None:
-        for known in servers:
-            if self.is_leaving(known):
-                self.pool.drop(known.registration.server.backend)
-        self.refresh_servers()
-
     def is_cold(self, now: float, known: server_registry.RegisteredServer) -> bool:
         """Tells whether a server must be spared."""
         domain = known.registration.server.domain
@@ -302,7 +241,7 @@
 
         :returns: infinite where this instance has no part of what the server may get.
         """
-        if self.is_leaving(known):
+        if self.words.is_leaving(known):
             return math.inf
         is_cold = self.is_cold(now, known)
         if not is_cold and self.bounds.is_empty:
@@ -384,17 +323,3 @@
         terms, bounds = self._find_terms(known), self.settings.bounds
         rate = terms.cold_per_second if terms else 0.0
         return shared_bounds.bound_cold_start(rate, bounds.cold_factor, bounds.cold_allowance)
-
-
-def _mark_start(known: server_registry.RegisteredServer) -> int:
-    entry = known.registration
-    return marks.make_start_mark(entry.server.backend, entry.started_ms)
-
-
-def _list_names(
-    services: dict[ids.ServiceName, list[server_registry.RegisteredServer]],
-) -> dict[ids.ServiceName, list[backend.BackendServer]]:
-    return {
-        service: [known.registration.server for known in group]
-        for service, group in services.items()
-    }
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -175,6 +175,9 @@
         candidates = node.list_candidates(service, demand.key, route)
         times = node.times.find(route.name, route.objective_ms / 1000)
         chosen = choice.choose(node.now(), demand, candidates, times)
+        if isinstance(chosen, choice.NoRoom) and len(candidates) >= choice.CANDIDATES_MAX:
+            candidates = node.list_candidates(service, demand.key, route, math.inf)
+            chosen = choice.choose(node.now(), demand, candidates, times)
         if isinstance(chosen, choice.NoRoom):
             return node.correct_room(chosen, route, service)
         return chosen
--- a/src/caperdyke/transport/gateway/peer_rows.py
+++ b/src/caperdyke/transport/gateway/peer_rows.py
@@ -41,12 +41,22 @@
         self._asks: set[asyncio.Task] = set()
         self._any_at = 0.0
         self._turn = 0
+        self._has_news = True
+
+    def note_news(self) -> None:
+        """Learns that another instance told of a position that it had not told before."""
+        self._has_news = True
 
     async def follow(self) -> None:
         """Asks whoever knows more, for ever."""
         while True:
             await asyncio.sleep(COMPARE_SECONDS)
             now = self._node.now()
+            # Own positions only grow: without news nobody is ahead who was not before.
+            is_ahead_possible = self._has_news or bool(self._behind_since)
+            if not is_ahead_possible and not self._is_cut_off(now):
+                continue
+            self._has_news = False
             live = self._node.fleet.list_live(now)
             address = self._find_ahead(now, live) or self._find_any(now, live)
             if address is not None and self._sources.may_ask(now):
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -197,7 +197,7 @@
             is_unnamed = not about.request_id and not about.is_signed
             is_own = is_unnamed or about.request_id == request.about.request_id
             is_success = head.status_code < SUCCESS_STATUS_END
-            node.note_server_word(server, about, sent_at, is_own, is_success)
+            node.words.note_answer(node.now(), server, about, sent_at, is_own, is_success)
             if is_own:
                 break
             # An answer to an earlier request; it belongs to nobody.
@@ -273,7 +273,7 @@
     ) -> None:
         server = placed.view.server.backend
         known = self._node.servers.find(server)
-        if known is not None and self._node.is_leaving(known):
+        if known is not None and self._node.words.is_leaving(known):
             used.close()
         elif used.finish():
             idle = _read_idle(found.get(b"keep-alive", b""))
--- a/testing/placement/replay.py
+++ b/testing/placement/replay.py
@@ -21,6 +21,8 @@
 NEAR_SECONDS = 0.25
 FAR_SECONDS = 1.4
 QUEUE_PER_SLOT = 3
+# Window in which the arrivals at one server are counted, in seconds.
+HERD_SECONDS = 0.1
 SLOW_FACTOR = 5.0
 # A caller comes back no later than this part of the time that it has left.
 RETRY_PART = 0.3
@@ -41,6 +43,14 @@
 
     :param per_second: requests a second at each moment of the day.
     :param parts: how the callers are spread over the regions.
+    :param gateways: gateways of each region.
+    :param near_seconds: interval in which a gateway hears of others of its region; ``far_seconds``
+        of all others.
+    :param has_shared_objects: whether all regions ask for the same objects.
+    :param skew: exponent of the popularity of objects; 0 where all are alike.
+    :param distance: seconds to a server of another region and back.
+    :param kept_warm: objects that a server keeps, those handled last.
+    :param sends_max: servers that one request may be sent to.
     :param warm: seconds of work for a warm object; ``cold`` for any other.
     :param crash: time at which a third of the servers end, and at which they are back, cold.
     :param limited: time from which on, and until which, one in ``limited_step`` servers takes
@@ -66,17 +76,39 @@
     limited: tuple[float, float] = (math.inf, math.inf)
     limited_step: int = 2
     limit: float = 4.0
+    gateways: int = 3
+    near_seconds: float = NEAR_SECONDS
+    far_seconds: float = FAR_SECONDS
+    has_shared_objects: bool = False
+    skew: float = 0.0
+    distance: float = 0.0
+    sends_max: int = 1
 
 
 @dataclasses.dataclass(slots=True)
 class Outcome:
-    """What callers got."""
+    """What callers got.
+
+    :param cold_runs: runs for an object that was not warm there; ``first_runs`` those for which
+        the server never had it.
+    :param late_cold: late answers to cold runs.
+    :param rejected: requests that a full server turned away.
+    :param far: requests that ran in another region.
+    :param herd_most: most arrivals at one server within ``HERD_SECONDS``.
+    :param busiest: runs of the busiest server, as a multiple of the mean.
+    """
 
     asked: int = 0
     in_time: int = 0
     late: int = 0
     refused: int = 0
     cold_runs: int = 0
+    first_runs: int = 0
+    late_cold: int = 0
+    rejected: int = 0
+    far: int = 0
+    herd_most: int = 0
+    busiest: float = 0.0
 
     @property
     def credit(self) -> float:
@@ -92,6 +124,9 @@
     running: int = 0
     waiting: collections.deque = dataclasses.field(default_factory=collections.deque)
     warm: collections.OrderedDict = dataclasses.field(default_factory=collections.OrderedDict)
+    known: set = dataclasses.field(default_factory=set)
+    arrivals: collections.deque = dataclasses.field(default_factory=collections.deque)
+    runs: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,6 +154,8 @@
     pending: server_view.Pending
     waits: bool
     is_known_warm: bool
+    tried: frozenset[ids.BackendId] = frozenset()
+    is_cold: bool = False
 
 
 class _Gateway:
@@ -139,7 +176,9 @@
         self.nearness = homes.Nearness(ids.DomainName(""), self.region, False)
         self.weight = homes.find_near_weight(self.nearness, places)
         self.homes = places
-        self.heard: dict[int, dict[ids.BackendId, int]] = {}
+        # Requests of others of the region, and of all others, when they were told last.
+        self.heard_near: dict[ids.BackendId, int] = {}
+        self.heard_far: dict[ids.BackendId, int] = {}
         self.orders: dict[ids.ObjectKey, list[homes.Place]] = {}
 
     def order(self, key: ids.ObjectKey) -> list[homes.Place]:
@@ -169,12 +208,14 @@
         self._gateways = [
             _Gateway(region, self._servers, f"{region}-{number}")
             for region in load.regions
-            for number in "123"
+            for number in range(1, load.gateways + 1)
         ]
         self._regions = {ids.DomainName(f"{region}-1"): region for region in load.regions}
         self._fleet = {
             gateway.name: ids.DomainName(f"{gateway.region}-1") for gateway in self._gateways
         }
+        weights = [1 / (number + 1) ** load.skew for number in range(load.objects)]
+        self._popularity = list(itertools.accumulate(weights))
         self._order = itertools.count()
         self._events: list[tuple] = []
         self.outcome = Outcome()
@@ -185,6 +226,8 @@
         while self._events:
             now, _, action, argument = heapq.heappop(self._events)
             action(now, argument)
+        runs = [server.runs for server in self._servers]
+        self.outcome.busiest = max(runs) * len(runs) / max(1, sum(runs))
         return self.outcome
 
     def _plan(self) -> None:
@@ -194,7 +237,7 @@
             region = self._random.choices(load.regions, load.parts)[0]
             near = [item for item in self._gateways if item.region == region]
             self._at(now, self._arrive, self._random.choice(near))
-        for interval, is_near in ((NEAR_SECONDS, True), (FAR_SECONDS, False)):
+        for interval, is_near in ((load.near_seconds, True), (load.far_seconds, False)):
             for step in range(int(load.seconds / interval)):
                 self._at(step * interval, self._spread, is_near)
         if load.crash[0] < load.seconds:
@@ -209,8 +252,14 @@
 
     def _arrive(self, now: float, gateway: _Gateway) -> None:
         self.outcome.asked += 1
-        number = self._random.randrange(self._load.objects)
-        key = ids.ObjectKey(f"{gateway.region}-{number}")
+        load = self._load
+        if load.skew:
+            number = self._random.choices(range(load.objects), cum_weights=self._popularity)[0]
+        else:
+            number = self._random.randrange(load.objects)
+        key = ids.ObjectKey(
+            str(number) if load.has_shared_objects else f"{gateway.region}-{number}"
+        )
         self._ask(now, (gateway, _Caller(key, now, now)))
 
     def _ask(self, now: float, asking: tuple[_Gateway, _Caller]) -> None:
@@ -229,14 +278,38 @@
 
     def _place(self, now: float, gateway: _Gateway, caller: _Caller) -> float | None:
         """Sends a request if a server has room; returns when to come back if none has."""
-        view, waits, retry_after = self._choose(now, gateway, caller)
-        if view is None:
-            return retry_after
-        server = gateway.servers[view.server.backend]
-        is_full = len(server.waiting) >= QUEUE_PER_SLOT * self._load.slots
-        if not server.is_up or is_full:
-            view.note_unreachable(now)
-            return choice.RETRY_MIN_SECONDS
+        tried: frozenset[ids.BackendId] = frozenset()
+        retry_after = None
+        while len(tried) < self._load.sends_max:
+            view, waits, retry_after = self._choose(now, gateway, caller, tried)
+            if view is None:
+                return retry_after
+            server = gateway.servers[view.server.backend]
+            self._note_arrival(now, server)
+            is_full = len(server.waiting) >= QUEUE_PER_SLOT * self._load.slots
+            if server.is_up and not is_full:
+                self._send(now, gateway, server, caller, waits)
+                return None
+            self.outcome.rejected += 1
+            tried |= {view.server.backend}
+            if self._load.sends_max == 1 or not server.is_up:
+                view.note_unreachable(now)
+            else:
+                view.note_load(now, server.running + len(server.waiting))
+                view.note_failure(now, 0.0)
+            retry_after = choice.RETRY_MIN_SECONDS
+        return retry_after
+
+    def _note_arrival(self, now: float, server: _Server) -> None:
+        server.arrivals.append(now)
+        while server.arrivals[0] <= now - HERD_SECONDS:
+            server.arrivals.popleft()
+        self.outcome.herd_most = max(self.outcome.herd_most, len(server.arrivals))
+
+    def _send(
+        self, now: float, gateway: _Gateway, server: _Server, caller: _Caller, waits: bool
+    ) -> None:
+        view = gateway.views[server.place.server.backend]
         pending = view.note_send(now)
         gateway.sends.note_send(now, view.server.backend)
         known = view.is_warm(now, caller.key)
@@ -245,9 +318,14 @@
             self._run(now, request)
         else:
             server.waiting.append(request)
-        return None
 
-    def _choose(self, now: float, gateway: _Gateway, caller: _Caller):
+    def _choose(
+        self,
+        now: float,
+        gateway: _Gateway,
+        caller: _Caller,
+        tried: frozenset[ids.BackendId] = frozenset(),
+    ):
         open_views = [
             view
             for view in gateway.views.values()
@@ -262,10 +340,28 @@
                 pair = self._random.choices(open_views, k=2) if open_views else []
                 return min(pair, key=lambda view: view.busy, default=None), False, retry_after
         candidates = [
-            choice.Candidate(gateway.views[place.server.backend], place.region == gateway.region, 0)
+            choice.Candidate(
+                gateway.views[place.server.backend],
+                place.region == gateway.region,
+                0.0 if place.region == gateway.region else self._load.distance,
+            )
             for place in gateway.order(caller.key)
             if self._may_send(now, gateway, place.server)
         ]
+        if len(candidates) > choice.CANDIDATES_MAX:
+            return self._choose_in_steps(now, gateway, caller, candidates, tried)
+        return self._choose_among(now, gateway, caller, candidates, tried)
+
+    def _choose_in_steps(self, now: float, gateway: _Gateway, caller: _Caller, candidates, tried):
+        """Weighs the first servers of the object's order, and all where none of these has room."""
+        few = candidates[: choice.CANDIDATES_MAX]
+        chosen = self._choose_among(now, gateway, caller, few, tried)
+        if chosen[0] is not None:
+            return chosen
+        return self._choose_among(now, gateway, caller, candidates, tried)
+
+    def _choose_among(self, now: float, gateway: _Gateway, caller: _Caller, candidates, tried):
+        retry_after = choice.RETRY_MIN_SECONDS
         load = self._load
         demand = choice.Demand(
             builders.SERVICE,
@@ -273,6 +369,7 @@
             caller.first_at + load.deadline,
             caller.received_at + load.objective,
             choice.FAR_SECONDS,
+            tried,
         )
         chosen = choice.choose(now, demand, candidates, gateway.times.find(ROUTE, load.objective))
         if isinstance(chosen, choice.NoRoom):
@@ -298,7 +395,12 @@
         server.running += 1
         key = request.caller.key
         is_warm = key in server.warm
+        request.is_cold = not is_warm
+        server.runs += 1
         self.outcome.cold_runs += not is_warm
+        self.outcome.first_runs += key not in server.known
+        server.known.add(key)
+        self.outcome.far += server.place.region != request.gateway.region
         server.warm[key] = True
         server.warm.move_to_end(key)
         if len(server.warm) > load.kept_warm:
@@ -313,9 +415,12 @@
         view = gateway.views[server.place.server.backend]
         view.note_end(request.pending)
         view.note_load(now, server.running + len(server.waiting))
-        took = now - request.caller.first_at
+        is_far = server.place.region != gateway.region
+        took = now - request.caller.first_at + (load.distance if is_far else 0.0)
         self.outcome.in_time += took <= load.objective
-        self.outcome.late += load.objective < took <= load.deadline
+        is_late = load.objective < took <= load.deadline
+        self.outcome.late += is_late
+        self.outcome.late_cold += is_late and request.is_cold
         ratio = None
         if not request.waits:
             worked = now - request.pending.sent_at
@@ -325,14 +430,23 @@
             self._run(now, server.waiting.popleft())
 
     def _spread(self, now: float, is_near: bool) -> None:
+        sums: dict[ids.RegionName, collections.Counter] = collections.defaultdict(
+            collections.Counter
+        )
+        for gateway in self._gateways:
+            for name, view in gateway.views.items():
+                if view.in_flight:
+                    sums[gateway.region][name] += view.in_flight
+        everywhere = sum(sums.values(), collections.Counter())
         for gateway in self._gateways:
-            for other in self._gateways:
-                if other is not gateway and (other.region == gateway.region) is is_near:
-                    gateway.heard[id(other)] = {
-                        name: view.in_flight for name, view in other.views.items()
-                    }
             for name, view in gateway.views.items():
-                view.note_others(now, sum(item[name] for item in gateway.heard.values()))
+                near = sums[gateway.region][name]
+                if is_near:
+                    gateway.heard_near[name] = near - view.in_flight
+                else:
+                    gateway.heard_far[name] = everywhere[name] - near
+                heard = gateway.heard_near.get(name, 0) + gateway.heard_far.get(name, 0)
+                view.note_others(now, heard)
 
     def _set_third(self, _now: float, is_up: bool) -> None:
         for server in self._servers[::3]:
--- a/testing/platform/fleet_stage.py
+++ b/testing/platform/fleet_stage.py
@@ -20,12 +20,14 @@
 START = 1000.0
 
 
-def make_route(kind: routes.RouteKind = routes.RouteKind.SAFE) -> routes.Route:
+def make_route(
+    kind: routes.RouteKind = routes.RouteKind.SAFE, has_affinity: bool = True
+) -> routes.Route:
     """Returns the route of all requests."""
     parts = (routes.RoutePart(SERVICE, 1.0),)
     name = ids.RouteName("r-read")
     return routes.Route(
-        name, stage.HOST, "/read/", kind, parts, 60_000.0, 600.0, 1, 3, True, frozenset()
+        name, stage.HOST, "/read/", kind, parts, 60_000.0, 600.0, 1, 3, has_affinity, frozenset()
     )
 
 
@@ -133,7 +135,7 @@
         )
         for number, node in enumerate(self.nodes):
             if number != teller:
-                node.note_told(*words)
+                node.words.note_told(self.now, *words)
 
     def register(
         self,
--- a/testing/platform/test_gateway_leaving.py
+++ b/testing/platform/test_gateway_leaving.py
@@ -63,8 +63,8 @@
                 node.refresh_servers()
                 gone.headers, gone.faults = LEAVING, ["misdirected"] * 9
                 await played.press(2.0, 50.0)
-                self.assertTrue(node.is_leaving(node.servers.find(heir.name)))
-                self.assertFalse(node.is_leaving(node.servers.find(gone.name)))
+                self.assertTrue(node.words.is_leaving(node.servers.find(heir.name)))
+                self.assertFalse(node.words.is_leaving(node.servers.find(gone.name)))
 
         self.play(scene)
 
@@ -135,7 +135,7 @@
                 async def open_slowly(address, timeout):
                     opened = await real_open(address, timeout)
                     if address == leaver.address:
-                        node._note_leaving(played.now, [known])
+                        node.words.note_leaving(played.now, [known])
                     return opened
 
                 node.pool.open = open_slowly
