Spread requests that concern no object over the servers

In the first six seconds one server got 207 requests against 23 on average; 201 of them concerned no object. Callers whose objects live there waited behind these.

Cause: a request without an object was ordered by the empty key, which has one order on all instances of a region, and the pull of an object towards its homes held for it too. All 195 instances sent such requests to the same server of their region.

Ruled out: late word of load.

Change: an instance takes 128 orders of its own by turns for such requests, near servers first as before, and no home draws them.

Test: one, ten and 68 instances with requests of that kind. Before, one of four servers in the failure domain got all 1,199; now none more than 1.5 times its part.

--- a/src/caperdyke/coordination/placement/affinity.py
+++ b/src/caperdyke/coordination/placement/affinity.py
@@ -6,6 +6,18 @@
 
 from caperdyke.state import ids
 
+# Orders by turns of one instance for requests that concern no object.
+SPREAD_ORDERS = 128
+
+
+def make_spread_key(instance: ids.InstanceId, turn: int) -> ids.ObjectKey:
+    """Returns what stands for the object in the order of a request that concerns none.
+
+    Pattern: many instances get requests without an object. With one order for all of these, they
+    all go to the same server; each instance has orders of its own and takes them by turns.
+    """
+    return ids.ObjectKey(f"{instance}#{turn % SPREAD_ORDERS}")
+
 
 @functools.lru_cache(maxsize=200_000)
 def score(key: ids.ObjectKey, server: ids.BackendId) -> float:
--- a/src/caperdyke/coordination/placement/choice.py
+++ b/src/caperdyke/coordination/placement/choice.py
@@ -147,7 +147,10 @@
         return NoRoom(RETRY_MAX_SECONDS if not candidates else RETRY_MIN_SECONDS * 3, True)
     pressure = _measure_pressure(open_candidates)
     far_cost = _find_far_cost(now, demand, open_candidates)
-    second_cost = _find_second_cost(now, demand, open_candidates[0], times, pressure)
+    has_homes = bool(demand.key)
+    second_cost = 0.0
+    if has_homes:
+        second_cost = _find_second_cost(now, demand, open_candidates[0], times, pressure)
     best: Placed | None = None
     best_cost = 0.0
     earliest_room = RETRY_MAX_SECONDS
@@ -159,7 +162,7 @@
             continue
         cost = placed.expected + pressure * estimate.work
         cost += second_cost if place == 1 else 0.0
-        if place >= len(WARM_CHANCES):
+        if has_homes and place >= len(WARM_CHANCES):
             cost += HOME_PART * max(0.0, times.cold - times.warm)
         if not candidate.is_near:
             cost += far_cost
--- a/src/caperdyke/coordination/placement/server_orders.py
+++ b/src/caperdyke/coordination/placement/server_orders.py
@@ -1,6 +1,6 @@
 """Orders of the servers of each service, for objects and for requests that concern none."""
 
-from caperdyke.coordination.placement import homes
+from caperdyke.coordination.placement import affinity, homes
 from caperdyke.state import backend, gateway_settings, ids
 
 Servers = dict[ids.ServiceName, list[backend.BackendServer]]
@@ -16,6 +16,8 @@
         self._places: dict[
             tuple[ids.ServiceName, bool], tuple[list[homes.Place], homes.Nearness, float]
         ] = {}
+        # Counts requests that concern no object.
+        self._turn = 0
 
     def clear(self) -> None:
         """Forgets all orders."""
@@ -40,6 +42,9 @@
         :param key: the object that it concerns; empty where there is none.
         :param is_large: whether answers are so large that each should stay in its failure domain.
         """
+        if not key:
+            self._turn += 1
+            key = affinity.make_spread_key(own.instance, self._turn)
         order = self._orders.get((service, key, is_large))
         if order is None:
             places, nearness, weight = self._find_places(own, service, is_large)
