Keep large objects once in each region where callers are turned away

Cause: large answers have a home in each failure domain. With nine of them and 35 objects each of the 21 servers got 14 to 30 objects and keeps 15. The copies push each other out, runs are cold, the service looks full, and callers are turned away.

Ruled out: homes by region from the start.

Change: when no server has room for a download, the instance takes the order by region for that service for two minutes, and chooses once more at once.

--- a/src/caperdyke/coordination/placement/server_orders.py
+++ b/src/caperdyke/coordination/placement/server_orders.py
@@ -1,9 +1,14 @@
 """Orders of the servers of each service, for objects and for requests that concern none."""
 
+import math
+
 from caperdyke.coordination.placement import affinity, homes
 from caperdyke.state import backend, gateway_settings, ids
 
 Servers = dict[ids.ServiceName, list[backend.BackendServer]]
+# How long a service that had no room for a request counts as too small to keep large objects once
+# in each failure domain, in seconds.
+SHORT_SECONDS = 120.0
 
 
 class ServerOrders:
@@ -16,9 +21,26 @@
         self._places: dict[
             tuple[ids.ServiceName, bool], tuple[list[homes.Place], homes.Nearness, float]
         ] = {}
+        self._short_until: dict[ids.ServiceName, float] = {}
         # Counts requests that concern no object.
         self._turn = 0
 
+    def note_no_room(self, now: float, service: ids.ServiceName) -> bool:
+        """Learns that no server had room for a request with a large answer.
+
+        Pattern: few servers keep few objects each, and nine failure domains each want a copy of
+        all. The copies push each other out, every second run is cold, and callers are turned away
+        though warm servers would be idle. A copy in each region is what there is room for.
+
+        :returns: whether the order is another one from now on.
+        """
+        is_news = not self._is_short(now, service)
+        self._short_until[service] = now + SHORT_SECONDS
+        return is_news
+
+    def _is_short(self, now: float, service: ids.ServiceName) -> bool:
+        return now < self._short_until.get(service, -math.inf)
+
     def clear(self) -> None:
         """Forgets all orders."""
         self._orders.clear()
@@ -32,6 +54,7 @@
 
     def find(
         self,
+        now: float,
         own: gateway_settings.GatewaySettings,
         service: ids.ServiceName,
         key: ids.ObjectKey,
@@ -40,8 +63,10 @@
         """Returns the servers of a service in the order in which they suit a request.
 
         :param key: the object that it concerns; empty where there is none.
-        :param is_large: whether answers are so large that each should stay in its failure domain.
+        :param is_large: whether answers are so large that each should stay in its failure domain,
+            where there is room.
         """
+        is_large = is_large and not self._is_short(now, service)
         if not key:
             self._turn += 1
             key = affinity.make_spread_key(own.instance, self._turn)
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -185,7 +185,7 @@
         now = self.now()
         candidates = []
         is_large = route.kind is routes.RouteKind.DOWNLOAD
-        for place in self._orders.find(self.settings, service, key, is_large):
+        for place in self._orders.find(now, self.settings, service, key, is_large):
             server = place.server
             if route.homes and place.region not in route.homes:
                 continue
@@ -204,6 +204,10 @@
                 break
         return candidates
 
+    def note_no_room(self, service: ids.ServiceName) -> bool:
+        """Learns that no server had room for a large answer; tells whether to choose once more."""
+        return self._orders.note_no_room(self.now(), service)
+
     def is_cold(self, now: float, known: server_registry.RegisteredServer) -> bool:
         """Tells whether a server must be spared."""
         domain = known.registration.server.domain
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -170,18 +170,27 @@
         tried: set[ids.BackendId],
         trace: verdicts.RequestTrace,
     ) -> choice.Choice:
-        node = self._node
         demand = self._make_demand(request, route, service, frozenset(tried), trace)
-        candidates = node.list_candidates(service, demand.key, route)
-        times = node.times.find(route.name, route.objective_ms / 1000)
-        chosen = choice.choose(node.now(), demand, candidates, times)
-        if isinstance(chosen, choice.NoRoom) and len(candidates) >= choice.CANDIDATES_MAX:
-            candidates = node.list_candidates(service, demand.key, route, math.inf)
-            chosen = choice.choose(node.now(), demand, candidates, times)
+        chosen = self._choose_for(demand, route)
+        is_large = route.kind is routes.RouteKind.DOWNLOAD
+        is_full = isinstance(chosen, choice.NoRoom) and not chosen.is_empty
+        if is_full and is_large and self._node.note_no_room(service):
+            chosen = self._choose_for(demand, route)
         if isinstance(chosen, choice.NoRoom):
-            return node.correct_room(chosen, route, service)
+            return self._node.correct_room(chosen, route, service)
         return chosen
 
+    def _choose_for(self, demand: choice.Demand, route: routes.Route) -> choice.Choice:
+        """Weighs the first servers of the order, and all where none of these has room."""
+        node = self._node
+        times = node.times.find(route.name, route.objective_ms / 1000)
+        candidates = node.list_candidates(demand.service, demand.key, route)
+        chosen = choice.choose(node.now(), demand, candidates, times)
+        if isinstance(chosen, choice.Placed) or len(candidates) < choice.CANDIDATES_MAX:
+            return chosen
+        candidates = node.list_candidates(demand.service, demand.key, route, math.inf)
+        return choice.choose(node.now(), demand, candidates, times)
+
     def _learn(
         self,
         request: sender.CallerRequest,
