Log why no server is selected and what is known of the path to all servers

Callers saw 503 "no room in time" and "servers refused" at instances that had reached no server at all. The log could not tell a lost path from full servers, nor a hanging kept connection from one that did not open.

Failed requests (5101) now carry `path`: the servers of the service by status, how many servers and failure domains failed to connect since one last opened, and the ages of the last opened connection and the last byte. A broken or late send says whether its connection was kept or new. Selection is unchanged; its reasons became an enumeration.

--- a/src/caperdyke/coordination/placement/selection.py
+++ b/src/caperdyke/coordination/placement/selection.py
@@ -242,9 +242,8 @@
 
 def _is_eligible(now: float, candidate: Candidate, needs: Requirements) -> bool:
     view = candidate.view
-    is_paused = now < view.avoided_until or now < view.suspended_until
-    is_usable = not is_paused and not view.is_unresponsive(now)
-    return is_usable and view.server.backend not in needs.tried
+    is_open = view.find_status(now) is server_view.ServerStatus.OPEN
+    return is_open and view.server.backend not in needs.tried
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/caperdyke/coordination/placement/server_view.py
+++ b/src/caperdyke/coordination/placement/server_view.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import enum
 import math
 
 from caperdyke.state import backend, ids, name_hashes
@@ -27,6 +28,15 @@
 REPORTED_LOAD_S = 0.25
 
 
+class ServerStatus(enum.Enum):
+    """Whether a server may be selected, and why not."""
+
+    OPEN = "open"
+    AVOIDED = "avoided"
+    SUSPENDED = "suspended"
+    UNRESPONSIVE = "unresponsive"
+
+
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class PendingRequest:
     """A request in flight.
@@ -137,6 +147,16 @@
         oldest = self.pending[0]
         return now >= oldest.due_at and self.last_activity_at < oldest.sent_at
 
+    def find_status(self, now: float) -> ServerStatus:
+        """Returns whether the server may be selected, and why not."""
+        if now < self.suspended_until:
+            return ServerStatus.SUSPENDED
+        if now < self.avoided_until:
+            return ServerStatus.AVOIDED
+        if self.is_unresponsive(now):
+            return ServerStatus.UNRESPONSIVE
+        return ServerStatus.OPEN
+
     def record_answer(self, now: float, key: ids.ObjectKey, relative_time: float | None) -> None:
         """Records a good answer.
 
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -1,6 +1,7 @@
 """State that the tasks of one gateway share."""
 
 import asyncio
+import collections
 import collections.abc
 import dataclasses
 import math
@@ -10,6 +11,7 @@
 from caperdyke.coordination.placement import (
     processing_times,
     selection,
+    server_path,
     server_rankings,
     server_view,
     shared_bounds,
@@ -70,6 +72,7 @@
         # Time until which servers count as cold, by failure domain whose evacuation has ended.
         self.cold_domains: dict[ids.DomainName, float] = {}
         self.views: dict[ids.BackendId, server_view.ServerView] = {}
+        self.path = server_path.ServerPath()
         self.pool = pool.ConnectionPool(now)
         self.splits = traffic_splits.WeightedRoundRobin()
         self.times = processing_times.ProcessingTimes()
@@ -154,6 +157,19 @@
             return -1
         return round((self.now() - self.registrations_at) * 1000)
 
+    def describe_path(self, service: ids.ServiceName) -> dict[str, int]:
+        """Returns why servers of a service are not selected, and the path to all servers.
+
+        :returns: number of servers by status, and the observations of ``ServerPath``.
+        """
+        now = self.now()
+        views = [
+            self.views.get(registered.registration.server.backend)
+            for registered in self._services.get(service, ())
+        ]
+        statuses = collections.Counter(view.find_status(now).value for view in views if view)
+        return dict(statuses) | self.path.describe(now)
+
     def find_view(self, name: ids.BackendId) -> server_view.ServerView | None:
         """Returns the observations of a server, or None if the server is not registered."""
         registered = self.servers.find(name)
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -233,6 +233,7 @@
         extra_fields = {}
         if status >= ERROR_STATUS_MIN:
             extra_fields["knowledge"] = node.provenance.describe(node.now())
+            extra_fields["path"] = node.describe_path(trace.service)
         events.log(
             events.Event.REQUEST_ENDED,
             request=trace.request_id,
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -138,12 +138,15 @@
         if time_left <= 0:
             return Failure(FailureKind.NOT_SENT, "no time left")
         conn = node.pool.acquire(server.backend)
+        is_kept = conn is not None
         if conn is None:
             opened_at = node.now()
             try:
                 conn = await node.pool.open(server.address, time_left)
             except errors.BackendFailedError as error:
+                node.path.record_open_failed(server)
                 return Failure(FailureKind.UNREACHABLE, str(error))
+            node.path.record_opened(node.now())
             node.record_round_trip(server.domain, node.now() - opened_at)
         # Conditions may have changed meanwhile: opening a connection takes up to half a second.
         reason = self._find_obstacle(request, server)
@@ -157,9 +160,10 @@
             is_done = True
             return result
         except errors.BackendFailedError as error:
-            return Failure(FailureKind.BROKEN, str(error))
+            return Failure(FailureKind.BROKEN, f"{error}, on {_describe_connection(is_kept)}")
         except TimeoutError:
-            return Failure(FailureKind.LATE, "no answer by the deadline")
+            detail = f"no answer by the deadline, on {_describe_connection(is_kept)}"
+            return Failure(FailureKind.LATE, detail)
         finally:
             if not is_done:
                 conn.close()
@@ -187,6 +191,7 @@
         for _ in range(SKIPPED_ANSWERS_MAX + 1):
             head = await conn.read_head()
             placed.view.record_activity(node.now())
+            node.path.record_received(node.now())
             raw_headers = [(bytes(name), bytes(value)) for name, value in head.headers]
             self._header_log.log_new_names(server.backend, raw_headers)
             fields = node.headers.parse_server_headers(head.status_code, raw_headers)
@@ -282,6 +287,10 @@
             self._node.pool.release(server, conn, idle)
 
 
+def _describe_connection(is_kept: bool) -> str:
+    return "a kept connection" if is_kept else "a new connection"
+
+
 async def _read_chunk_until(
     conn: connection.ServerConnection, ends_at: float, now: collections.abc.Callable[[], float]
 ) -> bytes | None:
