--- /dev/null
+++ b/testing/platform/live_fleet.py
@@ -0,0 +1,150 @@
+"""Whole gateways on loopback sockets and a simulated clock, with fake servers and a fake store."""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+
+import aiosonic
+
+from caperdyke.platform import documents, headers, store
+from caperdyke.state import ids
+from caperdyke.transport.gateway import context, node
+from testing import servers
+from testing.platform import fake_server, fake_store, harness, path_cuts
+
+DOMAINS = {"hall-1": "north", "hall-2": "north", "hall-3": "south"}
+WAIT_SECONDS = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerAnswer:
+    """What a caller got.
+
+    :param took_s: seconds from the request to the whole answer.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    took_s: float
+
+
+class LiveFleet:
+    """Gateways that share a store and servers.
+
+    :ivar nodes: state of each gateway.
+    """
+
+    def __init__(self) -> None:
+        self.store = fake_store.FakeStore()
+        self.servers: list[fake_server.FakeServer] = []
+        self.nodes: list[context.GatewayContext] = []
+        self._numbers = itertools.count(1)
+        self._client = aiosonic.HTTPClient(handle_cookies=False)
+
+    async def send_request(
+        self, number: int, path: str = "/read/1", method: str = "GET", **options
+    ) -> CallerAnswer:
+        """Sends a caller's request to one gateway.
+
+        :param options: ``body``, ``wait_ms``, ``request_id`` and ``key`` of the request.
+        """
+        serial = next(self._numbers)
+        request_headers = {
+            "Host": harness.HOST,
+            "Caperdyke-Request-Id": options.get("request_id", f"request-{serial}"),
+            "Caperdyke-Request-Deadline": str(options.get("wait_ms", 3000)),
+            "Cookie": f"Caperdyke-Affinity-Key={options.get('key', serial % 20)}",
+        }
+        address = self.nodes[number].settings.caller_address
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        response = await self._client.request(
+            f"http://{address}{path}",
+            method,
+            headers=request_headers,
+            data=options.get("body") or None,
+        )
+        body = await response.content()
+        response_headers = {name.lower(): value for name, value in response.headers.items()}
+        return CallerAnswer(response.status_code, response_headers, body, loop.time() - sent_at)
+
+    async def send_load(self, number: int, seconds: float, per_second: float) -> list[CallerAnswer]:
+        """Sends requests to one gateway at even intervals, and returns all answers."""
+        tasks = []
+        for _ in range(round(seconds * per_second)):
+            tasks.append(asyncio.create_task(self.send_request(number)))
+            await asyncio.sleep(1 / per_second)
+        return await asyncio.gather(*tasks)
+
+    async def look_up(self, number: int, domain: str) -> list[str]:
+        """Returns the addresses that a gateway names to callers of a failure domain."""
+        address = self.nodes[number].settings.lookup_address
+        query = f"name={harness.HOST}&region={DOMAINS[domain]}&zone={domain}"
+        response = await self._client.get(f"http://{address}/caperdyke/resolve?{query}")
+        return (await response.json())["addresses"]
+
+    def cut(self, number: int, manner: path_cuts.CutManner) -> path_cuts.PathCut:
+        """Cuts one gateway off from all servers."""
+        return path_cuts.PathCut(self.nodes[number], manner)
+
+    def count_runs(self) -> int:
+        """Returns how many requests the servers got."""
+        return sum(len(server.requests) for server in self.servers)
+
+    async def wait_until(self, condition) -> None:
+        """Polls a condition until it holds, for a bounded simulated time."""
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def close(self) -> None:
+        """Closes the callers' connections."""
+        await self._client.aclose()
+
+
+@contextlib.asynccontextmanager
+async def start_fleet(gateway_domains: list[str], servers_per_domain: int = 2, **configuration):
+    """Runs gateways until all are ready and know each other, and yields them.
+
+    :param gateway_domains: failure domain of each gateway.
+    :param configuration: fields of the configuration to replace.
+    """
+    fleet = LiveFleet()
+    clock = asyncio.get_running_loop().time
+    async with contextlib.AsyncExitStack() as stack:
+        stack.push_async_callback(fleet.close)
+        store_address = await stack.enter_async_context(servers.serve_app(fleet.store.make_app()))
+        await fleet.store.put("op", "config", harness.make_configuration(**configuration))
+        for domain in DOMAINS:
+            for number in range(servers_per_domain):
+                server = fake_server.FakeServer(f"{domain}-s{number}")
+                fleet.servers.append(await stack.enter_async_context(server.listen()))
+                await fleet.store.put("servers", server.name, server.register("reader", domain))
+        for number, domain in enumerate(gateway_domains):
+            node_settings = harness.replace_settings(
+                harness.make_settings(store_address),
+                instance=ids.InstanceId(f"gateway-{number}"),
+                domain=ids.DomainName(domain),
+                region=ids.RegionName(DOMAINS[domain]),
+                domains=DOMAINS,
+            )
+            shared = context.GatewayContext(
+                node_settings, headers, documents, store.Store(store_address), clock
+            )
+            fleet.nodes.append(shared)
+            gateway = node.GatewayNode(shared, harness.make_platform_apps)
+            running = asyncio.create_task(gateway.run(asyncio.Event()))
+            stack.push_async_callback(_cancel, running)
+        count = len(gateway_domains)
+        await fleet.wait_until(lambda: all(item.fleet.is_ready for item in fleet.nodes))
+        await fleet.wait_until(
+            lambda: all(len(item.fleet.list_live(clock())) == count - 1 for item in fleet.nodes)
+        )
+        yield fleet
+
+
+async def _cancel(task: asyncio.Task) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
