--- a/src/caperdyke/coordination/placement/server_path.py
+++ b/src/caperdyke/coordination/placement/server_path.py
@@ -1,10 +1,29 @@
-"""What this instance has observed of its network path to the backend servers as a whole."""
+"""Whether this instance has a network path to the backend servers as a whole."""
 
 import dataclasses
 import math
 
 from caperdyke.state import backend, ids
 
+# Servers, and failure domains of servers, to which connections must fail in a row before the path
+# counts as lost. Where fewer are registered, all of them must fail.
+FAILED_SERVERS_MIN = 3
+FAILED_DOMAINS_MIN = 2
+# How long a failure to connect counts.
+FAILURE_MEMORY_S = 3.0
+# Silence of all servers, after requests to several of them, from which on the path is probed.
+SILENCE_S = 0.4
+# While no new connection opens, kept connections are used only if a server has sent something
+# within the longer time, and no request has waited longer than the shorter one without any sign.
+KEPT_RECEIVED_S = 1.0
+KEPT_SILENCE_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _FailedOpen:
+    domain: ids.DomainName
+    failed_at: float
+
 
 @dataclasses.dataclass(slots=True)
 class ServerPath:
@@ -12,35 +31,92 @@
 
     Pattern: an instance loses its path to all servers while callers and other instances still
     reach it. Seen from one server at a time, this looks as if each server had failed by itself.
+    Only connections that do not open prove a loss: servers may be slow, but one that is up accepts
+    connections. Kept connections may live on meanwhile.
 
-    :param failed: servers to which connections failed since one was last opened to any server,
-        with their failure domains.
+    :param is_lost: whether no new connections can be opened to any server.
+    :param lost_at: time at which the path was last lost.
+    :param servers: number of registered servers.
+    :param domains: number of failure domains with a registered server.
     :param last_opened_at: time at which a connection was last opened.
     :param last_received_at: time at which any server last sent anything.
     """
 
-    failed: dict[ids.BackendId, ids.DomainName] = dataclasses.field(default_factory=dict)
+    is_lost: bool = False
+    lost_at: float = -math.inf
+    servers: int = 0
+    domains: int = 0
     last_opened_at: float = -math.inf
     last_received_at: float = -math.inf
+    _failed: dict[ids.BackendId, _FailedOpen] = dataclasses.field(default_factory=dict)
+    # First request to each server since any of them last sent something.
+    _unanswered: dict[ids.BackendId, float] = dataclasses.field(default_factory=dict)
+
+    def apply_servers(self, servers: int, domains: int) -> None:
+        """Updates the number of registered servers and of their failure domains."""
+        self.servers, self.domains = servers, domains
 
     def record_opened(self, now: float) -> None:
         """Records that a connection to a server was opened."""
         self.last_opened_at = now
-        self.failed.clear()
+        self.is_lost = False
+        self._failed.clear()
+        self._unanswered.clear()
+
+    def record_open_failed(
+        self, now: float, server: backend.BackendServer, started_at: float
+    ) -> None:
+        """Records that a connection to a server was refused or did not open in time.
 
-    def record_open_failed(self, server: backend.BackendServer) -> None:
-        """Records that a connection to a server was refused or did not open in time."""
-        self.failed[server.backend] = server.domain
+        :param started_at: time at which the attempt began. It proves nothing if another connection
+            was opened since.
+        """
+        if started_at < self.last_opened_at:
+            return
+        self._failed[server.backend] = _FailedOpen(server.domain, now)
+        recent = [item for item in self._failed.values() if now < item.failed_at + FAILURE_MEMORY_S]
+        are_several = len(recent) >= min(FAILED_SERVERS_MIN, max(1, self.servers))
+        failed_domains = {item.domain for item in recent}
+        if not self.is_lost and are_several:
+            self.is_lost = len(failed_domains) >= min(FAILED_DOMAINS_MIN, max(1, self.domains))
+            self.lost_at = now if self.is_lost else self.lost_at
+
+    def record_sent(self, now: float, server: ids.BackendId) -> None:
+        """Records that a request was sent to a server."""
+        self._unanswered.setdefault(server, now)
 
     def record_received(self, now: float) -> None:
         """Records that a server sent something."""
         self.last_received_at = now
+        self._unanswered.clear()
+
+    def is_suspect(self, now: float) -> bool:
+        """Returns whether the path should be probed.
+
+        Pattern: connections hang without a reset. Requests disappear on kept connections, and no
+        new one is opened that would reveal the loss. A silence of fewer servers proves little, as
+        each of them may be slow.
+        """
+        if self.is_lost or len(self._unanswered) < FAILED_SERVERS_MIN:
+            return False
+        return now >= min(self._unanswered.values()) + SILENCE_S
+
+    def can_use_kept(self, now: float) -> bool:
+        """Returns whether kept connections carry requests.
+
+        Pattern: connections that are open live on while new ones are refused.
+        """
+        if not self.is_lost:
+            return True
+        if now >= self.last_received_at + KEPT_RECEIVED_S:
+            return False
+        return not self._unanswered or now < min(self._unanswered.values()) + KEPT_SILENCE_S
 
     def describe(self, now: float) -> dict[str, int]:
         """Returns the observations for log lines; times in milliseconds, -1 if there is none."""
         return {
-            "failed_servers": len(self.failed),
-            "failed_domains": len(set(self.failed.values())),
+            "failed_servers": len(self._failed),
+            "failed_domains": len({item.domain for item in self._failed.values()}),
             "opened_ms": _compute_age_ms(now, self.last_opened_at),
             "received_ms": _compute_age_ms(now, self.last_received_at),
         }
--- a/src/caperdyke/coordination/placement/server_view.py
+++ b/src/caperdyke/coordination/placement/server_view.py
@@ -200,13 +200,17 @@
         self.connect_failures += 1
         self.suspended_until = now + suspension_s
 
+    def clear_failures(self) -> None:
+        """Discards failures whose cause was the path of this instance, not the server."""
+        self.avoided_until = 0.0
+        self.suspended_until = 0.0
+        self.connect_failures = 0
+
     def reset(self) -> None:
         """Discards all observations that do not apply to a server that was restarted."""
         self.slowdown = 1.0
         self.failure_ratio = 0.0
-        self.avoided_until = 0.0
-        self.suspended_until = 0.0
-        self.connect_failures = 0
+        self.clear_failures()
         self.warm_until.clear()
 
     def find_oldest_send_time(self) -> float | None:
--- a/src/caperdyke/coordination/registry/fleet.py
+++ b/src/caperdyke/coordination/registry/fleet.py
@@ -1,5 +1,6 @@
 """The instances of the system: which are alive, and which ones a caller should use."""
 
+import collections.abc
 import dataclasses
 import math
 
@@ -21,6 +22,9 @@
 PAUSE_MIN_SECONDS = 1.0
 # Interval of announcements to a silent instance that the store lists.
 SILENT_PEER_RETRY_SECONDS = 3.0
+# Instances without a path to the servers for each instance with one, up to which a group of
+# instances serves the callers of all. A larger group is used above that, if there is one.
+STRANDED_PER_INSTANCE_MAX = 2.0
 # Time of silence after which an instance is removed.
 SILENT_PEER_EXPIRY_SECONDS = 60.0
 
@@ -29,6 +33,7 @@
 class PeerInstance:
     """Another instance, from its record and its announcements; times are in seconds.
 
+    :param has_path: whether it can open connections to backend servers.
     :param alive_until: time until which it counts as alive without a further announcement.
     :param last_seen_at: time of its latest announcement.
     :param first_seen_at: time at which this start of the instance was added.
@@ -39,6 +44,7 @@
 
     record: member.Member
     is_ready: bool = False
+    has_path: bool = True
     alive_until: float = 0.0
     last_seen_at: float = 0.0
     first_seen_at: float = 0.0
@@ -62,6 +68,7 @@
     def __init__(self, own: member.Member, regions: dict[ids.DomainName, ids.RegionName]) -> None:
         self.own = own
         self.is_ready = False
+        self.has_path = True
         self._regions = regions
         self._peers: dict[ids.InstanceId, PeerInstance] = {}
         # Names by the hash that replaces them in announcements.
@@ -123,16 +130,19 @@
         incarnation: ids.Incarnation,
         is_ready: bool,
         interval: float,
+        has_path: bool = True,
     ) -> PeerInstance | None:
         """Records an announcement; returns None where there is no record of this incarnation.
 
         :param name_hash: hash of the sender's name.
         :param interval: time until the sender's next announcement, in seconds.
+        :param has_path: whether the sender can open connections to backend servers.
         """
         peer = self._peers.get(self._names_by_hash.get(name_hash, ids.InstanceId("")))
         if peer is None or incarnation != peer.record.incarnation:
             return None
         peer.is_ready = is_ready
+        peer.has_path = has_path
         peer.last_seen_at = now
         peer.alive_until = now + max(SILENCE_MIN_SECONDS, LOST_ANNOUNCEMENTS_MAX * interval)
         return peer
@@ -228,19 +238,69 @@
 
         Pattern: callers choose one of the addresses at random, so each distant address in the
         answer adds its latency to the requests. A failure domain without ready instances falls back
-        to its region, and a region without ready instances to all instances.
+        to its region, and a region without ready instances to all instances. Instances without a
+        path to the servers are left out as long as any other is ready.
 
         :param domain: failure domain of the caller.
         :param region: region of the caller.
         :param count_max: maximum number of addresses.
         """
-        ready = [peer.record for peer in self.list_live(now) if peer.is_ready]
+        ready = [peer for peer in self.list_live(now) if peer.is_ready]
         if self.is_ready and self.own.state is member.MemberState.LIVE:
-            ready.append(self.own)
-        groups = (
-            [record for record in ready if record.domain == domain],
-            [record for record in ready if self._regions.get(record.domain) == region],
-            ready,
+            ready.append(PeerInstance(self.own, self.is_ready, self.has_path))
+        groups = self._list_groups(ready, domain, region)
+        chosen = _choose_connected(groups) or next((group for group in groups if group), [])
+        return [peer.record.caller_address for peer in chosen[:count_max]]
+
+    def list_relays(
+        self,
+        now: float,
+        homes: frozenset[ids.RegionName] = frozenset(),
+        excluded: collections.abc.Set[ids.InstanceId] = frozenset(),
+    ) -> list[PeerInstance]:
+        """Returns the instances that may serve requests for this one, which has no path.
+
+        Pattern: one, most or all instances of a failure domain lose their path to the servers. The
+        callers of all of them are served by the nearest instances that are not too few.
+
+        :param homes: regions to which the request is restricted; empty if it is not.
+        :param excluded: instances that cannot be used.
+        """
+        ready = [
+            peer
+            for peer in self.list_live(now)
+            if peer.is_ready
+            and peer.record.instance not in excluded
+            and (not homes or self._regions.get(peer.record.domain) in homes)
+        ]
+        ready.append(PeerInstance(self.own, self.is_ready, has_path=False))
+        own_region = self._regions.get(self.own.domain, ids.RegionName(""))
+        return _choose_connected(self._list_groups(ready, self.own.domain, own_region))
+
+    def has_host(self, host: str) -> bool:
+        """Returns whether any other instance has this host in its peer address."""
+        return any(
+            peer.record.peer_address.rpartition(":")[0] == host for peer in self._peers.values()
+        )
+
+    def _list_groups(
+        self, instances: list[PeerInstance], domain: ids.DomainName, region: ids.RegionName
+    ) -> tuple[list[PeerInstance], ...]:
+        """Returns the instances of a failure domain, of its region, and all, in this order."""
+        return (
+            [item for item in instances if item.record.domain == domain],
+            [item for item in instances if self._regions.get(item.record.domain) == region],
+            instances,
         )
-        chosen = next((group for group in groups if group), [])
-        return [record.caller_address for record in chosen[:count_max]]
+
+
+def _choose_connected(groups: tuple[list[PeerInstance], ...]) -> list[PeerInstance]:
+    """Returns the instances with a path of the first group in which they are not too few.
+
+    :param groups: each contains the one before it. The last one is used if all have too few.
+    """
+    for group in groups:
+        connected = [item for item in group if item.has_path]
+        if connected and len(group) - len(connected) <= STRANDED_PER_INSTANCE_MAX * len(connected):
+            return connected
+    return [item for item in groups[-1] if item.has_path]
--- a/src/caperdyke/platform/headers.py
+++ b/src/caperdyke/platform/headers.py
@@ -67,6 +67,18 @@
     return passed_headers
 
 
+def make_relayed_headers(headers: RawHeaders, wait_ms: float | None) -> RawHeaders:
+    """Returns a caller's headers as they are forwarded to another instance.
+
+    :param wait_ms: remaining time that the caller waits, in milliseconds; None if not specified.
+    """
+    replaced_names = (REQUEST_DEADLINE, EXPECTED_INSTANCE)
+    passed_headers = [item for item in headers if item[0] not in replaced_names]
+    if wait_ms is not None:
+        passed_headers.append((REQUEST_DEADLINE, b"%d" % max(1, int(wait_ms))))
+    return passed_headers
+
+
 def make_refusal_headers(request_id: str, retry_seconds: float | None) -> RawHeaders:
     """Returns the headers of a response that no backend server produced.
 
--- a/src/caperdyke/protocol/announcements.py
+++ b/src/caperdyke/protocol/announcements.py
@@ -8,7 +8,7 @@
 from caperdyke.state import ids, member, store_rows
 
 # Increased with every change of the encoding; messages of any other version are rejected.
-LAYOUT_VERSION = 5
+LAYOUT_VERSION = 6
 # Tables that every instance follows, in the order of their positions in an announcement.
 FOLLOWED_TABLES = (store_rows.StoreTable.CONFIGURATION, store_rows.StoreTable.SERVERS)
 
@@ -22,6 +22,7 @@
 
     :param name_hash: 32-bit hash of the sender's name.
     :param record: the sender's record; None for a receiver that has it.
+    :param has_path: whether the sender can open connections to backend servers.
     :param interval_ms: time until the next announcement to the same receiver, in milliseconds.
     :param changed: position of the newest change that the sender has of each table it follows.
     :param read_age_ms: time since the sender read the registrations from the store, in
@@ -41,6 +42,7 @@
     incarnation: ids.Incarnation
     record: member.Member | None
     is_ready: bool
+    has_path: bool
     interval_ms: int
     changed: dict[store_rows.StoreTable, store_rows.Position]
     read_age_ms: int
@@ -61,6 +63,7 @@
             item.incarnation,
             _pack_member(item.record) if item.record else None,
             item.is_ready,
+            item.has_path,
             item.interval_ms,
             [_pack_position(item.changed[table]) for table in FOLLOWED_TABLES],
             item.read_age_ms,
@@ -83,13 +86,14 @@
         layout, *fields = msgpack.unpackb(data, strict_map_key=False)
         if layout != LAYOUT_VERSION:
             raise ValueError(f"layout version {layout}, expected {LAYOUT_VERSION}")
-        name_hash, incarnation, record, is_ready, interval_ms, changed, read_age_ms = fields[:7]
-        read_position, load, limits, backoffs, leaving, is_reply_requested = fields[7:]
+        name_hash, incarnation, record, is_ready, has_path, interval_ms, changed = fields[:7]
+        read_age_ms, read_position, load, limits, backoffs, leaving, is_reply_requested = fields[7:]
         return Announcement(
             int(name_hash),
             ids.Incarnation(int(incarnation)),
             _unpack_member(record) if record is not None else None,
             bool(is_ready),
+            bool(has_path),
             int(interval_ms),
             {
                 table: _unpack_position(item)
--- a/src/caperdyke/protocol/platform_interfaces.py
+++ b/src/caperdyke/protocol/platform_interfaces.py
@@ -25,6 +25,12 @@
         :param wait_ms: time until the request's deadline, in milliseconds.
         """
 
+    def make_relayed_headers(self, headers: RawHeaders, wait_ms: float | None) -> RawHeaders:
+        """Returns the headers of a caller's request as forwarded to another instance.
+
+        :param wait_ms: time for which the caller still waits, in milliseconds; None if unknown.
+        """
+
     def make_refusal_headers(self, request_id: str, retry_seconds: float | None) -> RawHeaders:
         """Returns the headers of a refusal that the instance itself sends.
 
--- /dev/null
+++ b/src/caperdyke/protocol/relay_headers.py
@@ -0,0 +1,103 @@
+"""Headers of requests that one instance relays through another, and of their answers."""
+
+import dataclasses
+
+from caperdyke import errors
+from caperdyke.state import ids
+
+RawHeaders = list[tuple[bytes, bytes]]
+
+_PREFIX = b"relay-"
+INSTANCE = _PREFIX + b"instance"
+WAIT_MS = _PREFIX + b"wait-ms"
+REACHED = _PREFIX + b"reached"
+COUNTED = _PREFIX + b"counted"
+VERSION = _PREFIX + b"version"
+DECLINED = _PREFIX + b"declined"
+_NAMES = frozenset((INSTANCE, WAIT_MS, REACHED, COUNTED, VERSION, DECLINED))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayedRequest:
+    """What the relaying instance adds to a request.
+
+    :param instance: the relaying instance.
+    :param wait_ms: time in milliseconds until its deadline for an answer.
+    :param reached: number of servers that the request has reached already.
+    :param is_counted: whether the request counts in the retry budget of the relaying instance.
+    :param version: oldest configuration by which the request may be handled.
+    """
+
+    instance: ids.InstanceId
+    wait_ms: float
+    reached: int
+    is_counted: bool
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayedAnswer:
+    """What the relaying instance learns from an answer beside its content.
+
+    :param is_declined: whether the other instance did not try to serve the request.
+    :param version: configuration by which the request was handled.
+    """
+
+    is_declined: bool
+    version: int
+
+
+def encode_request(fields: RelayedRequest) -> RawHeaders:
+    """Returns the headers of a relayed request."""
+    return [
+        (INSTANCE, fields.instance.encode("latin-1")),
+        (WAIT_MS, b"%d" % max(0, int(fields.wait_ms))),
+        (REACHED, b"%d" % fields.reached),
+        (COUNTED, b"%d" % fields.is_counted),
+        (VERSION, b"%d" % fields.version),
+    ]
+
+
+def decode_request(headers: RawHeaders) -> RelayedRequest:
+    """Returns what the relaying instance added to a request.
+
+    :raises errors.ProtocolError: if a header is missing or invalid.
+    """
+    found = dict(headers)
+    try:
+        return RelayedRequest(
+            ids.InstanceId(found[INSTANCE].decode("latin-1")),
+            int(found[WAIT_MS]),
+            int(found[REACHED]),
+            bool(int(found[COUNTED])),
+            int(found[VERSION]),
+        )
+    except (KeyError, ValueError) as error:
+        raise errors.ProtocolError(f"invalid headers of a relayed request: {error!r}") from error
+
+
+def encode_answer(fields: RelayedAnswer) -> RawHeaders:
+    """Returns the headers of the answer to a relayed request."""
+    return [(VERSION, b"%d" % fields.version), (DECLINED, b"%d" % fields.is_declined)]
+
+
+def decode_answer(headers: RawHeaders) -> RelayedAnswer:
+    """Returns what an answer to a relayed request carries beside its content.
+
+    :raises errors.ProtocolError: if a header is missing or invalid.
+    """
+    found = dict(headers)
+    try:
+        return RelayedAnswer(bool(int(found[DECLINED])), int(found[VERSION]))
+    except (KeyError, ValueError) as error:
+        raise errors.ProtocolError(f"invalid headers of a relayed answer: {error!r}") from error
+
+
+def is_relayed(headers: RawHeaders) -> bool:
+    """Returns whether a request was relayed by another instance."""
+    return any(name == INSTANCE for name, _ in headers)
+
+
+def strip(headers: RawHeaders) -> RawHeaders:
+    """Returns headers without those of this module."""
+    return [item for item in headers if item[0] not in _NAMES]
--- a/src/caperdyke/transport/backends/pool.py
+++ b/src/caperdyke/transport/backends/pool.py
@@ -17,12 +17,16 @@
 IDLE_CONNECTIONS_RATIO = 0.5
 
 
+# What connections are pooled by: a backend server, or the peer address of another instance.
+PoolKey = ids.BackendId | ids.Address
+
+
 class ConnectionPool:
-    """Idle connections by backend server, reused in LIFO order."""
+    """Idle connections by backend server or instance, reused in LIFO order."""
 
     def __init__(self, clock: collections.abc.Callable[[], float]) -> None:
         self._clock = clock
-        self._idle: dict[ids.BackendId, list[connection.ServerConnection]] = {}
+        self._idle: dict[PoolKey, list[connection.ServerConnection]] = {}
         self._idle_max = IDLE_CONNECTIONS_MAX
         # Number of connections opened so far.
         self.opened = 0
@@ -36,7 +40,7 @@
         share = int(connections_max * IDLE_CONNECTIONS_RATIO / max(1, instances))
         self._idle_max = max(1, min(IDLE_CONNECTIONS_MAX, share))
 
-    def acquire(self, server: ids.BackendId) -> connection.ServerConnection | None:
+    def acquire(self, server: PoolKey) -> connection.ServerConnection | None:
         """Removes and returns an idle connection that is still usable, or returns None."""
         idle = self._idle.get(server, [])
         now = self._clock()
@@ -59,7 +63,7 @@
 
     def release(
         self,
-        server: ids.BackendId,
+        server: PoolKey,
         idle_connection: connection.ServerConnection,
         idle_seconds: float | None,
     ) -> None:
@@ -76,7 +80,7 @@
         if len(idle) > self._idle_max:
             idle.pop(0).close()
 
-    def drop(self, server: ids.BackendId) -> None:
+    def drop(self, server: PoolKey) -> None:
         """Closes the idle connections to a server that is no longer used."""
         for idle_connection in self._idle.pop(server, []):
             idle_connection.close()
--- a/src/caperdyke/transport/events.py
+++ b/src/caperdyke/transport/events.py
@@ -91,6 +91,13 @@
     ROUTES_ADOPTED = (6201, "INFO", "configuration {version} is in force, {routes} routes")
     SERVER_CHANGED = (6202, "INFO", "backend server {backend} of {service}: {change}")
     EVACUATION_CHANGED = (6203, "INFO", "evacuated failure domains: {domains}")
+    PATH_LOST = (
+        6501,
+        "WARNING",
+        "no connection to any backend server can be opened; relaying through {relays} instances",
+    )
+    PATH_RESTORED = (6502, "INFO", "connections to backend servers open again after {lost_s} s")
+    RELAY_REFUSED = (6503, "WARNING", "relayed request from {peer} refused: {cause}")
     INSTANCE_CHANGED = (6301, "INFO", "instance {instance} in {domain}: {change}")
     SERVER_AVOIDED = (6401, "INFO", "backend server {backend} is avoided: {cause}")
     LIMIT_NAMED = (
--- a/src/caperdyke/transport/gateway/announcer.py
+++ b/src/caperdyke/transport/gateway/announcer.py
@@ -79,7 +79,12 @@
         interval = announcement.interval_ms / 1000
         was_alive = node.fleet.is_alive(now, announcement.name_hash)
         sender = node.fleet.record_announcement(
-            now, announcement.name_hash, announcement.incarnation, announcement.is_ready, interval
+            now,
+            announcement.name_hash,
+            announcement.incarnation,
+            announcement.is_ready,
+            interval,
+            announcement.has_path,
         )
         if sender is None:
             if announcement.record is None:
@@ -135,6 +140,16 @@
         for other in self._rng.sample(domain_peers, min(len(domain_peers), URGENT_RECEIVERS_MAX)):
             other.announce_at = 0.0
 
+    def announce_path(self) -> None:
+        """Announces at once whether this instance has a path to the backend servers.
+
+        Pattern: look-ups name an instance, and others relay requests to it, until they learn that
+        it has lost its path. Its failure domain is informed first, as it answers most look-ups of
+        the callers concerned.
+        """
+        self.announce_to_domain()
+        self.announce_server_state()
+
     def announce_server_state(self) -> None:
         """Announces a limit, a backoff or the drain of a backend server to some instances at once.
 
@@ -284,12 +299,17 @@
         node, own = self._node, self._node.fleet.own
         # Only the record carries the state, so a leaving instance includes it in each announcement.
         includes_own_record = includes_record or own.state is not member.MemberState.LIVE
-        load = {view.name_hash: view.in_flight for view in node.views.values() if view.in_flight}
+        load = {}
+        if node.path.can_use_kept(node.now()):
+            load = {
+                view.name_hash: view.in_flight for view in node.views.values() if view.in_flight
+            }
         return announcements.Announcement(
             name_hashes.hash_name(own.instance),
             own.incarnation,
             own if includes_own_record else None,
             node.fleet.is_ready,
+            node.fleet.has_path,
             interval_ms,
             self._store_sync.find_changed(),
             self._store_sync.find_read_age_ms(),
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -21,6 +21,7 @@
 from caperdyke.coordination.registry import fleet, initial_sync, provenance, server_registry
 from caperdyke.protocol import platform_interfaces
 from caperdyke.state import (
+    backend,
     clock,
     gateway_settings,
     ids,
@@ -139,6 +140,9 @@
             and not self.header_handler.is_leaving(registered)
         ]
         services = server_registry.list_services(usable)
+        self.path.apply_servers(
+            len(usable), len({item.registration.server.domain for item in usable})
+        )
         self._rankings.apply_servers(
             {
                 name: [registered.registration.server for registered in registered_servers]
@@ -183,6 +187,19 @@
             view.server = server
         return view
 
+    def clear_failures(self) -> None:
+        """Discards failures of all servers that were due to the path of this instance."""
+        for view in self.views.values():
+            view.clear_failures()
+
+    def list_servers(self) -> list[backend.BackendServer]:
+        """Returns the servers of all services that may get requests."""
+        return [
+            registered.registration.server
+            for registered_servers in self._services.values()
+            for registered in registered_servers
+        ]
+
     def reset_view(self, name: ids.BackendId) -> None:
         """Drops observations, connections and bounds of an earlier start of a server."""
         view = self.views.get(name)
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -7,12 +7,14 @@
 
 from caperdyke.coordination.placement import attempts, selection
 from caperdyke.state import ids, routes
-from caperdyke.transport.gateway import context, local_reply, sender
+from caperdyke.transport.gateway import context, local_reply, relay, sender
 
 # Longest Retry-After as a ratio of the time that the caller has left. It does not apply where the
 # servers themselves specify when they accept requests again.
 RETRY_AFTER_RATIO_MAX = 0.3
 SERVER_ERROR_STATUS = 500
+# Retry-After while neither this instance nor another one has a path to the servers.
+NO_PATH_RETRY_AFTER_SECONDS = 0.5
 # Ratio of the retry budget that copies which warm a near home must leave to retries.
 WARMING_RESERVE_RATIO = 0.5
 
@@ -23,6 +25,7 @@
     def __init__(self, node: context.GatewayContext) -> None:
         self._node = node
         self._sender = sender.Sender(node)
+        self.relay = relay.Relay(node)
         self._rng = random.Random()
         self._copies: set[asyncio.Task] = set()
 
@@ -34,10 +37,18 @@
         :returns: the answer of a server, the last one with an error status if all failed, or a
             local reply if there was none.
         """
-        node = self._node
+        node, relayed = self._node, request.relayed
+        if not node.path.can_use_kept(node.now()):
+            attempt_state = attempts.Attempts(route.attempts_max, route.kind.is_repeatable)
+            return await self._serve_by_relay(request, route, None, attempt_state, trace)
         service = trace.service = node.splits.choose(route)
-        node.retries.record_request(node.now(), service)
-        attempt_state = attempts.Attempts(route.attempts_max, route.kind.is_repeatable)
+        if relayed is None or not relayed.is_counted:
+            node.retries.record_request(node.now(), service)
+        attempt_state = attempts.Attempts(
+            route.attempts_max,
+            route.kind.is_repeatable,
+            reached=0 if relayed is None else relayed.reached,
+        )
         tried_servers: set[ids.BackendId] = set()
         failed: sender.ServerAnswer | None = None
         while True:
@@ -49,8 +60,12 @@
                 route, service = changed_route, self._find_changed_service(
                     changed_route, service, trace
                 )
+            if not node.path.can_use_kept(node.now()) and failed is None:
+                return await self._serve_by_relay(request, route, service, attempt_state, trace)
             selected = self._select_server(request, route, service, tried_servers, trace)
             if isinstance(selected, selection.NoCapacity):
+                if node.path.is_lost and failed is None:
+                    return await self._serve_by_relay(request, route, service, attempt_state, trace)
                 trace.sends.append(_describe_no_capacity(selected))
                 return failed or self._make_final_reply(request, attempt_state, selected)
             if attempt_state.sent and not self._try_acquire_retry(route, service):
@@ -70,6 +85,8 @@
                     if failed is not None and failed.remaining_body is not None:
                         await failed.remaining_body.aclose()
                     failed = result
+                case sender.Failure(kind=sender.FailureKind.NO_PATH) if failed is None:
+                    return await self._serve_by_relay(request, route, service, attempt_state, trace)
                 case sender.Failure(kind=sender.FailureKind.NOT_SENT):
                     tried_servers.discard(selected.view.server.backend)
                 case sender.Failure():
@@ -77,6 +94,59 @@
             if not attempt_state.allows_retry() or node.now() >= request.deadline:
                 return failed or self._make_refused_reply(request, route, service, attempt_state)
 
+    async def _serve_by_relay(
+        self,
+        request: sender.CallerRequest,
+        route: routes.Route,
+        service: ids.ServiceName | None,
+        attempt_state: attempts.Attempts,
+        trace: local_reply.RequestTrace,
+    ) -> sender.ServerAnswer | local_reply.LocalReply:
+        """Sends a request to other instances until one serves it.
+
+        Pattern: this instance has no path to any server, and callers still reach it. A request
+        that another instance relayed here is declined, so that it cannot go in a circle.
+
+        :param service: service for which the request counts already; None if it does not count.
+        """
+        node = self._node
+        if request.relayed is not None and not attempt_state.sent:
+            return local_reply.LocalReply(503, local_reply.LocalReplyReason.DECLINED)
+        tried: set[ids.InstanceId] = set()
+        while request.relayed is None and node.now() < request.deadline:
+            peer = self.relay.choose(route, tried)
+            if peer is None:
+                break
+            if attempt_state.sent and not self._try_acquire_retry(
+                route, service or node.splits.choose(route)
+            ):
+                return self._make_final_reply(request, attempt_state, None)
+            tried.add(peer.record.instance)
+            sent_at = node.now()
+            reached, is_counted = attempt_state.reached, service is not None
+            result = await self.relay.send(request, peer, reached, is_counted)
+            trace.sends.append(_describe_relay(peer, node.now() - sent_at, result))
+            if isinstance(result, sender.ServerAnswer):
+                return result
+            if result.may_have_run:
+                attempt_state.record_reached()
+                attempt_state.record_may_have_run()
+                if not attempt_state.allows_retry():
+                    break
+        if not attempt_state.is_known_not_run:
+            return self._make_final_reply(request, attempt_state, None)
+        retry_after = NO_PATH_RETRY_AFTER_SECONDS * self._rng.uniform(1.0, 1.5)
+        time_left = request.deadline - node.now()
+        return local_reply.LocalReply(
+            503,
+            local_reply.LocalReplyReason.NO_PATH,
+            max(0.0, min(retry_after, time_left * RETRY_AFTER_RATIO_MAX)),
+        )
+
+    def abandon_waiting(self) -> None:
+        """Ends the sends of repeatable requests that wait on connections which hang."""
+        self._sender.abandon_waiting()
+
     def _find_changed_service(
         self, route: routes.Route, service: ids.ServiceName, trace: local_reply.RequestTrace
     ) -> ids.ServiceName:
@@ -232,8 +302,11 @@
                 ratio = node.times.record(route.name, objective, view.is_warm(now, key), duration)
             view.record_answer(now, request.caller_headers.object_key, ratio)
             return
+        if node.path.is_lost:
+            # The failure is due to the path of this instance, not to the server.
+            return
         match result.kind:
-            case sender.FailureKind.NOT_SENT:
+            case sender.FailureKind.NOT_SENT | sender.FailureKind.NO_PATH:
                 return
             case sender.FailureKind.UNREACHABLE:
                 view.record_unreachable(now)
@@ -309,6 +382,12 @@
         )
 
 
+def _describe_relay(peer, took_s: float, result: sender.Result) -> str:
+    is_failed = isinstance(result, sender.Failure)
+    outcome = f"{result.kind.value} ({result.detail})" if is_failed else str(result.status)
+    return f"relayed through {peer.record.instance}: {outcome} after {round(took_s * 1000)} ms"
+
+
 def _record_failure(attempt_state: attempts.Attempts, failure: sender.Failure) -> None:
     match failure.kind:
         case sender.FailureKind.UNREACHABLE:
--- a/src/caperdyke/transport/gateway/local_reply.py
+++ b/src/caperdyke/transport/gateway/local_reply.py
@@ -15,8 +15,10 @@
     NO_SERVER = "no server"
     NO_CAPACITY = "no room in time"
     REFUSED = "servers refused"
+    NO_PATH = "no path to the servers"
     FAILED = "server failed"
     TIMED_OUT = "timed out"
+    DECLINED = "declined"
     CALLER_DISCONNECTED = "caller left"
 
 
@@ -24,6 +26,7 @@
 class RequestTrace:
     """Decisions about one request, for its log line.
 
+    :ivar relayed_by: instance that relayed the request here; empty if the caller sent it here.
     :ivar sends: description of each send, or of why a request was not sent.
     """
 
@@ -34,6 +37,7 @@
     service: str = ""
     kind: str = ""
     host: str = ""
+    relayed_by: str = ""
     sends: list[str] = dataclasses.field(default_factory=list)
 
 
--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -12,6 +12,9 @@
 from caperdyke.transport.gateway import (
     announcer,
     context,
+    dispatcher,
+    path_monitor,
+    peer_app,
     request_app,
     row_exchange,
     store_sync,
@@ -49,7 +52,11 @@
         self.store_sync.on_servers_read = self.announcer.announce_to_domain
         self.store_sync.on_configuration_changed = self.announcer.announce_change
         node.bounds.on_urgent_change = self.announcer.announce_server_state
-        self.requests = request_app.RequestApp(node)
+        self._dispatcher = dispatcher.Dispatcher(node)
+        self.requests = request_app.RequestApp(node, self._dispatcher)
+        self._path_monitor = path_monitor.PathMonitor(
+            node, self._dispatcher, self.announcer.announce_path
+        )
         self._tasks: list[asyncio.Task] = []
         self.is_listening = False
         self._servers: list[tuple[http_server.Server, asyncio.Task]] = []
@@ -64,12 +71,16 @@
         apps = {
             settings.caller_address: self.requests,
             settings.metrics_address: make_metrics_app(),
-            settings.peer_address: row_exchange.make_app(self.store_sync.list_changes_since),
+            settings.peer_address: peer_app.PeerApp(
+                self.node,
+                request_app.RequestApp(self.node, self._dispatcher, is_for_peers=True),
+                row_exchange.make_app(self.store_sync.list_changes_since),
+            ),
             **self._make_apps(self.node),
         }
         for address, app in apps.items():
-            is_caller_address = address == settings.caller_address
-            protocol = caller_protocol.CallerProtocol if is_caller_address else "httptools"
+            has_requests = address in (settings.caller_address, settings.peer_address)
+            protocol = caller_protocol.CallerProtocol if has_requests else "httptools"
             server = http_server.make_server(app, address, protocol, settings.bounds.stop_seconds)
             self._servers.append((server, asyncio.create_task(server.serve())))
         self._start_tasks()
@@ -90,6 +101,7 @@
             "announcements": self.announcer.announce,
             "upkeep": self._run_upkeep,
             "enrolment": self.announcer.enrol,
+            "path": self._path_monitor.run,
         }
         for name, run_task in loops.items():
             self._tasks.append(asyncio.create_task(_run_forever(name, run_task)))
@@ -105,6 +117,7 @@
                 events.log(events.Event.CONFIGURATION_KNOWN, version=node.routes.version, **origin)
             node.refresh_servers()
             node.pool.drop_expired()
+            self._dispatcher.relay.drop_expired()
             self._apply_limits()
             is_ready = node.routes is not None and node.registrations_at is not None
             if is_ready and not node.fleet.is_ready and not node.is_stopping:
@@ -144,6 +157,7 @@
         for task in (*self._tasks, withdrawal):
             task.cancel()
         node.pool.close()
+        self._dispatcher.relay.close()
         await asyncio.wait(
             [caller_server_task], timeout=max(0.0, deadline - node.now()) + POLL_SECONDS
         )
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -4,7 +4,7 @@
 import contextlib
 
 from caperdyke import errors
-from caperdyke.protocol import platform_interfaces
+from caperdyke.protocol import platform_interfaces, relay_headers
 from caperdyke.state import header_fields, routes
 from caperdyke.transport import events
 from caperdyke.transport.gateway import context, dispatcher, local_reply, sender
@@ -26,11 +26,20 @@
 
 
 class RequestApp:
-    """Routes callers' requests and returns the answers of backend servers, or local replies."""
+    """Routes callers' requests and returns the answers of backend servers, or local replies.
 
-    def __init__(self, node: context.GatewayContext) -> None:
+    :param is_for_peers: whether the requests come from other instances, which relay them.
+    """
+
+    def __init__(
+        self,
+        node: context.GatewayContext,
+        request_dispatcher: dispatcher.Dispatcher,
+        is_for_peers: bool = False,
+    ) -> None:
         self._node = node
-        self._dispatcher = dispatcher.Dispatcher(node)
+        self._dispatcher = request_dispatcher
+        self._is_for_peers = is_for_peers
 
     async def __call__(self, scope, receive, send) -> None:
         """Handles one request; an ASGI application."""
@@ -60,8 +69,17 @@
     async def _handle(
         self, scope, receive, send, caller_headers, trace: local_reply.RequestTrace
     ) -> None:
-        await self._wait_for_initial_sync(caller_headers)
+        relayed = None
+        if self._is_for_peers:
+            relayed = relay_headers.decode_request(scope["headers"])
+            trace.relayed_by = relayed.instance
+        else:
+            await self._wait_for_initial_sync(caller_headers)
         table = self._node.routes
+        if relayed is not None and (table is None or table.version < relayed.version):
+            declined = local_reply.LocalReply(503, local_reply.LocalReplyReason.DECLINED)
+            await self._send_local_reply(send, declined, caller_headers, trace)
+            return
         refusal, route = self._find_route(scope, table, trace)
         if refusal is None:
             body = await self._read_body(receive)
@@ -70,7 +88,7 @@
         if refusal is not None:
             await self._send_local_reply(send, refusal, caller_headers, trace)
             return
-        request = self._make_request(scope, caller_headers, body, table, route, trace)
+        request = self._make_request(scope, caller_headers, body, table, route, trace, relayed)
         serving = asyncio.ensure_future(self._dispatcher.serve(request, route, trace))
         disconnecting = asyncio.ensure_future(_wait_for_disconnect(receive))
         try:
@@ -148,6 +166,7 @@
         table: routes.RouteTable,
         route: routes.Route,
         trace: local_reply.RequestTrace,
+        relayed: relay_headers.RelayedRequest | None,
     ) -> sender.CallerRequest:
         wait_ms = (
             CALLER_WAIT_DEFAULT_MS if caller_headers.wait_ms is None else caller_headers.wait_ms
@@ -155,7 +174,7 @@
         caller_timeout_at = None
         if caller_headers.wait_ms is not None:
             caller_timeout_at = trace.received_at + caller_headers.wait_ms / 1000
-        wait_ms = min(wait_ms, route.timeout_ms)
+        wait_ms = min(wait_ms, route.timeout_ms, relayed.wait_ms if relayed else wait_ms)
         host = next(value for name, value in scope["headers"] if name == b"host")
         return sender.CallerRequest(
             caller_headers,
@@ -163,11 +182,13 @@
             _strip_port(host.decode("latin-1")),
             scope["raw_path"].decode("latin-1"),
             scope[caller_protocol.TARGET_KEY],
-            _drop_hop_by_hop_headers(scope["headers"]),
+            relay_headers.strip(_drop_hop_by_hop_headers(scope["headers"])),
             body,
             trace.received_at + wait_ms / 1000 - ANSWER_MARGIN_SECONDS,
             table,
             caller_timeout_at,
+            route.kind.is_repeatable,
+            relayed,
         )
 
     async def _send_local_reply(
@@ -182,6 +203,7 @@
         )
         body = answer.reason.value.encode()
         headers += [(b"content-type", b"text/plain"), (b"content-length", b"%d" % len(body))]
+        headers += self._make_relay_headers(answer.reason is local_reply.LocalReplyReason.DECLINED)
         await self._send_head(send, answer.status, headers)
         await send({"type": "http.response.body", "body": body})
         self._log_request_end(trace, answer.status, answer.reason.value)
@@ -194,7 +216,7 @@
         request: sender.CallerRequest,
         trace: local_reply.RequestTrace,
     ) -> None:
-        headers = list(answer.headers)
+        headers = [*answer.headers, *self._make_relay_headers(is_declined=False)]
         if answer.length is not None and request.method != "HEAD":
             headers.append((b"content-length", b"%d" % answer.length))
         await self._send_head(send, answer.status, headers)
@@ -218,6 +240,13 @@
             await answer.remaining_body.aclose()
         self._log_request_end(trace, answer.status, "answered in parts")
 
+    def _make_relay_headers(self, is_declined: bool) -> platform_interfaces.RawHeaders:
+        """Returns the headers that an answer to another instance carries in addition."""
+        if not self._is_for_peers:
+            return []
+        version = self._node.routes.version if self._node.routes else 0
+        return relay_headers.encode_answer(relay_headers.RelayedAnswer(is_declined, version))
+
     async def _send_head(self, send, status: int, headers: platform_interfaces.RawHeaders) -> None:
         if self._node.is_stopping:
             headers = [*headers, (b"connection", b"close")]
@@ -226,11 +255,13 @@
     def _log_request_end(self, trace: local_reply.RequestTrace, status: int, outcome: str) -> None:
         node = self._node
         duration = node.now() - trace.received_at
-        if status and status < dispatcher.SERVER_ERROR_STATUS:
+        if trace.relayed_by:
+            node.metrics.count_relayed(trace.service, str(status))
+        elif status and status < dispatcher.SERVER_ERROR_STATUS:
             node.metrics.count_answer(trace.host, trace.service, trace.kind, duration)
         else:
             node.metrics.count_refusal(trace.host, trace.service, str(status), outcome)
-        extra_fields = {}
+        extra_fields = {"relayed_by": trace.relayed_by} if trace.relayed_by else {}
         if status >= ERROR_STATUS_MIN:
             extra_fields["knowledge"] = node.provenance.describe(node.now())
             extra_fields["path"] = node.describe_path(trace.service)
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -8,7 +8,7 @@
 
 from caperdyke import errors
 from caperdyke.coordination.placement import selection
-from caperdyke.protocol import platform_interfaces
+from caperdyke.protocol import platform_interfaces, relay_headers
 from caperdyke.state import backend, header_fields, routes
 from caperdyke.transport.backends import connection
 from caperdyke.transport.gateway import context, header_log
@@ -51,6 +51,8 @@
     :param deadline: time by which an answer must be sent to the caller.
     :param table: route table by which the request is sent.
     :param caller_timeout_at: time at which the caller stops waiting; None if it sent no deadline.
+    :param is_repeatable: whether the request may run more than once.
+    :param relayed: set if another instance relayed the request.
     """
 
     caller_headers: header_fields.CallerHeaders
@@ -63,6 +65,8 @@
     deadline: float
     table: routes.RouteTable
     caller_timeout_at: float | None = None
+    is_repeatable: bool = False
+    relayed: relay_headers.RelayedRequest | None = None
 
 
 class FailureKind(enum.Enum):
@@ -70,6 +74,8 @@
 
     # Nothing was sent, for a reason within this instance.
     NOT_SENT = "not sent"
+    # Nothing was sent, as this instance has no path to any server.
+    NO_PATH = "no path"
     # Nothing was sent, as no connection could be opened.
     UNREACHABLE = "unreachable"
     # The server reports that it did not run the request.
@@ -121,6 +127,8 @@
     def __init__(self, node: context.GatewayContext) -> None:
         self._node = node
         self._header_log = header_log.HeaderLog()
+        # Connections on which a repeatable request waits for the head of its answer.
+        self._waiting: set[connection.ServerConnection] = set()
 
     async def send(self, request: CallerRequest, placed: selection.Placement) -> Result:
         """Sends a request to the selected server and reads its answer."""
@@ -132,6 +140,15 @@
         finally:
             view.record_end(pending)
 
+    def abandon_waiting(self) -> None:
+        """Closes the connections on which only repeatable requests wait.
+
+        Pattern: connections hang while another instance could answer. Requests that are not
+        repeatable may be running, and keep waiting.
+        """
+        for conn in list(self._waiting):
+            conn.close()
+
     async def _exchange(self, request: CallerRequest, placed: selection.Placement) -> Result:
         node, server = self._node, placed.view.server
         time_left = request.deadline - node.now()
@@ -139,12 +156,14 @@
             return Failure(FailureKind.NOT_SENT, "no time left")
         conn = node.pool.acquire(server.backend)
         is_kept = conn is not None
+        if conn is None and node.path.is_lost:
+            return Failure(FailureKind.NO_PATH, "no connection to any server opens")
         if conn is None:
             opened_at = node.now()
             try:
                 conn = await node.pool.open(server.address, time_left)
             except errors.BackendFailedError as error:
-                node.path.record_open_failed(server)
+                node.path.record_open_failed(node.now(), server, opened_at)
                 return Failure(FailureKind.UNREACHABLE, str(error))
             node.path.record_opened(node.now())
             node.record_round_trip(server.domain, node.now() - opened_at)
@@ -188,8 +207,9 @@
             headers.append((b"content-length", b"%d" % len(request.body)))
         sent_at = node.now()
         conn.send(request.method, request.target, headers, request.body)
+        node.path.record_sent(sent_at, server.backend)
         for _ in range(SKIPPED_ANSWERS_MAX + 1):
-            head = await conn.read_head()
+            head = await self._read_head(request, conn)
             placed.view.record_activity(node.now())
             node.path.record_received(node.now())
             raw_headers = [(bytes(name), bytes(value)) for name, value in head.headers]
@@ -212,6 +232,15 @@
             raise errors.BackendFailedError("only answers to other requests", True)
         return await self._classify(request, placed, conn, head.status_code, raw_headers, fields)
 
+    async def _read_head(self, request: CallerRequest, conn: connection.ServerConnection):
+        if not request.is_repeatable:
+            return await conn.read_head()
+        self._waiting.add(conn)
+        try:
+            return await conn.read_head()
+        finally:
+            self._waiting.discard(conn)
+
     async def _classify(
         self,
         request: CallerRequest,
@@ -222,9 +251,9 @@
         fields: header_fields.ServerHeaders,
     ) -> Result:
         node, header_map = self._node, dict(raw_headers)
-        length = _parse_content_length(header_map)
+        length = parse_content_length(header_map)
         is_forwardable = fields.is_signed and not fields.is_refused
-        body, is_whole = await _buffer_body(conn) if is_forwardable else await _try_discard(conn)
+        body, is_whole = await buffer_body(conn) if is_forwardable else await _try_discard(conn)
         if is_whole:
             self._release_connection(placed, conn, header_map)
         if fields.load is not None:
@@ -256,11 +285,11 @@
         """
         node, view = self._node, placed.view
         ends_at = math.inf
-        if _parse_content_length(header_map) is None:
+        if parse_content_length(header_map) is None:
             ends_at = request.caller_timeout_at or node.now() + UNSIZED_ANSWER_MAX_SECONDS
         is_whole = False
         try:
-            while (chunk := await _read_chunk_until(conn, ends_at, node.now)) is not None:
+            while (chunk := await read_chunk_until(conn, ends_at, node.now)) is not None:
                 yield chunk
             is_whole = True
             self._release_connection(placed, conn, header_map)
@@ -283,7 +312,7 @@
         if registered is not None and self._node.header_handler.is_leaving(registered):
             conn.close()
         elif conn.finish():
-            idle = _parse_idle_timeout(header_map.get(b"keep-alive", b""))
+            idle = parse_idle_timeout(header_map.get(b"keep-alive", b""))
             self._node.pool.release(server, conn, idle)
 
 
@@ -291,7 +320,7 @@
     return "a kept connection" if is_kept else "a new connection"
 
 
-async def _read_chunk_until(
+async def read_chunk_until(
     conn: connection.ServerConnection, ends_at: float, now: collections.abc.Callable[[], float]
 ) -> bytes | None:
     """Returns the next chunk of a body, or None at its end, and fails at the time ``ends_at``."""
@@ -332,7 +361,7 @@
     return b"", True
 
 
-async def _buffer_body(conn: connection.ServerConnection) -> tuple[bytes, bool]:
+async def buffer_body(conn: connection.ServerConnection) -> tuple[bytes, bool]:
     """Returns the body, or the beginning of a long one, and whether it is complete."""
     parts = []
     size = 0
@@ -345,12 +374,12 @@
     return b"".join(parts), False
 
 
-def _parse_content_length(header_map: dict[bytes, bytes]) -> int | None:
+def parse_content_length(header_map: dict[bytes, bytes]) -> int | None:
     text = header_map.get(b"content-length", b"")
     return int(text) if text.isdigit() else None
 
 
-def _parse_idle_timeout(text: bytes) -> float | None:
+def parse_idle_timeout(text: bytes) -> float | None:
     """Returns the idle time in a Keep-Alive header, in seconds."""
     for option in text.split(b","):
         name, _, value = option.strip().partition(b"=")
--- a/src/caperdyke/transport/metrics.py
+++ b/src/caperdyke/transport/metrics.py
@@ -27,6 +27,9 @@
         self._lookup_counts: collections.Counter[str] = collections.Counter()
         meter.create_observable_counter("lookups", callbacks=[self._observe_lookups])
         self._retries = meter.create_counter("retries")
+        self._relayed = meter.create_counter("relayed_requests")
+        self._has_path = True
+        meter.create_observable_gauge("server_path", callbacks=[self._observe_path])
         self._store_calls = meter.create_counter("store_calls")
         self._configuration_version = 0
         meter.create_observable_gauge("configuration", callbacks=[self._observe_configuration])
@@ -62,6 +65,20 @@
     def _observe_configuration(self, _options):
         return [otel_metrics_api.Observation(self._configuration_version)]
 
+    def count_relayed(self, service: str, outcome: str) -> None:
+        """Counts a request that another instance relayed here.
+
+        :param outcome: status of the answer.
+        """
+        self._relayed.add(1, {"service": service, "outcome": outcome})
+
+    def record_path(self, has_path: bool) -> None:
+        """Sets the gauge of whether connections to servers can be opened."""
+        self._has_path = has_path
+
+    def _observe_path(self, _options):
+        return [otel_metrics_api.Observation(int(self._has_path))]
+
     def count_store_call(self, table: str, outcome: str) -> None:
         """Counts a finished call to the store.
 
--- a/testing/platform/live_fleet.py
+++ b/testing/platform/live_fleet.py
@@ -34,12 +34,16 @@
     """Gateways that share a store and servers.
 
     :ivar nodes: state of each gateway.
+    :ivar gateways: the gateways themselves.
+    :ivar running: task in which each gateway runs.
     """
 
     def __init__(self) -> None:
         self.store = fake_store.FakeStore()
         self.servers: list[fake_server.FakeServer] = []
         self.nodes: list[context.GatewayContext] = []
+        self.gateways: list[node.GatewayNode] = []
+        self.running: list[asyncio.Task] = []
         self._numbers = itertools.count(1)
         self._client = aiosonic.HTTPClient(handle_cookies=False)
 
@@ -48,7 +52,7 @@
     ) -> CallerAnswer:
         """Sends a caller's request to one gateway.
 
-        :param options: ``body``, ``wait_ms``, ``request_id`` and ``key`` of the request.
+        :param options: ``body``, ``wait_ms``, ``request_id``, ``key`` and ``headers``.
         """
         serial = next(self._numbers)
         request_headers = {
@@ -56,6 +60,7 @@
             "Caperdyke-Request-Id": options.get("request_id", f"request-{serial}"),
             "Caperdyke-Request-Deadline": str(options.get("wait_ms", 3000)),
             "Cookie": f"Caperdyke-Affinity-Key={options.get('key', serial % 20)}",
+            **options.get("headers", {}),
         }
         address = self.nodes[number].settings.caller_address
         loop = asyncio.get_running_loop()
@@ -85,6 +90,63 @@
         response = await self._client.get(f"http://{address}/caperdyke/resolve?{query}")
         return (await response.json())["addresses"]
 
+    async def get_readiness_status(self, number: int) -> int:
+        """Returns the status of a gateway's readiness endpoint."""
+        address = self.nodes[number].settings.readiness_address
+        return (await self._client.get(f"http://{address}/caperdyke/readiness")).status_code
+
+    async def open_request(self, number: int, request_id: str) -> asyncio.StreamWriter:
+        """Sends a request on a connection of its own and returns the connection."""
+        host, _, port = self.nodes[number].settings.caller_address.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            f"GET /read/1 HTTP/1.1\r\nHost: {harness.HOST}\r\nCaperdyke-Request-Id: {request_id}"
+            "\r\nCaperdyke-Request-Deadline: 3000\r\n\r\n".encode()
+        )
+        return writer
+
+    async def call_peer(self, number: int, headers) -> tuple[int, list[tuple[bytes, bytes]]]:
+        """Sends a request to a gateway's peer address and returns status and headers."""
+        address = self.nodes[number].settings.peer_address
+        request_headers = {"Host": harness.HOST, "Caperdyke-Request-Id": "from-a-peer"}
+        request_headers |= {name.decode(): value.decode() for name, value in headers}
+        response = await self._client.get(f"http://{address}/read/1", headers=request_headers)
+        found = [
+            (name.lower().encode(), value.encode()) for name, value in response.headers.items()
+        ]
+        return response.status_code, found
+
+    def find_requests(self, request_id: str) -> list[fake_server.ReceivedRequest]:
+        """Returns the requests with an id that the servers received."""
+        return [
+            request
+            for server in self.servers
+            for request in server.requests
+            if request.headers.get("caperdyke-request-id") == request_id
+        ]
+
+    def hold_servers(self) -> None:
+        """Makes the servers keep requests without an answer."""
+        for server in self.servers:
+            server.release.clear()
+
+    def release_servers(self) -> None:
+        """Makes the servers answer again."""
+        for server in self.servers:
+            server.release.set()
+
+    def count_closed_while_held(self) -> int:
+        """Returns how many connections were closed while a server held their request."""
+        return sum(server.closed_while_held for server in self.servers)
+
+    async def kill(self, number: int) -> None:
+        """Ends a gateway without a graceful stop, with all its connections."""
+        await _cancel(self.running[number])
+        for server, _ in self.gateways[number]._servers:
+            for protocol in list(server.server_state.connections):
+                protocol.transport.abort()
+        self.nodes[number].pool.close()
+
     def cut(self, number: int, manner: path_cuts.CutManner) -> path_cuts.PathCut:
         """Cuts one gateway off from all servers."""
         return path_cuts.PathCut(self.nodes[number], manner)
@@ -135,8 +197,9 @@
             )
             fleet.nodes.append(shared)
             gateway = node.GatewayNode(shared, harness.make_platform_apps)
-            running = asyncio.create_task(gateway.run(asyncio.Event()))
-            stack.push_async_callback(_cancel, running)
+            fleet.gateways.append(gateway)
+            fleet.running.append(asyncio.create_task(gateway.run(asyncio.Event())))
+            stack.push_async_callback(_cancel, fleet.running[-1])
         count = len(gateway_domains)
         await fleet.wait_until(lambda: all(item.fleet.is_ready for item in fleet.nodes))
         await fleet.wait_until(
--- a/testing/registry/test_announcements.py
+++ b/testing/registry/test_announcements.py
@@ -32,6 +32,7 @@
         started_incarnation,
         record,
         True,
+        record is None,
         250,
         changed,
         *read_state,
--- /dev/null
+++ b/testing/registry/test_path_groups.py
@@ -0,0 +1,82 @@
+"""Which instances callers and relayed requests get while some have no path to the servers."""
+
+import testtools
+from parameterized import parameterized
+
+from caperdyke.coordination.registry import fleet
+from caperdyke.state import ids, name_hashes
+from testing import builders
+
+REGIONS = {"hall-1": "north", "hall-2": "north", "hall-3": "south"}
+NOW = 1.0
+# Instances by failure domain: capital letters have a path to the servers.
+ONE = {"hall-1": "aB", "hall-2": "CD", "hall-3": "EF"}
+MOST = {"hall-1": "abcdE", "hall-2": "FGHIJ", "hall-3": "KL"}
+WHOLE_DOMAIN = {"hall-1": "ab", "hall-2": "CD", "hall-3": "EF"}
+WHOLE_REGION = {"hall-1": "ab", "hall-2": "cd", "hall-3": "EF"}
+SIX_IN_TEN = {"hall-1": "abC", "hall-2": "deF", "hall-3": "ghIJ"}
+ALL = {"hall-1": "ab", "hall-2": "cd", "hall-3": "ef"}
+
+
+def make_fleet(domains: dict[str, str]) -> fleet.Fleet:
+    """Returns the fleet as seen by instance ``a``."""
+    members = fleet.Fleet(builders.make_member("a", "hall-1"), REGIONS)
+    members.is_ready, members.has_path = True, False
+    for domain, names in domains.items():
+        for letter in names:
+            name = letter.lower()
+            if name == "a":
+                continue
+            record = builders.make_member(name, domain)
+            members.merge(0.0, record)
+            name_hash = name_hashes.hash_name(record.instance)
+            members.record_announcement(
+                0.0, name_hash, record.incarnation, True, 0.4, letter.isupper()
+            )
+    return members
+
+
+class RelayTest(testtools.TestCase):
+    """Instances through which a stranded one relays requests."""
+
+    @parameterized.expand(
+        [
+            ("one", ONE, "", "b"),
+            ("most_of_a_domain", MOST, "", "efghij"),
+            ("whole_domain", WHOLE_DOMAIN, "", "cd"),
+            ("whole_region", WHOLE_REGION, "", "ef"),
+            ("six_in_ten", SIX_IN_TEN, "", "c"),
+            ("all", ALL, "", ""),
+            ("route_with_homes_elsewhere", ONE, "south", "ef"),
+            ("route_with_homes_here", WHOLE_DOMAIN, "north", "cd"),
+            ("homes_without_a_path", WHOLE_REGION, "north", ""),
+        ]
+    )
+    def test_nearest_instances_that_are_not_too_few(self, _name, domains, homes, expected) -> None:
+        regions = frozenset({ids.RegionName(homes)} if homes else ())
+        relays = make_fleet(domains).list_relays(NOW, regions)
+        self.assertEqual(list(expected), sorted(peer.record.instance for peer in relays))
+
+    def test_silent_instance_is_no_relay(self) -> None:
+        self.assertEqual([], make_fleet(ONE).list_relays(5.0, frozenset()))
+
+
+class LookupTest(testtools.TestCase):
+    """Addresses that callers of the first failure domain get."""
+
+    @parameterized.expand(
+        [
+            ("one", ONE, "b"),
+            ("most_of_a_domain", MOST, "efghij"),
+            ("whole_domain", WHOLE_DOMAIN, "cd"),
+            ("whole_region", WHOLE_REGION, "ef"),
+            ("all", ALL, "ab"),
+        ]
+    )
+    def test_stranded_instances_are_left_out(self, _name, domains, expected) -> None:
+        addresses = make_fleet(domains).choose_for_caller(NOW, "hall-1", "north", 64)
+        self.assertEqual([f"{name}:2" for name in expected], sorted(addresses))
+
+    def test_another_domain_is_not_affected(self) -> None:
+        addresses = make_fleet(ONE).choose_for_caller(NOW, "hall-3", "south", 64)
+        self.assertEqual(["e:2", "f:2"], sorted(addresses))
