Keep advertised limits when an instance reads the registrations first

Callers saw: nothing directly. A server that had advertised 0 requests a second got 7 within 0.2 s when another instance started, from instances that knew its limit.

Cause: the first reading of a registration counted as a new start of the server, which ends its limit. The starting instance had heard the limit by then, and announced its end to the whole fleet.

Change: a server's state is discarded only if this instance had it registered before.

--- a/src/caperdyke/transport/gateway/store_sync.py
+++ b/src/caperdyke/transport/gateway/store_sync.py
@@ -247,7 +247,8 @@
         current = node.servers.find(entry.server.backend)
         previous_state = current.registration.state if current else None
         if node.servers.merge(now, entry, row.changed):
-            node.reset_view(entry.server.backend)
+            if current is not None:
+                node.reset_view(entry.server.backend)
             self._log_server(entry.server.backend, f"started, cold for {entry.cold_ms} ms")
         elif previous_state is not entry.state:
             self._log_server(entry.server.backend, entry.state.value)
--- a/testing/platform/test_gateway_limits.py
+++ b/testing/platform/test_gateway_limits.py
@@ -1,10 +1,14 @@
 """Backend servers that advertise a limit on the requests of all gateways together."""
 
+import json
+
+import testtools
 from parameterized import parameterized
 
-from caperdyke.state import header_fields
-from caperdyke.transport.gateway import local_reply
-from testing.platform import fleet_harness, harness
+from caperdyke.platform import documents, headers
+from caperdyke.state import header_fields, ids, name_hashes, store_rows
+from caperdyke.transport.gateway import context, local_reply, store_sync
+from testing.platform import fake_server, fleet_harness, harness
 
 # Allowed requests in any window: a multiple of the limit, plus a fixed number.
 ALLOWED_FACTOR = 1.5
@@ -191,3 +195,31 @@
                 self.assertFalse(fleet.nodes[0].is_cold(fleet.now + 2.6, registered))
 
         self.run_async(scenario)
+
+
+class StartingInstanceTest(testtools.TestCase):
+    """An instance that reads the registrations for the first time."""
+
+    @parameterized.expand([("first_reading", [1], 2.0), ("restarted_server", [1, 2], None)])
+    def test_announced_limit_ends_only_with_a_new_start_of_the_server(
+        self, _name, starts, expected
+    ) -> None:
+        """Guards against limits that ended for the whole fleet when an instance started."""
+        node = context.GatewayContext(
+            harness.make_settings("127.0.0.1:1"), headers, documents, None, lambda: 100.0
+        )
+        sync = store_sync.StoreSync(node)
+        name_hash = name_hashes.hash_name("s1")
+        node.bounds.merge_announced(99.0, {name_hash: (2.0, 1.0)}, {}, {})
+        server = fake_server.FakeServer("s1")
+        server.address = "127.0.0.1:2"
+        for number, born in enumerate(starts, start=1):
+            document = server.register("reader", "hall-1", born=born, sequence=number)
+            row = store_rows.StoreRow(
+                store_rows.StoreTable.SERVERS,
+                "s1",
+                store_rows.Position(0, number),
+                json.dumps(document).encode(),
+            )
+            sync._apply_registration(100.0, row)
+        self.assertEqual(expected, node.bounds.limits.find(ids.BackendId("s1")))
