Notice a lost path also where requests need only one or two servers

Callers saw: 24 of 24 requests refused or timed out in 4 s at a stranded gateway, 100% served at the others.

Cause: a loss needs three servers to which connections fail, and the service had three usable ones: one kept connection hung for 3 s, two servers were suspended in turn, and no third one was ever tried.

Change: two servers that fail, one that fails while all are silent, or silence (0.4 s after requests to three servers, in proportion longer after fewer) make the monitor open connections to three servers of any service, of as many failure domains as possible and not yet failed. Below three registered servers it does not probe.

--- a/src/caperdyke/coordination/placement/server_path.py
+++ b/src/caperdyke/coordination/placement/server_path.py
@@ -11,8 +11,11 @@
 FAILED_DOMAINS_MIN = 2
 # How long a failure to connect counts.
 FAILURE_MEMORY_S = 3.0
-# Silence of all servers, after requests to several of them, from which on the path is probed.
+# Silence of all servers from which on the path is probed, after requests to as many of them as must
+# fail. It is longer in proportion after requests to fewer.
 SILENCE_S = 0.4
+# Servers to which connections must fail for the path to be probed although others send something.
+SUSPECT_SERVERS_MIN = 2
 # While no new connection opens, kept connections are used only if a server has sent something
 # within the longer time, and no request has waited longer than the shorter one without any sign.
 KEPT_RECEIVED_S = 1.0
@@ -94,12 +97,19 @@
         """Returns whether the path should be probed.
 
         Pattern: connections hang without a reset. Requests disappear on kept connections, and no
-        new one is opened that would reveal the loss. A silence of fewer servers proves little, as
-        each of them may be slow.
+        new one is opened that would reveal the loss. Or the requests of a while need only one or
+        two servers, and their failures prove too little.
         """
-        if self.is_lost or len(self._unanswered) < FAILED_SERVERS_MIN:
+        if self.is_lost or self.servers < FAILED_SERVERS_MIN:
             return False
-        return now >= min(self._unanswered.values()) + SILENCE_S
+        recent = [item for item in self._failed.values() if now < item.failed_at + FAILURE_MEMORY_S]
+        is_silent = now >= self.last_received_at + SILENCE_S
+        if len(recent) >= SUSPECT_SERVERS_MIN or (recent and is_silent):
+            return True
+        if not self._unanswered:
+            return False
+        silence_s = SILENCE_S * FAILED_SERVERS_MIN / min(FAILED_SERVERS_MIN, len(self._unanswered))
+        return now >= min(self._unanswered.values()) + silence_s
 
     def can_use_kept(self, now: float) -> bool:
         """Returns whether kept connections carry requests.
@@ -112,6 +122,10 @@
             return False
         return not self._unanswered or now < min(self._unanswered.values()) + KEPT_SILENCE_S
 
+    def has_failed(self, server: ids.BackendId) -> bool:
+        """Returns whether connections to a server failed since one was last opened to any."""
+        return server in self._failed
+
     def describe(self, now: float) -> dict[str, int]:
         """Returns the observations for log lines; times in milliseconds, -1 if there is none."""
         return {
--- a/src/caperdyke/transport/gateway/path_monitor.py
+++ b/src/caperdyke/transport/gateway/path_monitor.py
@@ -1,11 +1,12 @@
 """Detects that this instance loses or regains its path to the backend servers."""
 
 import asyncio
+import collections
 import collections.abc
 import random
 
 from caperdyke import errors
-from caperdyke.state import backend
+from caperdyke.state import backend, ids
 from caperdyke.transport import events
 from caperdyke.transport.gateway import context, dispatcher
 
@@ -54,13 +55,26 @@
         if now < self._next_probe_at or not (node.path.is_lost or is_suspect):
             return
         self._next_probe_at = now + PROBE_INTERVAL_SECONDS
-        servers = node.list_servers()
-        count = SUSPICION_PROBES if is_suspect else 1
-        for server in self._rng.sample(servers, min(count, len(servers))):
+        for server in self._choose_servers(SUSPICION_PROBES if is_suspect else 1):
             probe = asyncio.create_task(self._probe(server))
             self._probes.add(probe)
             probe.add_done_callback(self._probes.discard)
 
+    def _choose_servers(self, count: int) -> list[backend.BackendServer]:
+        """Returns random servers, of as many failure domains as possible.
+
+        Servers to which connections failed already come last.
+        """
+        servers = self._node.list_servers()
+        self._rng.shuffle(servers)
+        servers.sort(key=lambda server: self._node.path.has_failed(server.backend))
+        in_domain: collections.Counter[ids.DomainName] = collections.Counter()
+        ranked = []
+        for server in servers:
+            ranked.append((in_domain[server.domain], len(ranked), server))
+            in_domain[server.domain] += 1
+        return [server for _, _, server in sorted(ranked)[:count]]
+
     def _apply_change(self, now: float) -> None:
         node = self._node
         has_path = node.fleet.has_path = not node.path.is_lost
--- a/testing/placement/test_server_path.py
+++ b/testing/placement/test_server_path.py
@@ -84,21 +84,38 @@
 
 
 class SuspicionTest(testtools.TestCase):
-    """Requests on kept connections that get no sign of any server."""
+    """Signs that the path may be lost."""
 
     @parameterized.expand(
         [
-            ("silence", ["a", "b", "c"], 0.45, True),
-            ("too_short", ["a", "b", "c"], 0.3, False),
-            ("one_slow_server", ["a", "a", "a"], 2.0, False),
+            ("three_servers", ["a", "b", "c"], 0.41, True),
+            ("three_servers_too_short", ["a", "b", "c"], 0.39, False),
+            ("two_servers", ["a", "b"], 0.61, True),
+            ("two_servers_too_short", ["a", "b"], 0.59, False),
+            ("one_server", ["a", "a"], 1.21, True),
+            ("one_server_too_short", ["a", "a"], 1.19, False),
         ]
     )
-    def test_silence_of_several_servers_is_suspect(self, _name, sent, age, is_suspect) -> None:
+    def test_silence_of_all_servers_is_suspect(self, _name, sent, age, is_suspect) -> None:
         path = make_path()
         for name in sent:
             path.record_sent(NOW, ids.BackendId(name))
         self.assertEqual(is_suspect, path.is_suspect(NOW + age))
 
+    @parameterized.expand(
+        [
+            ("one_while_others_send", ["a:1"], 0.1, False),
+            ("one_and_silence", ["a:1"], 0.41, True),
+            ("two_while_others_send", ["a:1", "b:1"], 0.1, True),
+            ("old_ones", ["a:1", "b:1"], server_path.FAILURE_MEMORY_S + 0.1, False),
+        ]
+    )
+    def test_failures_to_connect_are_suspect(self, _name, failed, age, is_suspect) -> None:
+        """Guards against a loss that is not noticed because only two servers are ever tried."""
+        path = make_path()
+        fail(path, *failed)
+        self.assertEqual(is_suspect, path.is_suspect(NOW + age))
+
     def test_any_sign_of_a_server_ends_the_suspicion(self) -> None:
         path = make_path()
         for name in ("a", "b", "c"):
@@ -106,6 +123,17 @@
         path.record_received(NOW + 0.4)
         self.assertFalse(path.is_suspect(NOW + 2.0))
 
+    def test_connection_that_opens_ends_the_suspicion(self) -> None:
+        path = make_path()
+        fail(path, "a:1", "b:1")
+        path.record_opened(NOW + 0.1)
+        self.assertFalse(path.is_suspect(NOW + 2.0))
+
+    def test_two_servers_are_too_few_to_probe(self) -> None:
+        path = make_path(servers=2)
+        path.record_sent(NOW, ids.BackendId("a"))
+        self.assertFalse(path.is_suspect(NOW + 2.0))
+
 
 class KeptConnectionsTest(testtools.TestCase):
     """Kept connections while no new one opens."""
