Refuse a relayed request only if it ran nowhere, and try another relay without capacity

Cause: the answer of the relaying instance was passed on as it was. It knows what it did itself, not that the first instance had sent the request on a kept connection that broke. And a relay without a quota of the limited servers refused although others had one.

Change: an answer says whether it is final, not run, without capacity or declined. A refusal becomes 502 if an earlier send may have run.

--- a/src/caperdyke/protocol/relay_headers.py
+++ b/src/caperdyke/protocol/relay_headers.py
@@ -1,6 +1,7 @@
 """Headers of requests that one instance relays through another, and of their answers."""
 
 import dataclasses
+import enum
 
 from caperdyke import errors
 from caperdyke.state import ids
@@ -13,8 +14,21 @@
 REACHED = _PREFIX + b"reached"
 COUNTED = _PREFIX + b"counted"
 VERSION = _PREFIX + b"version"
-DECLINED = _PREFIX + b"declined"
-_NAMES = frozenset((INSTANCE, WAIT_MS, REACHED, COUNTED, VERSION, DECLINED))
+OUTCOME = _PREFIX + b"outcome"
+_NAMES = frozenset((INSTANCE, WAIT_MS, REACHED, COUNTED, VERSION, OUTCOME))
+
+
+class RelayOutcome(enum.Enum):
+    """What became of a relayed request."""
+
+    # The answer is the final one for the caller.
+    FINAL = "final"
+    # The instance refuses the request, which no server ran.
+    NOT_RUN = "not run"
+    # No server had capacity for a request of that instance, and none got the request.
+    NO_CAPACITY = "no capacity"
+    # The instance did not try to serve the request.
+    DECLINED = "declined"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,11 +53,11 @@
 class RelayedAnswer:
     """What the relaying instance learns from an answer beside its content.
 
-    :param is_declined: whether the other instance did not try to serve the request.
+    :param outcome: whether another instance may serve the request.
     :param version: configuration by which the request was handled.
     """
 
-    is_declined: bool
+    outcome: RelayOutcome
     version: int
 
 
@@ -78,7 +92,7 @@
 
 def encode_answer(fields: RelayedAnswer) -> RawHeaders:
     """Returns the headers of the answer to a relayed request."""
-    return [(VERSION, b"%d" % fields.version), (DECLINED, b"%d" % fields.is_declined)]
+    return [(VERSION, b"%d" % fields.version), (OUTCOME, fields.outcome.value.encode())]
 
 
 def decode_answer(headers: RawHeaders) -> RelayedAnswer:
@@ -88,7 +102,8 @@
     """
     found = dict(headers)
     try:
-        return RelayedAnswer(bool(int(found[DECLINED])), int(found[VERSION]))
+        outcome = RelayOutcome(found[OUTCOME].decode("latin-1"))
+        return RelayedAnswer(outcome, int(found[VERSION]))
     except (KeyError, ValueError) as error:
         raise errors.ProtocolError(f"invalid headers of a relayed answer: {error!r}") from error
 
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -6,6 +6,7 @@
 import random
 
 from caperdyke.coordination.placement import attempts, selection
+from caperdyke.coordination.registry import fleet
 from caperdyke.state import ids, routes
 from caperdyke.transport.gateway import context, local_reply, relay, sender
 
@@ -113,6 +114,7 @@
         if request.relayed is not None and not attempt_state.sent:
             return local_reply.LocalReply(503, local_reply.LocalReplyReason.DECLINED)
         tried: set[ids.InstanceId] = set()
+        refused: sender.ServerAnswer | None = None
         while request.relayed is None and node.now() < request.deadline:
             peer = self.relay.choose(route, tried)
             if peer is None:
@@ -126,13 +128,20 @@
             reached, is_counted = attempt_state.reached, service is not None
             result = await self.relay.send(request, peer, reached, is_counted)
             trace.sends.append(_describe_relay(peer, node.now() - sent_at, result))
-            if isinstance(result, sender.ServerAnswer):
-                return result
-            if result.may_have_run:
-                attempt_state.record_reached()
-                attempt_state.record_may_have_run()
-                if not attempt_state.allows_retry():
-                    break
+            match result:
+                case sender.ServerAnswer():
+                    return result
+                case relay.NotRun():
+                    refused = result.answer
+                    if not result.has_no_capacity:
+                        break
+                case sender.Failure(may_have_run=True):
+                    attempt_state.record_reached()
+                    attempt_state.record_may_have_run()
+                    if not attempt_state.allows_retry():
+                        break
+        if refused is not None and attempt_state.is_known_not_run:
+            return refused
         if not attempt_state.is_known_not_run:
             return self._make_final_reply(request, attempt_state, None)
         retry_after = NO_PATH_RETRY_AFTER_SECONDS * self._rng.uniform(1.0, 1.5)
@@ -382,9 +391,14 @@
         )
 
 
-def _describe_relay(peer, took_s: float, result: sender.Result) -> str:
-    is_failed = isinstance(result, sender.Failure)
-    outcome = f"{result.kind.value} ({result.detail})" if is_failed else str(result.status)
+def _describe_relay(peer: fleet.PeerInstance, took_s: float, result: relay.RelayResult) -> str:
+    match result:
+        case sender.Failure():
+            outcome = f"{result.kind.value} ({result.detail})"
+        case relay.NotRun():
+            outcome = f"{result.answer.status}, not run"
+        case sender.ServerAnswer():
+            outcome = str(result.status)
     return f"relayed through {peer.record.instance}: {outcome} after {round(took_s * 1000)} ms"
 
 
--- a/src/caperdyke/transport/gateway/peer_app.py
+++ b/src/caperdyke/transport/gateway/peer_app.py
@@ -33,7 +33,7 @@
 
 
 async def _send_refusal(send) -> None:
-    answer = relay_headers.RelayedAnswer(is_declined=True, version=0)
+    answer = relay_headers.RelayedAnswer(relay_headers.RelayOutcome.DECLINED, version=0)
     headers = [*relay_headers.encode_answer(answer), (b"content-length", b"0")]
     await send({"type": "http.response.start", "status": 403, "headers": headers})
     await send({"type": "http.response.body", "body": b""})
--- a/src/caperdyke/transport/gateway/relay.py
+++ b/src/caperdyke/transport/gateway/relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import collections.abc
+import dataclasses
 import random
 
 from caperdyke import errors
@@ -22,6 +23,21 @@
 CHOICES = 2
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """An instance refused a request, and no server has run it there.
+
+    :param answer: its answer to the caller.
+    :param has_no_capacity: whether it sent the request to no server, so that others may.
+    """
+
+    answer: sender.ServerAnswer
+    has_no_capacity: bool
+
+
+RelayResult = sender.Result | NotRun
+
+
 class Relay:
     """Sends requests to other instances, which serve them like those of their own callers.
 
@@ -57,7 +73,7 @@
 
     async def send(
         self, request: sender.CallerRequest, peer: fleet.PeerInstance, reached: int, counted: bool
-    ) -> sender.Result:
+    ) -> RelayResult:
         """Sends a request to an instance and returns what it answers.
 
         :param reached: number of servers that the request has reached already.
@@ -80,7 +96,7 @@
 
     async def _exchange(
         self, request: sender.CallerRequest, peer: fleet.PeerInstance, reached: int, counted: bool
-    ) -> sender.Result:
+    ) -> RelayResult:
         now, address = self._node.now, peer.record.peer_address
         conn = self._pool.acquire(address)
         if conn is None:
@@ -110,7 +126,7 @@
         conn: connection.ServerConnection,
         reached: int,
         counted: bool,
-    ) -> sender.Result:
+    ) -> RelayResult:
         node, address = self._node, peer.record.peer_address
         caller_wait_ms = None
         if request.caller_timeout_at is not None:
@@ -139,7 +155,7 @@
         body, is_whole = await sender.buffer_body(conn)
         if is_whole and conn.finish():
             self._pool.release(address, conn, None)
-        if fields.is_declined:
+        if fields.outcome is relay_headers.RelayOutcome.DECLINED:
             self._unusable_until[peer.record.instance] = node.now() + DECLINED_SECONDS
             return sender.Failure(sender.FailureKind.REFUSED, "declined")
         self._version = max(self._version, fields.version)
@@ -149,7 +165,10 @@
             if item[0] not in sender.HOP_BY_HOP_HEADERS
         ]
         if is_whole:
-            return sender.ServerAnswer(head.status_code, forwarded, body, None, len(body), None)
+            answer = sender.ServerAnswer(head.status_code, forwarded, body, None, len(body), None)
+            if fields.outcome is relay_headers.RelayOutcome.FINAL:
+                return answer
+            return NotRun(answer, fields.outcome is relay_headers.RelayOutcome.NO_CAPACITY)
         rest = self._stream_remaining_body(conn, address)
         return sender.ServerAnswer(head.status_code, forwarded, body, rest, length, None)
 
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -19,6 +19,14 @@
 ERROR_STATUS_MIN = 400
 # The last answer is sent this long before the caller's deadline, so that it arrives in time.
 ANSWER_MARGIN_SECONDS = 0.03
+# What local replies tell an instance that relayed the request.
+_RELAY_OUTCOMES = {
+    local_reply.LocalReplyReason.REFUSED: relay_headers.RelayOutcome.NOT_RUN,
+    local_reply.LocalReplyReason.NO_PATH: relay_headers.RelayOutcome.NOT_RUN,
+    local_reply.LocalReplyReason.DECLINED: relay_headers.RelayOutcome.DECLINED,
+    local_reply.LocalReplyReason.NO_CAPACITY: relay_headers.RelayOutcome.NO_CAPACITY,
+    local_reply.LocalReplyReason.NO_SERVER: relay_headers.RelayOutcome.NO_CAPACITY,
+}
 
 
 class _CallerDisconnectedError(errors.CaperdykeError):
@@ -203,7 +211,7 @@
         )
         body = answer.reason.value.encode()
         headers += [(b"content-type", b"text/plain"), (b"content-length", b"%d" % len(body))]
-        headers += self._make_relay_headers(answer.reason is local_reply.LocalReplyReason.DECLINED)
+        headers += self._make_relay_headers(_RELAY_OUTCOMES.get(answer.reason))
         await self._send_head(send, answer.status, headers)
         await send({"type": "http.response.body", "body": body})
         self._log_request_end(trace, answer.status, answer.reason.value)
@@ -216,7 +224,7 @@
         request: sender.CallerRequest,
         trace: local_reply.RequestTrace,
     ) -> None:
-        headers = [*answer.headers, *self._make_relay_headers(is_declined=False)]
+        headers = [*answer.headers, *self._make_relay_headers()]
         if answer.length is not None and request.method != "HEAD":
             headers.append((b"content-length", b"%d" % answer.length))
         await self._send_head(send, answer.status, headers)
@@ -240,12 +248,18 @@
             await answer.remaining_body.aclose()
         self._log_request_end(trace, answer.status, "answered in parts")
 
-    def _make_relay_headers(self, is_declined: bool) -> platform_interfaces.RawHeaders:
-        """Returns the headers that an answer to another instance carries in addition."""
+    def _make_relay_headers(
+        self, outcome: relay_headers.RelayOutcome | None = None
+    ) -> platform_interfaces.RawHeaders:
+        """Returns the headers that an answer to another instance carries in addition.
+
+        :param outcome: final if None.
+        """
         if not self._is_for_peers:
             return []
         version = self._node.routes.version if self._node.routes else 0
-        return relay_headers.encode_answer(relay_headers.RelayedAnswer(is_declined, version))
+        outcome = outcome or relay_headers.RelayOutcome.FINAL
+        return relay_headers.encode_answer(relay_headers.RelayedAnswer(outcome, version))
 
     async def _send_head(self, send, status: int, headers: platform_interfaces.RawHeaders) -> None:
         if self._node.is_stopping:
--- a/testing/platform/live_fleet.py
+++ b/testing/platform/live_fleet.py
@@ -75,11 +75,16 @@
         response_headers = {name.lower(): value for name, value in response.headers.items()}
         return CallerAnswer(response.status_code, response_headers, body, loop.time() - sent_at)
 
-    async def send_load(self, number: int, seconds: float, per_second: float) -> list[CallerAnswer]:
-        """Sends requests to one gateway at even intervals, and returns all answers."""
+    async def send_load(
+        self, number: int, seconds: float, per_second: float, **options
+    ) -> list[CallerAnswer]:
+        """Sends requests to one gateway at even intervals, and returns all answers.
+
+        :param options: see ``send_request``.
+        """
         tasks = []
         for _ in range(round(seconds * per_second)):
-            tasks.append(asyncio.create_task(self.send_request(number)))
+            tasks.append(asyncio.create_task(self.send_request(number, **options)))
             await asyncio.sleep(1 / per_second)
         return await asyncio.gather(*tasks)
 
--- a/testing/platform/test_stranded_instances.py
+++ b/testing/platform/test_stranded_instances.py
@@ -1,6 +1,7 @@
 """Instances that have lost their path to all backend servers while callers still reach them."""
 
 import asyncio
+import math
 
 import testtools
 from parameterized import parameterized
@@ -13,6 +14,8 @@
 # and the ratio that counts as alike.
 NOTICED_WITHIN_SECONDS = 1.5
 SERVED_RATIO_MIN = 0.95
+# The same for callers whose requests all go to one server, within the time that the rules allow.
+ONE_SERVER_NOTICED_WITHIN_SECONDS = 2.5
 MANNERS = [(manner.value, manner) for manner in path_cuts.CutManner]
 RESET = path_cuts.CutManner.RESET
 DOMAINS = ["hall-1", "hall-1", "hall-2", "hall-3"]
@@ -62,6 +65,20 @@
 
         simulated_loop.run_with_sockets(scenario())
 
+    @parameterized.expand(MANNERS)
+    def test_loss_is_noticed_by_requests_to_one_server(self, _name, manner) -> None:
+        """Guards against a loss that is not noticed because few servers are ever tried."""
+
+        async def scenario() -> None:
+            async with live_fleet.start_fleet(DOMAINS) as fleet:
+                await fleet.send_load(0, 1.0, 5, key="k")
+                fleet.cut(0, manner)
+                await fleet.send_load(0, ONE_SERVER_NOTICED_WITHIN_SECONDS, 5, key="k")
+                answers = await fleet.send_load(0, 3.0, 5, key="k")
+                self.assertEqual({200}, {answer.status for answer in answers})
+
+        simulated_loop.run_with_sockets(scenario())
+
     @parameterized.expand(
         [("whole_domain", [0, 1]), ("whole_region", [0, 1, 2]), ("one_of_each_domain", [0, 2, 3])]
     )
@@ -180,6 +197,38 @@
 
         simulated_loop.run_with_sockets(scenario())
 
+    def test_refusal_of_the_relay_is_no_promise_if_a_server_had_the_request(self) -> None:
+        """Guards against 503 for a request that this instance had sent on a kept connection."""
+
+        async def scenario() -> None:
+            async with live_fleet.start_fleet(DOMAINS) as fleet:
+                await fleet.send_load(0, 1.0, PER_SECOND, key="k")
+                fleet.cut(0, path_cuts.CutManner.NEW_REFUSED)
+                path = fleet.nodes[0].path
+                for server in fleet.nodes[0].list_servers():
+                    path.record_open_failed(fleet.nodes[0].now(), server, fleet.nodes[0].now())
+                self.assertTrue(path.is_lost)
+                home = max(fleet.servers, key=lambda server: len(server.requests))
+                for server in fleet.servers:
+                    server.faults = ["shed"] * 9
+                home.faults = ["reset", *home.faults]
+                answer = await fleet.send_request(0, key="k", request_id="read-1")
+                self.assertTrue(len(fleet.find_requests("read-1")) > 1)
+                self.assertEqual(502, answer.status)
+
+        simulated_loop.run_with_sockets(scenario())
+
+    def test_request_goes_through_another_instance_if_the_relay_has_no_capacity(self) -> None:
+        async def scenario() -> None:
+            async with live_fleet.start_fleet(DOMAINS) as fleet:
+                await strand(fleet, 0)
+                # The instance in the same failure domain has no quota of any server.
+                fleet.nodes[1].find_next_send_time = lambda _now, _registered: math.inf
+                answers = await fleet.send_load(0, 1.0, PER_SECOND)
+                self.assertEqual({200}, {answer.status for answer in answers})
+
+        simulated_loop.run_with_sockets(scenario())
+
     def test_close_of_the_caller_reaches_the_server(self) -> None:
         async def scenario() -> None:
             async with live_fleet.start_fleet(DOMAINS) as fleet:
@@ -231,7 +280,8 @@
                 wanted = relay_headers.RelayedRequest("gateway-0", 1000, 0, False, 2)
                 status, headers = await fleet.call_peer(1, relay_headers.encode_request(wanted))
                 self.assertEqual(503, status)
-                self.assertTrue(relay_headers.decode_answer(headers).is_declined)
+                outcome = relay_headers.decode_answer(headers).outcome
+                self.assertIs(relay_headers.RelayOutcome.DECLINED, outcome)
 
         simulated_loop.run_with_sockets(scenario())
 
--- a/testing/test_relay_headers.py
+++ b/testing/test_relay_headers.py
@@ -17,9 +17,9 @@
         headers = relay_headers.encode_request(REQUEST)
         self.assertEqual(REQUEST, relay_headers.decode_request(headers))
 
-    @parameterized.expand([("served", False), ("declined", True)])
-    def test_answer_round_trip(self, _name, is_declined) -> None:
-        answer = relay_headers.RelayedAnswer(is_declined, 7)
+    @parameterized.expand([(outcome.value, outcome) for outcome in relay_headers.RelayOutcome])
+    def test_answer_round_trip(self, _name, outcome) -> None:
+        answer = relay_headers.RelayedAnswer(outcome, 7)
         headers = relay_headers.encode_answer(answer)
         self.assertEqual(answer, relay_headers.decode_answer(headers))
 
