Pass the quota of stranded instances to those that serve their callers

Cause: limits are divided among all live instances, whether they can reach a server or not.

Change: an instance without a path takes no part in the division. Its quota passes to the others one window (4.5 s) after its announcement, and when its path is back it waits as long before it uses its quota again, so that no window contains requests of both. A change of the path is announced to all live instances at once.

--- a/src/caperdyke/coordination/registry/fleet.py
+++ b/src/caperdyke/coordination/registry/fleet.py
@@ -25,6 +25,10 @@
 # Instances without a path to the servers for each instance with one, up to which a group of
 # instances serves the callers of all. A larger group is used above that, if there is one.
 STRANDED_PER_INSTANCE_MAX = 2.0
+# Time after which the quota of an instance without a path to the servers passes to the others, and
+# for which it waits when the path is back: longer than the window in which limits count, so that no
+# window contains requests of both.
+QUOTA_TRANSFER_SECONDS = shared_bounds.LIMIT_WINDOW_S + 0.5
 # Time of silence after which an instance is removed.
 SILENT_PEER_EXPIRY_SECONDS = 60.0
 
@@ -34,6 +38,7 @@
     """Another instance, from its record and its announcements; times are in seconds.
 
     :param has_path: whether it can open connections to backend servers.
+    :param path_lost_at: time at which it announced that it has none; infinity if it has one.
     :param alive_until: time until which it counts as alive without a further announcement.
     :param last_seen_at: time of its latest announcement.
     :param first_seen_at: time at which this start of the instance was added.
@@ -45,6 +50,7 @@
     record: member.Member
     is_ready: bool = False
     has_path: bool = True
+    path_lost_at: float = math.inf
     alive_until: float = 0.0
     last_seen_at: float = 0.0
     first_seen_at: float = 0.0
@@ -69,6 +75,7 @@
         self.own = own
         self.is_ready = False
         self.has_path = True
+        self._path_restored_at = -math.inf
         self._regions = regions
         self._peers: dict[ids.InstanceId, PeerInstance] = {}
         # Names by the hash that replaces them in announcements.
@@ -82,6 +89,12 @@
         """Replaces the map from failure domains to regions."""
         self._regions = regions
 
+    def record_path(self, now: float, has_path: bool) -> None:
+        """Records that this instance has lost its path to the servers, or has it back."""
+        if has_path and not self.has_path:
+            self._path_restored_at = now
+        self.has_path = has_path
+
     def list_others(self) -> list[PeerInstance]:
         """Returns all other instances, silent and leaving ones included."""
         return list(self._peers.values())
@@ -142,6 +155,8 @@
         if peer is None or incarnation != peer.record.incarnation:
             return None
         peer.is_ready = is_ready
+        if has_path != peer.has_path:
+            peer.path_lost_at = math.inf if has_path else now
         peer.has_path = has_path
         peer.last_seen_at = now
         peer.alive_until = now + max(SILENCE_MIN_SECONDS, LOST_ANNOUNCEMENTS_MAX * interval)
@@ -191,20 +206,28 @@
 
         Pattern: an instance that has just started or was paused has received no announcements yet
         and would take the whole limit for itself; the quota of one that leaves already belongs to
-        the others. Neither takes part in the division.
+        the others. Neither takes part in the division. The quota of an instance without a path to
+        the servers passes to those that serve its callers.
         """
-        live = {peer.record.instance: peer.record.domain for peer in self.list_live(now)}
+        live = {
+            peer.record.instance: peer.record.domain
+            for peer in self.list_live(now)
+            if now < peer.path_lost_at + QUOTA_TRANSFER_SECONDS
+        }
         live[self.own.instance] = self.own.domain
         recent_since = now - LIMIT_RELEASE_SECONDS
         silent = {
             name: peer.record.domain
             for name, peer in self._peers.items()
             if name not in live
+            and now >= peer.alive_until
             and peer.record.state is member.MemberState.LIVE
             and max(peer.last_seen_at, peer.first_seen_at) > recent_since
         }
         view = shared_bounds.make_fleet_view(self.own.instance, live, silent)
-        if self._is_settled(now) and self.own.state is member.MemberState.LIVE:
+        is_using_path = self.has_path and now >= self._path_restored_at + QUOTA_TRANSFER_SECONDS
+        is_live = self.own.state is member.MemberState.LIVE
+        if is_using_path and is_live and self._is_settled(now):
             return view
         return dataclasses.replace(view, own=None)
 
--- a/src/caperdyke/transport/gateway/announcer.py
+++ b/src/caperdyke/transport/gateway/announcer.py
@@ -143,12 +143,12 @@
     def announce_path(self) -> None:
         """Announces at once whether this instance has a path to the backend servers.
 
-        Pattern: look-ups name an instance, and others relay requests to it, until they learn that
-        it has lost its path. Its failure domain is informed first, as it answers most look-ups of
-        the callers concerned.
+        Pattern: look-ups name an instance, others relay requests to it, and its quota of limits is
+        unused, until they learn that it has lost its path. All are informed, since limits are
+        divided among all.
         """
-        self.announce_to_domain()
-        self.announce_server_state()
+        for other in self._node.fleet.list_live(self._node.now()):
+            other.announce_at = 0.0
 
     def announce_server_state(self) -> None:
         """Announces a limit, a backoff or the drain of a backend server to some instances at once.
--- a/src/caperdyke/transport/gateway/path_monitor.py
+++ b/src/caperdyke/transport/gateway/path_monitor.py
@@ -77,7 +77,8 @@
 
     def _apply_change(self, now: float) -> None:
         node = self._node
-        has_path = node.fleet.has_path = not node.path.is_lost
+        has_path = not node.path.is_lost
+        node.fleet.record_path(now, has_path)
         node.metrics.record_path(has_path)
         if has_path:
             node.clear_failures()
--- a/testing/registry/test_path_groups.py
+++ b/testing/registry/test_path_groups.py
@@ -80,3 +80,49 @@
     def test_another_domain_is_not_affected(self) -> None:
         addresses = make_fleet(ONE).choose_for_caller(NOW, "hall-3", "south", 64)
         self.assertEqual(["e:2", "f:2"], sorted(addresses))
+
+
+class QuotaTest(testtools.TestCase):
+    """Instances among which limits are divided."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = fleet.Fleet(builders.make_member("a", "hall-1"), REGIONS)
+        self.fleet.record_members_read(0.0)
+        for name, domain in (("b", "hall-1"), ("c", "hall-2")):
+            self.fleet.merge(0.0, builders.make_member(name, domain))
+
+    def run_until(self, start: float, end: float, stranded: str = "") -> None:
+        """Lets the others announce themselves each 0.4 s."""
+        now = start
+        while now <= end:
+            self.fleet.record_tick(now)
+            for name in "bc":
+                name_hash = name_hashes.hash_name(ids.InstanceId(name))
+                self.fleet.record_announcement(
+                    now, name_hash, ids.Incarnation(1), True, 0.4, name not in stranded
+                )
+            now += 0.4
+
+    def test_quota_of_a_stranded_instance_passes_on_after_a_window(self) -> None:
+        self.run_until(0.0, 10.0)
+        self.run_until(10.4, 13.0, stranded="b")
+        self.assertEqual(set("abc"), set(self.fleet.build_fleet_view(13.0).domains))
+        self.run_until(13.4, 16.0, stranded="b")
+        view = self.fleet.build_fleet_view(16.0)
+        self.assertEqual((set("ac"), 1.0), (set(view.domains), view.live_ratio))
+
+    def test_quota_is_returned_at_once(self) -> None:
+        self.run_until(0.0, 20.0, stranded="b")
+        self.run_until(20.4, 20.4)
+        self.assertEqual(set("abc"), set(self.fleet.build_fleet_view(20.4).domains))
+
+    def test_stranded_instance_has_no_quota_until_a_window_after_its_return(self) -> None:
+        self.run_until(0.0, 10.0)
+        self.fleet.record_path(10.0, False)
+        self.assertIsNone(self.fleet.build_fleet_view(10.0).own)
+        self.run_until(10.4, 20.0)
+        self.fleet.record_path(20.0, True)
+        self.assertIsNone(self.fleet.build_fleet_view(20.0).own)
+        self.run_until(20.4, 25.0)
+        self.assertEqual("a", self.fleet.build_fleet_view(25.0).own)
