Check that the user timeout and the probe count detect silence alike

The users' pages say now what Linux does: a TCP_USER_TIMEOUT that is set decides when keepalive probes give up, whatever their count. Looked at for callers, servers, peers and the store: all go through enable_keepalive, none of the libraries (aiosonic, uvicorn, asyncio) sets a user timeout. With it silence is detected at the first probe due after it: 3 s for requests (2.5 s, two probes), 2 s for the store (1.5 s, one probe), the same as by the counts. No behaviour changes.

--- a/src/caperdyke/transport/http/tcp_keepalive.py
+++ b/src/caperdyke/transport/http/tcp_keepalive.py
@@ -11,6 +11,9 @@
 class KeepaliveOptions:
     """How long a peer may leave packets unacknowledged.
 
+    On Linux the user timeout also decides when probes give up, whatever their number; the number
+    applies where there is no such timeout. Both must stand for the same time.
+
     :param probes_max: unanswered probes on an idle connection before it is closed.
     :param user_timeout_ms: longest time that sent bytes may stay unacknowledged, in milliseconds.
     """
