Cut gateways off from all servers in the fault soak, and judge their callers

The soak harmed the path to the store only. Each schedule now cuts one, most or all gateways of a failure domain off from all servers (hanging, reset, new connections refused); the gateway program runs in a wrapper that fails connections to the servers' addresses while a file names them. A check compares the callers of such a gateway with those of the others from 1.5 s on (0.95, 20 requests or more). Requests that a gateway relayed count as its own in the checks of senders.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -28,6 +28,14 @@
 # after the refusal that requested the backoff.
 BACKOFF_REQUESTS_MAX = 2
 BACKOFF_GRACE_S = 0.5
+# Time after which callers of a gateway without a path to the servers are served like those of the
+# others, the ratio that counts as alike, and the requests that are needed to judge it.
+PATH_NOTICED_S = 1.5
+ALIKE_RATIO = 0.95
+ALIKE_REQUESTS_MIN = 20
+# Servers belong to the services in turn. So many of a service that accept less are a shortage.
+SERVICES = 2
+SHORT_SERVERS_MIN = 2
 # Lateness of the machine above which a run is not judged.
 LATENESS_MAX_S = 1.0
 DESCRIPTORS_MAX = 400
@@ -60,6 +68,7 @@
         _check_backoffs(observed),
         _check_announced_leaving(observed),
         _check_graceful_stops(observed),
+        _check_stranded(observed),
         _check_recovery(observed),
         _check_failures_logged(observed),
         _check_processes(observed),
@@ -129,7 +138,7 @@
 
 def _check_leaving(observed: records.Records) -> Verdict:
     judged, problems = 0, []
-    senders = {item.request: item.gateway for item in observed.attempts}
+    senders = _find_senders(observed)
     for run in observed.runs:
         gateway = senders.get(run.request)
         left_at = observed.left_at_by_server.get(run.server)
@@ -148,7 +157,7 @@
 
 def _check_advertised_limits(observed: records.Records) -> Verdict:
     judged, problems = 0, []
-    senders = {item.request: item.gateway for item in observed.attempts}
+    senders = _find_senders(observed)
     for limit in observed.limits:
         allowed = LIMIT_FACTOR * limit.per_second * LIMIT_WINDOW_S + LIMIT_EXTRA_REQUESTS
         times = sorted(
@@ -211,11 +220,20 @@
     return Verdict("a server that says it leaves gets nothing new", judged, tuple(problems))
 
 
+def _find_senders(observed: records.Records) -> dict[str, int]:
+    """Returns the gateway that sent each request to servers."""
+    return {item.request: item.gateway for item in observed.attempts} | observed.relayed_to
+
+
 def _group_arrivals(
     observed: records.Records,
 ) -> dict[tuple[int, int], list[records.Arrival]]:
     """Groups arrivals, in order of time, by gateway number and start of its process."""
-    senders = {item.request: (item.gateway, item.start) for item in observed.attempts}
+    starts = {item.request: item.start for item in observed.attempts}
+    senders = {
+        request: (gateway, 0 if request in observed.relayed_to else starts[request])
+        for request, gateway in _find_senders(observed).items()
+    }
     groups: dict[tuple[int, int], list[records.Arrival]] = collections.defaultdict(list)
     for item in sorted(observed.arrivals, key=lambda item: item.at):
         if item.request in senders:
@@ -242,6 +260,62 @@
     return Verdict("a planned stop cuts nothing off", judged, tuple(problems))
 
 
+def _check_stranded(observed: records.Records) -> Verdict:
+    """Compares callers of gateways without a path to the servers with those of the others.
+
+    Requests are left out while any gateway is down or frozen, as it may be the one that serves
+    them, and while half of a service's servers advertise limits or request backoffs: gateways have
+    unequal parts of what is left, whether they are stranded or not.
+    """
+    judged, problems = 0, []
+    calm = [
+        item
+        for item in observed.attempts
+        if item.kind is not records.RequestKind.PROBE
+        and item.status >= 0
+        and not _is_any_gateway_down(observed, item)
+        and not _is_capacity_short(observed, item)
+    ]
+    for cut in observed.path_cuts:
+        since = cut.began_at + PATH_NOTICED_S + observed.lateness
+        during = [item for item in calm if since <= item.sent_at and item.ended_at <= cut.ended_at]
+        cut_gateways = {item.gateway for item in observed.path_cuts}
+        concerned = [item for item in during if item.gateway == cut.gateway]
+        others = [item for item in during if item.gateway not in cut_gateways]
+        if min(len(concerned), len(others)) < ALIKE_REQUESTS_MIN:
+            continue
+        judged += 1
+        served, expected = (
+            sum(item.status == 200 for item in group) / len(group) for group in (concerned, others)
+        )
+        if served < ALIKE_RATIO * expected:
+            problems.append(
+                f"gateway {cut.gateway}: {served:.0%} of {len(concerned)} served from"
+                f" {since:.2f} to {cut.ended_at:.2f}, {expected:.0%} at the others"
+            )
+    return Verdict("callers of stranded gateways are served", judged, tuple(problems))
+
+
+def _is_any_gateway_down(observed: records.Records, item: records.Attempt) -> bool:
+    return any(
+        disruption.gateway is not None
+        and disruption.is_process
+        and disruption.began_at <= item.ended_at
+        and disruption.ended_at >= item.sent_at
+        for disruption in observed.disruptions
+    )
+
+
+def _is_capacity_short(observed: records.Records, item: records.Attempt) -> bool:
+    short = {
+        shortage.server
+        for shortage in observed.shortages
+        if shortage.began_at <= item.ended_at and shortage.ended_at >= item.sent_at
+    }
+    by_service = collections.Counter(number % SERVICES for number in short)
+    return max(by_service.values(), default=0) >= SHORT_SERVERS_MIN
+
+
 def _check_recovery(observed: records.Records) -> Verdict:
     since = observed.faults_end_at + RECOVERY_DEADLINE_S + observed.lateness
     late = [
--- a/bench/soak/gateways.py
+++ b/bench/soak/gateways.py
@@ -10,6 +10,7 @@
 import time
 
 from testing import servers
+from testing.platform import soak_gateway
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 REGIONS = {"hall-1": "north", "hall-2": "north", "hall-3": "south"}
@@ -33,6 +34,7 @@
         self.folder = folder
         names = ("requests", "readiness", "lookups", "peer", "metrics")
         self.addresses = {name: servers.pick_address(_PORTS) for name in names}
+        self.cut_file = folder / f"gateway-{number}.cut"
         self.start = 0
         self.process: subprocess.Popen | None = None
 
@@ -43,13 +45,24 @@
         settings.write_text(self._make_settings(store_address, seeds))
         with self.build_log_path(self.start).open("wb") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "caperdyke.programs.gateway", "--settings", str(settings)],
+                [
+                    sys.executable,
+                    "-m",
+                    "testing.platform.soak_gateway",
+                    str(self.cut_file),
+                    "--settings",
+                    str(settings),
+                ],
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 cwd=ROOT,
-                env=os.environ | {"PYTHONPATH": str(ROOT / "src")},
+                env=os.environ | {"PYTHONPATH": os.pathsep.join((str(ROOT / "src"), str(ROOT)))},
             )
 
+    def cut(self, cut: soak_gateway.Cut | None) -> None:
+        """Cuts the process off from some addresses, or ends the cut."""
+        soak_gateway.write_cut(self.cut_file, cut)
+
     def build_log_path(self, start: int) -> pathlib.Path:
         """Returns the path of the log of one start."""
         return self.folder / f"gateway-{self.number}.{start}.log"
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -82,11 +82,31 @@
     """The time during which a fault was active.
 
     :param gateway: number of the affected gateway; None if all are affected.
+    :param is_process: whether the process was killed, stopped or frozen.
     """
 
     gateway: int | None
     began_at: float
     ended_at: float
+    is_process: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class PathCut:
+    """The time during which a gateway had no path to any backend server."""
+
+    gateway: int
+    began_at: float
+    ended_at: float
+
+
+@dataclasses.dataclass(slots=True)
+class Shortage:
+    """The time during which a server accepted less than usual, by its own announcement."""
+
+    server: int
+    began_at: float
+    ended_at: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -99,6 +119,9 @@
     :ivar stops: graceful stops: gateway, start, time of the signal, time of the exit.
     :ivar logged_requests: ids of requests that a log line names.
     :ivar killed: gateway and start of each process that was killed.
+    :ivar path_cuts: cuts of the path between a gateway and all servers.
+    :ivar shortages: times during which servers advertised a limit or requested backoffs.
+    :ivar relayed_to: gateway that sent a request to servers in place of the one that got it.
     :ivar error_lines: log lines and events that are errors by themselves.
     :ivar lateness: largest delay of a timer of the soak or of a process that waited for a
         processor, in seconds.
@@ -116,6 +139,9 @@
     killed: set[tuple[int, int]] = dataclasses.field(default_factory=set)
     limits: list[AdvertisedLimit] = dataclasses.field(default_factory=list)
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
+    path_cuts: list[PathCut] = dataclasses.field(default_factory=list)
+    shortages: list[Shortage] = dataclasses.field(default_factory=list)
+    relayed_to: dict[str, int] = dataclasses.field(default_factory=dict)
     error_lines: list[str] = dataclasses.field(default_factory=list)
     descriptors: dict[int, int] = dataclasses.field(default_factory=dict)
     memory_mb: dict[int, float] = dataclasses.field(default_factory=dict)
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -29,6 +29,9 @@
     STORE_SLOW = "store slow"
     STORE_FORGETS = "store forgets"
     STORE_COPY = "store copy"
+    PATH_HANGING = "path hanging"
+    PATH_RESET = "path reset"
+    PATH_NEW_REFUSED = "path new refused"
     SERVER_HANGS = "server hangs"
     SERVER_CRASHES = "server crashes"
     SERVER_LIES = "server lies"
@@ -42,8 +45,14 @@
     EVACUATE = "evacuate"
 
 
+PATH_CUTS = (Kind.PATH_HANGING, Kind.PATH_RESET, Kind.PATH_NEW_REFUSED)
+# Duration of a cut of the path to the servers, in seconds: its callers are judged from some time
+# after its start.
+CUT_DURATION_S = (5.0, 9.0)
+# Failure domains over which gateways are spread in turn.
+DOMAINS = 3
 CHANGES = (Kind.CHANGE_ADD, Kind.CHANGE_ADD, Kind.CHANGE_MOVE, Kind.CHANGE_DROP, Kind.EVACUATE)
-FAULTS = tuple(kind for kind in Kind if kind not in CHANGES)
+FAULTS = tuple(kind for kind in Kind if kind not in CHANGES and kind not in PATH_CUTS)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,7 +86,8 @@
     """Generates the schedule of a seed; actions come in series and overlap.
 
     In every schedule some servers advertise limits and request backoffs, and one announces that
-    it leaves, since these announcements must be respected during every other fault.
+    it leaves, since these announcements must be respected during every other fault. One, most or
+    all gateways of a failure domain lose their path to the servers.
     """
     generator = random.Random(seed)
     limited = tuple(sorted(generator.sample(range(servers), max(1, servers // 4))))
@@ -92,6 +102,7 @@
     actions.append(Action(at, Kind.SERVER_RESTS, resting, seconds))
     at = round(generator.uniform(0.0, FAULT_PERIOD_S / 2), 2)
     actions.append(Action(at, Kind.SERVER_SAYS_LEAVING, (servers - 2,), 0.0))
+    actions.append(_draw_path_cut(generator, gateways))
     while len(actions) < count:
         kind = generator.choice(CHANGES if generator.random() < CHANGE_RATIO else FAULTS)
         size = servers if kind.value.startswith("server") else gateways
@@ -105,6 +116,15 @@
     return Schedule(seed, gateways, tuple(sorted(actions[:count], key=lambda item: item.at)))
 
 
+def _draw_path_cut(generator: random.Random, gateways: int) -> Action:
+    domain = generator.randrange(min(DOMAINS, gateways))
+    members = list(range(domain, gateways, DOMAINS))
+    targets = generator.sample(members, generator.randint(1, len(members)))
+    at = round(generator.uniform(0.0, FAULT_PERIOD_S - CUT_DURATION_S[1]), 2)
+    seconds = round(generator.uniform(*CUT_DURATION_S), 2)
+    return Action(at, generator.choice(PATH_CUTS), tuple(sorted(targets)), seconds)
+
+
 def write(schedule: Schedule, path: pathlib.Path) -> None:
     """Stores a schedule as JSON, for a replay."""
     document = dataclasses.asdict(schedule)
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -10,7 +10,7 @@
 
 from bench.soak import gateways, records, relay, schedule
 from testing import servers
-from testing.platform import soak_parts
+from testing.platform import path_cuts, soak_gateway, soak_parts
 
 SERVERS = 8
 CALLERS = 16
@@ -38,6 +38,11 @@
 # Time from a server's announcement that it leaves until its registration is marked as draining.
 REGISTRATION_DELAY_S = 6.0
 NEVER = float("inf")
+CUT_MANNERS = {
+    schedule.Kind.PATH_HANGING: path_cuts.CutManner.HANGING,
+    schedule.Kind.PATH_RESET: path_cuts.CutManner.RESET,
+    schedule.Kind.PATH_NEW_REFUSED: path_cuts.CutManner.NEW_REFUSED,
+}
 
 
 class SoakRun:
@@ -229,6 +234,8 @@
                 | kinds.STORE_DELAY
             ):
                 await asyncio.gather(*(self._inject_path_fault(n, action) for n in action.targets))
+            case kinds.PATH_HANGING | kinds.PATH_RESET | kinds.PATH_NEW_REFUSED:
+                await asyncio.gather(*(self._cut_path(n, action) for n in action.targets))
             case kinds.STORE_DOWN | kinds.STORE_SLOW | kinds.STORE_FORGETS | kinds.STORE_COPY:
                 await self._inject_store_fault(action)
             case kinds.SERVER_LIMITS:
@@ -257,8 +264,8 @@
                 await soak_parts.write_evacuation(self._store, domain, False)
 
     @contextlib.contextmanager
-    def _disrupt(self, gateway: int | None):
-        item = records.Disruption(gateway, self.now, NEVER)
+    def _disrupt(self, gateway: int | None, is_process: bool = False):
+        item = records.Disruption(gateway, self.now, NEVER, is_process)
         self.observed.disruptions.append(item)
         try:
             yield
@@ -270,7 +277,7 @@
     ) -> None:
         if not gateway.is_running or self._is_disrupted(gateway.number):
             return
-        with self._disrupt(gateway.number):
+        with self._disrupt(gateway.number, action.kind is not schedule.Kind.HANGUP):
             match action.kind:
                 case schedule.Kind.KILL:
                     self.observed.killed.add((gateway.number, gateway.start))
@@ -331,6 +338,16 @@
             await asyncio.sleep(action.seconds)
             item.restore()
 
+    async def _cut_path(self, number: int, action: schedule.Action) -> None:
+        """Cuts a gateway off from all servers; callers, store and other gateways reach it."""
+        addresses = frozenset(server.address for server in self._servers)
+        item = records.PathCut(number, self.now, NEVER)
+        self.observed.path_cuts.append(item)
+        self._gateways[number].cut(soak_gateway.Cut(CUT_MANNERS[action.kind], addresses))
+        await asyncio.sleep(action.seconds)
+        item.ended_at = self.now
+        self._gateways[number].cut(None)
+
     async def _inject_store_fault(self, action: schedule.Action) -> None:
         if self._store_fault_until > self.now:
             return
@@ -385,15 +402,20 @@
         server.limit = self._random.choice(ADVERTISED_LIMITS)
         item = records.AdvertisedLimit(number, server.limit, self.now, NEVER)
         self.observed.limits.append(item)
+        shortage = records.Shortage(number, self.now, NEVER)
+        self.observed.shortages.append(shortage)
         # The check applies only from some seconds after the first advertisement.
         await asyncio.sleep(LIMIT_DURATION_MIN_S + action.seconds)
-        item.ended_at = self.now
+        item.ended_at = shortage.ended_at = self.now
         server.limit = None
 
     async def _request_backoff(self, number: int, action: schedule.Action) -> None:
         server = self._servers[number]
         server.backoff_s = self._random.choice(BACKOFFS_S)
+        shortage = records.Shortage(number, self.now, NEVER)
+        self.observed.shortages.append(shortage)
         await asyncio.sleep(action.seconds)
+        shortage.ended_at = self.now + server.backoff_s
         server.backoff_s = None
 
     async def _announce_leaving(self, number: int) -> None:
@@ -439,7 +461,10 @@
             for line in gateway.read_lines():
                 match line.get("name"):
                     case "REQUEST_ENDED":
-                        self.observed.logged_requests.add(line["fields"]["request"])
+                        request = line["fields"]["request"]
+                        self.observed.logged_requests.add(request)
+                        if line["fields"].get("relayed_by"):
+                            self.observed.relayed_to[request] = gateway.number
                     case "TASK_FAILED" | "REQUEST_FAILED" | "NO_EVENT":
                         self.observed.error_lines.append(
                             f"gateway {gateway.number}: {line['message']}"
--- a/testing/soak/test_checks.py
+++ b/testing/soak/test_checks.py
@@ -41,6 +41,29 @@
     return [item.check for item in checks.judge(observed) if item.problems]
 
 
+def make_stranded(served: int, others_served: int, at: float = 20.0, **changes) -> records.Records:
+    """Returns the observations of a run in which gateway 0 was stranded from 18 s on.
+
+    :param served: requests of 20 that its callers sent and that were served.
+    :param others_served: the same for the callers of another gateway.
+    """
+    attempts = []
+    for gateway, count in ((0, served), (1, others_served)):
+        for number in range(20):
+            sent_at = at + number * 0.001
+            attempts.append(
+                make_attempt(
+                    request=f"{gateway}-{number}",
+                    gateway=gateway,
+                    sent_at=sent_at,
+                    ended_at=sent_at + 0.01,
+                    status=200 if number < count else 503,
+                )
+            )
+    return make_records(*attempts, path_cuts=[records.PathCut(0, 18.0, 30.0)], **changes)
+
+
+DOWN = records.Disruption(2, 17.0, 25.0, True)
 RUN = records.Run("r1", 3, 20.0)
 BUY = make_attempt(kind=records.RequestKind.BUY)
 LATE_PROBE = make_attempt(kind=PROBE, version=2, status=404)
@@ -95,10 +118,12 @@
     ),
     ("cut_after_it_ran", make_records(CUT, runs=[RUN], stops=[STOP]), "a planned stop"),
     ("not_served", make_records(make_attempt(sent_at=61.0, status=503)), "service is back"),
+    ("stranded_not_served", make_stranded(served=18, others_served=20), "callers of stranded"),
     ("unexplained", make_records(make_attempt(status=502), logged_requests=set()), "failures are"),
     ("descriptors", make_records(descriptors={0: 900}), "processes stay bounded"),
     ("failed_task", make_records(error_lines=["task failed"]), "processes stay bounded"),
 )
+SHORT = [records.Shortage(number, 20.0, 30.0) for number in (2, 4)]
 DISTURBED = [records.Disruption(0, 17.0, 18.0)]
 ALLOWED = (
     ("nothing", make_records()),
@@ -107,6 +132,11 @@
     ("store_away", make_records(LATE_PROBE, disruptions=[records.Disruption(None, 1, 99)])),
     ("route_dropped", make_records(LATE_PROBE, confirmed={2: 10, 3: 19}, routes_until={2: 2})),
     ("crossing", make_records(make_attempt(status=0, ended_at=20.1), stops=[STOP])),
+    ("stranded_served", make_stranded(served=19, others_served=20)),
+    ("stranded_and_all_refused", make_stranded(served=0, others_served=0)),
+    ("stranded_not_noticed_yet", make_stranded(served=0, others_served=20, at=19.4)),
+    ("stranded_while_one_is_down", make_stranded(0, 20, disruptions=[DOWN])),
+    ("stranded_in_a_shortage", make_stranded(served=0, others_served=20, shortages=SHORT)),
     ("killed", make_records(CUT, runs=[RUN], stops=[STOP], killed={(0, 1)})),
 )
 
