Do not take a congested link for a lost path

Cause: a connection that opens too late counted like one that is refused.

Change: a timeout counts only if nothing was received since the attempt began. Refused connections count as before, since kept ones live on then.

--- a/src/caperdyke/coordination/placement/server_path.py
+++ b/src/caperdyke/coordination/placement/server_path.py
@@ -67,15 +67,22 @@
         self._unanswered.clear()
 
     def record_open_failed(
-        self, now: float, server: backend.BackendServer, started_at: float
+        self, now: float, server: backend.BackendServer, started_at: float, is_refused: bool
     ) -> None:
         """Records that a connection to a server was refused or did not open in time.
 
+        Pattern: the link of this instance is congested, and connections open too late while answers
+        keep arriving. Such an instance is slow, and its path is not lost.
+
         :param started_at: time at which the attempt began. It proves nothing if another connection
             was opened since.
+        :param is_refused: whether it was refused. Otherwise it proves nothing if anything was
+            received since it began.
         """
         if started_at < self.last_opened_at:
             return
+        if not is_refused and started_at < self.last_received_at:
+            return
         self._failed[server.backend] = _FailedOpen(server.domain, now)
         recent = [item for item in self._failed.values() if now < item.failed_at + FAILURE_MEMORY_S]
         are_several = len(recent) >= min(FAILED_SERVERS_MIN, max(1, self.servers))
--- a/src/caperdyke/errors.py
+++ b/src/caperdyke/errors.py
@@ -92,3 +92,13 @@
     def __init__(self, message: str, sent: bool) -> None:
         super().__init__(message)
         self.sent = sent
+
+
+class ConnectTimeoutError(BackendFailedError):
+    """A connection to a backend server did not open in time; it was not refused either.
+
+    Nothing was sent.
+    """
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, False)
--- a/src/caperdyke/transport/backends/connection.py
+++ b/src/caperdyke/transport/backends/connection.py
@@ -197,6 +197,8 @@
     try:
         async with asyncio.timeout(timeout):
             _, protocol = await loop.create_connection(ServerConnection, host, int(port))
+    except TimeoutError as error:
+        raise errors.ConnectTimeoutError(f"{address}: {error!r}") from error
     except OSError as error:
         raise errors.BackendFailedError(f"{address}: {error!r}", False) from error
     return protocol
--- a/src/caperdyke/transport/gateway/path_monitor.py
+++ b/src/caperdyke/transport/gateway/path_monitor.py
@@ -95,8 +95,9 @@
         started_at = node.now()
         try:
             opened = await node.pool.open(server.address, node.settings.bounds.stop_seconds)
-        except errors.BackendFailedError:
-            node.path.record_open_failed(node.now(), server, started_at)
+        except errors.BackendFailedError as error:
+            is_refused = not isinstance(error, errors.ConnectTimeoutError)
+            node.path.record_open_failed(node.now(), server, started_at, is_refused)
             return
         node.path.record_opened(node.now())
         node.pool.release(server.backend, opened, None)
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -163,7 +163,8 @@
             try:
                 conn = await node.pool.open(server.address, time_left)
             except errors.BackendFailedError as error:
-                node.path.record_open_failed(node.now(), server, opened_at)
+                is_refused = not isinstance(error, errors.ConnectTimeoutError)
+                node.path.record_open_failed(node.now(), server, opened_at, is_refused)
                 return Failure(FailureKind.UNREACHABLE, str(error))
             node.path.record_opened(node.now())
             node.record_round_trip(server.domain, node.now() - opened_at)
--- a/testing/placement/test_server_path.py
+++ b/testing/placement/test_server_path.py
@@ -29,11 +29,13 @@
     return path
 
 
-def fail(path: server_path.ServerPath, *names: str, now: float = NOW) -> None:
+def fail(
+    path: server_path.ServerPath, *names: str, now: float = NOW, is_refused: bool = True
+) -> None:
     """Records a failure to connect to each server; the domain follows a colon."""
     for name in names:
         server, _, domain = name.partition(":")
-        path.record_open_failed(now, make_server(server, domain), now - 0.5)
+        path.record_open_failed(now, make_server(server, domain), now - 0.5, is_refused)
 
 
 class LossTest(testtools.TestCase):
@@ -69,6 +71,16 @@
         fail(path, "a:1", "b:2", "c:3")
         self.assertFalse(path.is_lost)
 
+    @parameterized.expand([("answers_arrive", 0.2, False), ("silence", -0.6, True)])
+    def test_connections_that_open_too_late_count_in_silence_only(
+        self, _name, received_after, is_lost
+    ) -> None:
+        """Guards against instances with a congested link that leave look-ups one after another."""
+        path = make_path()
+        path.record_received(NOW + received_after)
+        fail(path, "a:1", "b:2", "c:3", now=NOW + 0.4, is_refused=False)
+        self.assertEqual(is_lost, path.is_lost)
+
     def test_old_failures_do_not_count(self) -> None:
         path = make_path()
         fail(path, "a:1", "b:2")
--- a/testing/platform/path_cuts.py
+++ b/testing/platform/path_cuts.py
@@ -50,7 +50,7 @@
     async def _fail_to_open(self, address: str, timeout: float):
         if self._manner is CutManner.HANGING:
             await asyncio.sleep(min(timeout, 0.5))
-            raise errors.BackendFailedError(f"{address}: TimeoutError()", False)
+            raise errors.ConnectTimeoutError(f"{address}: cut")
         raise errors.BackendFailedError(f"{address}: ConnectionRefusedError()", False)
 
 
--- a/testing/platform/soak_gateway.py
+++ b/testing/platform/soak_gateway.py
@@ -110,6 +110,7 @@
             return await open_connection(address, timeout)
         if cut.manner is path_cuts.CutManner.HANGING:
             await asyncio.sleep(timeout)
+            raise errors.ConnectTimeoutError(f"{address}: cut")
         raise errors.BackendFailedError(f"{address}: {cut.manner.value}", False)
 
     connection.ServerConnection = CutConnection
--- a/testing/platform/test_stranded_instances.py
+++ b/testing/platform/test_stranded_instances.py
@@ -206,7 +206,9 @@
                 fleet.cut(0, path_cuts.CutManner.NEW_REFUSED)
                 path = fleet.nodes[0].path
                 for server in fleet.nodes[0].list_servers():
-                    path.record_open_failed(fleet.nodes[0].now(), server, fleet.nodes[0].now())
+                    path.record_open_failed(
+                        fleet.nodes[0].now(), server, fleet.nodes[0].now(), True
+                    )
                 self.assertTrue(path.is_lost)
                 home = max(fleet.servers, key=lambda server: len(server.requests))
                 for server in fleet.servers:
