--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -411,11 +411,11 @@
 
     async def _request_backoff(self, number: int, action: schedule.Action) -> None:
         server = self._servers[number]
-        server.backoff_s = self._random.choice(BACKOFFS_S)
+        backoff_s = server.backoff_s = self._random.choice(BACKOFFS_S)
         shortage = records.Shortage(number, self.now, NEVER)
         self.observed.shortages.append(shortage)
         await asyncio.sleep(action.seconds)
-        shortage.ended_at = self.now + server.backoff_s
+        shortage.ended_at = self.now + backoff_s
         server.backoff_s = None
 
     async def _announce_leaving(self, number: int) -> None:
