--- a/src/caperdyke/protocol/relay_headers.py
+++ b/src/caperdyke/protocol/relay_headers.py
@@ -25,7 +25,7 @@
     FINAL = "final"
     # The instance refuses the request, which no server ran.
     NOT_RUN = "not run"
-    # No server had capacity for a request of that instance, and none got the request.
+    # No server had capacity for a request of that instance, and none has run it.
     NO_CAPACITY = "no capacity"
     # The instance did not try to serve the request.
     DECLINED = "declined"
