Repeat the soak's cuts from all servers once all other faults have ended

Each run now repeats its cuts for 6 s after the recovery period, which ends before for its own check.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -325,7 +325,8 @@
     late = [
         item
         for item in observed.attempts
-        if item.sent_at >= since and item.kind is not records.RequestKind.PROBE
+        if since <= item.sent_at < observed.recovery_ends_at
+        and item.kind is not records.RequestKind.PROBE
     ]
     served = sum(item.status == 200 for item in late)
     problems = []
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -135,6 +135,7 @@
     left_at_by_server: dict[int, float] = dataclasses.field(default_factory=dict)
     stops: list[tuple[int, int, float, float]] = dataclasses.field(default_factory=list)
     faults_end_at: float = 0.0
+    recovery_ends_at: float = float("inf")
     logged_requests: set[str] = dataclasses.field(default_factory=set)
     killed: set[tuple[int, int]] = dataclasses.field(default_factory=set)
     limits: list[AdvertisedLimit] = dataclasses.field(default_factory=list)
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -49,9 +49,9 @@
 # Duration of a cut of the path to the servers, in seconds: its callers are judged from some time
 # after its start.
 CUT_DURATION_S = (5.0, 9.0)
-# Start of a cut, in seconds: limits and backoffs, during which its callers are not judged, begin in
-# the first half of the faults.
-CUT_START_S = (8.0, 14.0)
+# Start of a cut, in seconds: late, as its callers are not judged while many servers are limited or
+# faulty. Their faults end while it lasts.
+CUT_START_S = (15.0, 20.0)
 # Failure domains over which gateways are spread in turn.
 DOMAINS = 3
 CHANGES = (Kind.CHANGE_ADD, Kind.CHANGE_ADD, Kind.CHANGE_MOVE, Kind.CHANGE_DROP, Kind.EVACUATE)
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import dataclasses
 import itertools
 import pathlib
 import random
@@ -40,6 +41,8 @@
 SHORTAGE_GRACE_S = 4.5
 # Time from a server's announcement that it leaves until its registration is marked as draining.
 REGISTRATION_DELAY_S = 6.0
+# Duration of the cuts from all servers that are repeated without other faults.
+CALM_CUT_S = 6.0
 NEVER = float("inf")
 CUT_MANNERS = {
     schedule.Kind.PATH_HANGING: path_cuts.CutManner.HANGING,
@@ -84,6 +87,8 @@
             await self._execute_actions()
             self.observed.faults_end_at = self.now
             await asyncio.sleep(schedule.RECOVERY_PERIOD_S)
+            self.observed.recovery_ends_at = self.now
+            await self._repeat_path_cuts()
             self._is_finished = True
             await asyncio.gather(*tasks)
             self._measure_processes()
@@ -363,6 +368,13 @@
         item.ended_at = self.now
         self._gateways[number].cut(None)
 
+    async def _repeat_path_cuts(self) -> None:
+        """Cuts the same gateways off once more, after all other faults have ended."""
+        cuts = [item for item in self.plan.actions if item.kind in schedule.PATH_CUTS]
+        for action in cuts:
+            calm_cut = dataclasses.replace(action, seconds=CALM_CUT_S)
+            await asyncio.gather(*(self._cut_path(n, calm_cut) for n in action.targets))
+
     async def _inject_store_fault(self, action: schedule.Action) -> None:
         if self._store_fault_until > self.now:
             return
