Open connections of the simulated fleet without a bound of real time

Its log has one "s1 is avoided: TimeoutError()": a loopback connection took over 0.5 s of real time, which counted against the server while the simulated clock stood still.

Connections of the simulated fleet may take 30 s of real time now; no check or bound changes.

--- a/testing/platform/fleet_harness.py
+++ b/testing/platform/fleet_harness.py
@@ -8,6 +8,7 @@
 
 from caperdyke.platform import documents, headers
 from caperdyke.state import backend, header_fields, ids, member, registration, routes, store_rows
+from caperdyke.transport.backends import connection
 from caperdyke.transport.gateway import context, dispatcher, local_reply, sender
 from testing.platform import fake_server, harness
 
@@ -18,6 +19,9 @@
 CALLER_LIMITS = routes.CallerLimits(16384, 100_000, 3000.0, 15000.0)
 # Start time, long after the instances have seen each other first.
 START = 1000.0
+# Longest real time to open a connection. The simulated clock stands still meanwhile, so that a busy
+# machine does not count as a server that does not answer.
+OPEN_TIMEOUT_SECONDS = 30.0
 
 
 def make_route(
@@ -186,6 +190,7 @@
             bounds=harness.BOUNDS,
         )
         node = context.GatewayContext(node_settings, headers, documents, None, lambda: self.now)
+        node.pool.open = _open_in_real_time
         node.routes = self.table
         node.fleet.own = member.Member(
             node.settings.instance,
@@ -198,6 +203,10 @@
         return node
 
 
+async def _open_in_real_time(address: str, _timeout: float) -> connection.ServerConnection:
+    return await connection.connect(address, OPEN_TIMEOUT_SECONDS)
+
+
 class TimedServer(fake_server.FakeServer):
     """A fake server that records the simulated times of its requests.
 
