Identify callers by the keys of their teams

Cause: no module read the teams of the configuration.

Change: the configuration's teams are decoded into a directory by key digest; a request is admitted by the configuration in force at each send; the server gets the team's name instead of the key; homes of route and team both apply; relayed requests carry the team. A configuration without teams is served as before. Faulty entries are logged and leave the rest in force. The fourth figure of a load report no longer loses the whole report.

Ruled out: comparing keys one by one, whose cost grows with the teams; keeping keys in the decoded configuration, where a log line of it would show them.

--- a/src/caperdyke/platform/documents.py
+++ b/src/caperdyke/platform/documents.py
@@ -1,9 +1,10 @@
 """Decodes rows that operators and backend servers write to the platform's store."""
 
 import json
+import math
 
 from caperdyke import errors
-from caperdyke.state import backend, ids, registration, routes, store_rows
+from caperdyke.state import backend, ids, registration, routes, store_rows, teams
 
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
@@ -32,6 +33,7 @@
                 float(limits["headerTimeoutMs"]),
                 float(limits["idleTimeoutMs"]),
             ),
+            _read_teams(document["tenants"]) if "tenants" in document else None,
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise errors.ProtocolError(
@@ -106,9 +108,57 @@
         attempts_max=int(item["maxAttempts"]),
         has_affinity=bool(item.get("sessionAffinity", False)),
         homes=frozenset(ids.RegionName(region) for region in item.get("homeRegions", ())),
+        is_public=item.get("public") is True,
     )
 
 
+def _read_teams(items: dict) -> teams.TeamDirectory:
+    """Returns the teams; a fault in one entry leaves the others, and the rest of it, in force."""
+    faults: list[str] = []
+    held_keys = []
+    for name, item in items.items():
+        if not isinstance(item, dict):
+            faults.append(f"team {name}: got {type(item).__name__}, expected a table")
+            continue
+        rate = _read_amount(name, item, "ratePerS", faults)
+        burst = _read_amount(name, item, "burst", faults)
+        if burst and not rate:
+            faults.append(f"team {name}: got burst {burst} without a rate, expected both")
+        homes = item.get("homeRegions") or ()
+        team = teams.Team(
+            ids.TeamName(name),
+            int(_read_amount(name, item, "priority", faults)) if "priority" in item else None,
+            rate,
+            burst,
+            frozenset(ids.RegionName(region) for region in homes),
+        )
+        held_keys.append((team, _read_keys(name, item, faults)))
+    return teams.make_directory(held_keys, faults)
+
+
+def _read_amount(name: str, item: dict, field: str, faults: list[str]) -> float:
+    """Returns a number that is not negative; 0 where it is missing or invalid."""
+    value = item.get(field)
+    if value is None:
+        return 0.0
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if is_number and 0 <= value < math.inf:
+        return float(value)
+    faults.append(f"team {name}: got {field} {value!r}, expected a number from 0 on")
+    return 0.0
+
+
+def _read_keys(name: str, item: dict, faults: list[str]) -> list[str]:
+    listed = item.get("apiKeys")
+    listed = listed if isinstance(listed, list) else []
+    keys = [key for key in listed if isinstance(key, str) and key]
+    if not keys:
+        faults.append(f"team {name}: no keys, expected one or more")
+    elif len(keys) < len(listed):
+        faults.append(f"team {name}: {len(listed) - len(keys)} keys are not texts")
+    return keys
+
+
 def _read_service(name: str, item: dict) -> routes.ServiceLimits:
     return routes.ServiceLimits(
         ids.ServiceName(name),
--- a/src/caperdyke/platform/headers.py
+++ b/src/caperdyke/platform/headers.py
@@ -4,13 +4,17 @@
 import email.utils
 import http.cookies
 
-from caperdyke.state import header_fields, ids
+from caperdyke.state import header_fields, ids, teams
 
 REQUEST_ID = b"caperdyke-request-id"
 # Remaining time that the caller waits, in milliseconds; a duration in spite of its name.
 REQUEST_DEADLINE = b"caperdyke-request-deadline"
 AFFINITY_COOKIE = "Caperdyke-Affinity-Key"
 EXPECTED_INSTANCE = b"caperdyke-expect-instance"
+# Carries the caller's API key, and the name of the team that holds it.
+AUTHORIZATION = b"authorization"
+KEY_SCHEME = b"Bearer "
+TENANT = b"caperdyke-tenant"
 SIGNATURE = b"caperdyke-server-signature"
 NOT_EXECUTED = b"caperdyke-not-executed"
 SERVER_LOAD = b"caperdyke-server-load"
@@ -20,6 +24,9 @@
 # Is 1 while the server is shutting down. The platform's documentation omits the prefix.
 SERVER_LEAVING = (b"caperdyke-server-leaving", b"server-leaving")
 RETRY_AFTER = b"retry-after"
+# Fourth figure of the load header while work takes as long as usual, and its highest multiple.
+PACE_USUAL = 100.0
+PACE_MAX = 100.0
 # Status of a backend server that refuses a request; Retry-After may ask for a backoff.
 UNAVAILABLE_STATUS = 503
 # Status of a backend server other than the expected one; it did not run the request.
@@ -35,6 +42,7 @@
         found.get(REQUEST_ID, b"").decode("latin-1"),
         _parse_number(found.get(REQUEST_DEADLINE)),
         _parse_object_key(headers),
+        _parse_credential(headers),
     )
 
 
@@ -55,25 +63,41 @@
     )
 
 
-def make_server_headers(headers: RawHeaders, wait_ms: float, server: ids.BackendId) -> RawHeaders:
+def make_server_headers(
+    headers: RawHeaders,
+    wait_ms: float,
+    server: ids.BackendId,
+    identity: header_fields.Identity,
+) -> RawHeaders:
     """Returns a caller's headers as they are forwarded to a backend server.
 
     :param wait_ms: remaining time that the caller waits, in milliseconds.
     """
     replaced_names = (REQUEST_DEADLINE, EXPECTED_INSTANCE)
     passed_headers = [item for item in headers if item[0] not in replaced_names]
+    match identity:
+        case header_fields.TeamIdentity(team=team):
+            passed_headers = _strip_identity(passed_headers)
+            if team is not None:
+                passed_headers.append((TENANT, team.encode()))
+        case header_fields.UnmanagedIdentity():
+            pass
     passed_headers.append((REQUEST_DEADLINE, b"%d" % max(1, int(wait_ms))))
     passed_headers.append((EXPECTED_INSTANCE, server.encode("latin-1")))
     return passed_headers
 
 
-def make_relayed_headers(headers: RawHeaders, wait_ms: float | None) -> RawHeaders:
+def make_relayed_headers(
+    headers: RawHeaders, wait_ms: float | None, identity: header_fields.Identity
+) -> RawHeaders:
     """Returns a caller's headers as they are forwarded to another instance.
 
     :param wait_ms: remaining time that the caller waits, in milliseconds; None if not specified.
     """
     replaced_names = (REQUEST_DEADLINE, EXPECTED_INSTANCE)
     passed_headers = [item for item in headers if item[0] not in replaced_names]
+    if isinstance(identity, header_fields.TeamIdentity):
+        passed_headers = _strip_identity(passed_headers)
     if wait_ms is not None:
         passed_headers.append((REQUEST_DEADLINE, b"%d" % max(1, int(wait_ms))))
     return passed_headers
@@ -90,6 +114,22 @@
     return headers
 
 
+def _strip_identity(headers: RawHeaders) -> RawHeaders:
+    return [item for item in headers if item[0] not in (AUTHORIZATION, TENANT)]
+
+
+def _parse_credential(headers: RawHeaders) -> header_fields.Credential:
+    values = [value for name, value in headers if name == AUTHORIZATION]
+    if not values:
+        return header_fields.NoCredential()
+    key = values[0].removeprefix(KEY_SCHEME)
+    if len(values) > 1 or not values[0].startswith(KEY_SCHEME) or not key:
+        return header_fields.MalformedCredential()
+    if any(byte <= 0x20 for byte in key):
+        return header_fields.MalformedCredential()
+    return header_fields.KeyCredential(teams.digest_key(key))
+
+
 def _parse_object_key(headers: RawHeaders) -> ids.ObjectKey:
     for name, value in headers:
         if name != b"cookie":
@@ -163,8 +203,13 @@
 def _parse_load(text: bytes | None) -> header_fields.ServerLoad | None:
     if text is None:
         return None
+    parts = text.split(b",")
     try:
-        running, waiting, slots = (int(part) for part in text.split(b","))
+        running, waiting, slots = (int(part) for part in parts[:3])
     except ValueError:
         return None
-    return header_fields.ServerLoad(running, waiting, slots)
+    pace = _parse_number(parts[3]) if len(parts) > 3 else None
+    is_plausible = pace is not None and 0 < pace <= PACE_USUAL * PACE_MAX
+    return header_fields.ServerLoad(
+        running, waiting, slots, pace / PACE_USUAL if is_plausible else None
+    )
--- a/src/caperdyke/protocol/platform_interfaces.py
+++ b/src/caperdyke/protocol/platform_interfaces.py
@@ -18,14 +18,20 @@
         """Returns the parsed headers of a backend server's answer."""
 
     def make_server_headers(
-        self, headers: RawHeaders, wait_ms: float, server: ids.BackendId
+        self,
+        headers: RawHeaders,
+        wait_ms: float,
+        server: ids.BackendId,
+        identity: header_fields.Identity,
     ) -> RawHeaders:
         """Returns the headers of a caller's request as forwarded to a backend server.
 
         :param wait_ms: time until the request's deadline, in milliseconds.
         """
 
-    def make_relayed_headers(self, headers: RawHeaders, wait_ms: float | None) -> RawHeaders:
+    def make_relayed_headers(
+        self, headers: RawHeaders, wait_ms: float | None, identity: header_fields.Identity
+    ) -> RawHeaders:
         """Returns the headers of a caller's request as forwarded to another instance.
 
         :param wait_ms: time for which the caller still waits, in milliseconds; None if unknown.
--- a/src/caperdyke/protocol/relay_headers.py
+++ b/src/caperdyke/protocol/relay_headers.py
@@ -15,7 +15,8 @@
 COUNTED = _PREFIX + b"counted"
 VERSION = _PREFIX + b"version"
 OUTCOME = _PREFIX + b"outcome"
-_NAMES = frozenset((INSTANCE, WAIT_MS, REACHED, COUNTED, VERSION, OUTCOME))
+TEAM = _PREFIX + b"team"
+_NAMES = frozenset((INSTANCE, WAIT_MS, REACHED, COUNTED, VERSION, OUTCOME, TEAM))
 
 
 class RelayOutcome(enum.Enum):
@@ -40,6 +41,7 @@
     :param reached: number of servers that the request has reached already.
     :param is_counted: whether the request counts in the retry budget of the relaying instance.
     :param version: oldest configuration by which the request may be handled.
+    :param team: the team whose key the relaying instance has checked; None if there is none.
     """
 
     instance: ids.InstanceId
@@ -47,6 +49,7 @@
     reached: int
     is_counted: bool
     version: int
+    team: ids.TeamName | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,7 +66,9 @@
 
 def encode_request(fields: RelayedRequest) -> RawHeaders:
     """Returns the headers of a relayed request."""
+    team_headers = [] if fields.team is None else [(TEAM, fields.team.encode())]
     return [
+        *team_headers,
         (INSTANCE, fields.instance.encode("latin-1")),
         (WAIT_MS, b"%d" % max(0, int(fields.wait_ms))),
         (REACHED, b"%d" % fields.reached),
@@ -85,6 +90,7 @@
             int(found[REACHED]),
             bool(int(found[COUNTED])),
             int(found[VERSION]),
+            ids.TeamName(found[TEAM].decode()) if TEAM in found else None,
         )
     except (KeyError, ValueError) as error:
         raise errors.ProtocolError(f"invalid headers of a relayed request: {error!r}") from error
--- a/src/caperdyke/state/header_fields.py
+++ b/src/caperdyke/state/header_fields.py
@@ -5,6 +5,47 @@
 from caperdyke.state import ids
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoCredential:
+    """A request without a credential."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyCredential:
+    """A request with one API key.
+
+    :param digest: digest of the key, see ``teams.digest_key``.
+    """
+
+    digest: ids.KeyDigest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MalformedCredential:
+    """A request with several credentials, or with one of another form."""
+
+
+Credential = NoCredential | KeyCredential | MalformedCredential
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnmanagedIdentity:
+    """The configuration has no teams; credentials are forwarded like any header."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TeamIdentity:
+    """The configuration has teams; the team's name replaces the credential.
+
+    :param team: None for a request of a public route without a valid key.
+    """
+
+    team: ids.TeamName | None
+
+
+Identity = UnmanagedIdentity | TeamIdentity
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerHeaders:
     """Header fields of a caller's request.
@@ -12,20 +53,27 @@
     :param request_id: identifies one attempt of the caller; empty where it is missing.
     :param wait_ms: how long the caller waits, in milliseconds; None where it is missing.
     :param object_key: object that the request concerns; empty where it is missing.
+    :param credential: what the request presents to identify its team.
     """
 
     request_id: str
     wait_ms: float | None
     object_key: ids.ObjectKey
+    credential: Credential = NoCredential()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerLoad:
-    """Load of a backend server, as it counts its own requests."""
+    """Load of a backend server, as it counts its own requests.
+
+    :param pace: how long work takes on the server's machine at this moment, relative to what is
+        usual there; None if the server does not report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/caperdyke/state/ids.py
+++ b/src/caperdyke/state/ids.py
@@ -9,6 +9,9 @@
 CustomerName = typing.NewType("CustomerName", str)
 ServiceName = typing.NewType("ServiceName", str)
 RouteName = typing.NewType("RouteName", str)
+TeamName = typing.NewType("TeamName", str)
+# Digest of an API key; the key itself is not kept.
+KeyDigest = typing.NewType("KeyDigest", bytes)
 # Object that a request concerns; a server is faster for objects that it handled recently.
 ObjectKey = typing.NewType("ObjectKey", str)
 BackendId = typing.NewType("BackendId", str)
--- a/src/caperdyke/state/routes.py
+++ b/src/caperdyke/state/routes.py
@@ -4,6 +4,10 @@
 import enum
 
 from caperdyke.state import ids
+from caperdyke.state import teams as customer_teams
+
+# Home of a request whose route and team have no home in common; no failure domain is in it.
+NO_REGION = ids.RegionName("\0none")
 
 
 class RouteKind(enum.Enum):
@@ -38,6 +42,7 @@
     :param attempts_max: most backend servers that one request may be sent to.
     :param has_affinity: whether a backend server is faster for objects that it handled recently.
     :param homes: regions that may serve the route; empty where any may.
+    :param is_public: whether callers need no key.
     """
 
     name: ids.RouteName
@@ -51,6 +56,17 @@
     attempts_max: int
     has_affinity: bool
     homes: frozenset[ids.RegionName]
+    is_public: bool = False
+
+    def apply_team(self, team: customer_teams.Team | None) -> "Route":
+        """Returns the route as it applies to a team: its priority, and the homes of both."""
+        if team is None:
+            return self
+        homes = self.homes or team.homes
+        if self.homes and team.homes:
+            homes = self.homes & team.homes or frozenset((NO_REGION,))
+        priority = self.priority if team.priority is None else team.priority
+        return dataclasses.replace(self, homes=homes, priority=priority)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,12 +105,14 @@
     """One version of the configuration.
 
     :param version: increases with every change.
+    :param teams: None where the configuration has no teams and callers need no key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[ids.ServiceName, ServiceLimits]
     limits: CallerLimits
+    teams: customer_teams.TeamDirectory | None = None
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route of a host with the longest prefix of a path, or None."""
--- a/src/caperdyke/transport/events.py
+++ b/src/caperdyke/transport/events.py
@@ -89,6 +89,7 @@
         "configuration {version} is in force, adopted from {source} {adopted_ms} ms ago",
     )
     ROUTES_ADOPTED = (6201, "INFO", "configuration {version} is in force, {routes} routes")
+    TEAM_INVALID = (6601, "ERROR", "configuration {version}: {fault}")
     SERVER_CHANGED = (6202, "INFO", "backend server {backend} of {service}: {change}")
     EVACUATION_CHANGED = (6203, "INFO", "evacuated failure domains: {domains}")
     PATH_LOST = (
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -8,7 +8,7 @@
 from caperdyke.coordination.placement import attempts, selection
 from caperdyke.coordination.registry import fleet
 from caperdyke.state import ids, routes
-from caperdyke.transport.gateway import context, local_reply, relay, sender
+from caperdyke.transport.gateway import admissions, context, local_reply, relay, sender
 
 # Longest Retry-After as a ratio of the time that the caller has left. It does not apply where the
 # servers themselves specify when they accept requests again.
@@ -54,13 +54,14 @@
         failed: sender.ServerAnswer | None = None
         while True:
             if node.routes is not request.table:
-                request = dataclasses.replace(request, table=node.routes)
-                changed_route = node.routes.find_route(request.host, request.path)
-                if changed_route is None:
-                    return failed or self._make_route_removed_reply(attempt_state)
-                route, service = changed_route, self._find_changed_service(
-                    changed_route, service, trace
+                admitted = _admit_again(request, node.routes)
+                if isinstance(admitted, local_reply.LocalReply):
+                    return failed or _make_no_longer_allowed_reply(admitted, attempt_state)
+                request = dataclasses.replace(
+                    request, table=node.routes, identity=admitted.identity
                 )
+                route = admitted.route
+                service = self._find_changed_service(route, service, trace)
             if not node.path.can_use_kept(node.now()) and failed is None:
                 return await self._serve_by_relay(request, route, service, attempt_state, trace)
             selected = self._select_server(request, route, service, tried_servers, trace)
@@ -116,6 +117,14 @@
         tried: set[ids.InstanceId] = set()
         refused: sender.ServerAnswer | None = None
         while request.relayed is None and node.now() < request.deadline:
+            if node.routes is not request.table:
+                admitted = _admit_again(request, node.routes)
+                if isinstance(admitted, local_reply.LocalReply):
+                    return _make_no_longer_allowed_reply(admitted, attempt_state)
+                route = admitted.route
+                request = dataclasses.replace(
+                    request, table=node.routes, identity=admitted.identity
+                )
             peer = self.relay.choose(route, tried)
             if peer is None:
                 break
@@ -171,12 +180,6 @@
         trace.sends.append(f"configuration {node.routes.version} sends the route to {new_service}")
         return new_service
 
-    def _make_route_removed_reply(self, attempt_state: attempts.Attempts) -> local_reply.LocalReply:
-        """Returns the reply to a request whose route was removed while it was in flight."""
-        if attempt_state.is_known_not_run:
-            return local_reply.LocalReply(404, local_reply.LocalReplyReason.NO_ROUTE)
-        return local_reply.LocalReply(502, local_reply.LocalReplyReason.FAILED)
-
     def _try_acquire_retry(self, route: routes.Route, service: ids.ServiceName) -> bool:
         """Counts a retry if the budget allows it; returns whether it does."""
         node = self._node
@@ -391,6 +394,28 @@
         )
 
 
+def _admit_again(
+    request: sender.CallerRequest, table: routes.RouteTable
+) -> admissions.AdmittedRequest | local_reply.LocalReply:
+    """Decides by a changed configuration whether a request in flight may still be sent."""
+    return admissions.admit(
+        table,
+        request.host,
+        request.path,
+        request.caller_headers.credential,
+        request.relayed.team if request.relayed is not None else None,
+    )
+
+
+def _make_no_longer_allowed_reply(
+    refusal: local_reply.LocalReply, attempt_state: attempts.Attempts
+) -> local_reply.LocalReply:
+    """Returns the reply to a request whose route or key was removed while it was in flight."""
+    if attempt_state.is_known_not_run:
+        return refusal
+    return local_reply.LocalReply(502, local_reply.LocalReplyReason.FAILED)
+
+
 def _describe_relay(peer: fleet.PeerInstance, took_s: float, result: relay.RelayResult) -> str:
     match result:
         case sender.Failure():
--- a/src/caperdyke/transport/gateway/local_reply.py
+++ b/src/caperdyke/transport/gateway/local_reply.py
@@ -9,6 +9,8 @@
 
     NO_CONFIGURATION = "no configuration yet"
     NO_ROUTE = "no route"
+    NO_TEAM = "no valid key"
+    OVER_QUOTA = "over the team's quota"
     BODY_TOO_LARGE = "body too large"
     MALFORMED = "request cannot be passed on"
     HEADERS_TOO_LARGE = "headers too large"
@@ -37,6 +39,7 @@
     service: str = ""
     kind: str = ""
     host: str = ""
+    team: str = ""
     relayed_by: str = ""
     sends: list[str] = dataclasses.field(default_factory=list)
 
--- a/src/caperdyke/transport/gateway/relay.py
+++ b/src/caperdyke/transport/gateway/relay.py
@@ -9,7 +9,7 @@
 from caperdyke import errors
 from caperdyke.coordination.registry import fleet
 from caperdyke.protocol import relay_headers
-from caperdyke.state import ids, routes
+from caperdyke.state import header_fields, ids, routes
 from caperdyke.transport.backends import connection, pool
 from caperdyke.transport.gateway import context, sender
 
@@ -131,7 +131,12 @@
         caller_wait_ms = None
         if request.caller_timeout_at is not None:
             caller_wait_ms = (request.caller_timeout_at - node.now()) * 1000
-        headers = node.headers.make_relayed_headers(request.headers, caller_wait_ms)
+        headers = node.headers.make_relayed_headers(
+            request.headers, caller_wait_ms, request.identity
+        )
+        team = None
+        if isinstance(request.identity, header_fields.TeamIdentity):
+            team = request.identity.team
         headers += relay_headers.encode_request(
             relay_headers.RelayedRequest(
                 node.settings.instance,
@@ -139,6 +144,7 @@
                 reached,
                 counted,
                 max(self._version, request.table.version),
+                team,
             )
         )
         if request.body:
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -7,7 +7,13 @@
 from caperdyke.protocol import platform_interfaces, relay_headers
 from caperdyke.state import header_fields, routes
 from caperdyke.transport import events
-from caperdyke.transport.gateway import context, dispatcher, local_reply, sender
+from caperdyke.transport.gateway import (
+    admissions,
+    context,
+    dispatcher,
+    local_reply,
+    sender,
+)
 from caperdyke.transport.http import caller_protocol
 
 # Time for which a caller without a deadline header is assumed to wait. The route's timeout ends
@@ -15,6 +21,7 @@
 CALLER_WAIT_DEFAULT_MS = 60_000.0
 # Retry-After of an instance that has no configuration yet.
 NOT_READY_RETRY_AFTER_SECONDS = 0.5
+UNAUTHORIZED_STATUS = 401
 # Lowest status that counts as an error or a refusal.
 ERROR_STATUS_MIN = 400
 # The last answer is sent this long before the caller's deadline, so that it arrives in time.
@@ -88,7 +95,7 @@
             declined = local_reply.LocalReply(503, local_reply.LocalReplyReason.DECLINED)
             await self._send_local_reply(send, declined, caller_headers, trace)
             return
-        refusal, route = self._find_route(scope, table, trace)
+        refusal, admitted = self._admit(scope, table, caller_headers, relayed, trace)
         if refusal is None:
             body = await self._read_body(receive)
             if body is None:
@@ -96,8 +103,8 @@
         if refusal is not None:
             await self._send_local_reply(send, refusal, caller_headers, trace)
             return
-        request = self._make_request(scope, caller_headers, body, table, route, trace, relayed)
-        serving = asyncio.ensure_future(self._dispatcher.serve(request, route, trace))
+        request = self._make_request(scope, caller_headers, body, table, admitted, trace, relayed)
+        serving = asyncio.ensure_future(self._dispatcher.serve(request, admitted.route, trace))
         disconnecting = asyncio.ensure_future(_wait_for_disconnect(receive))
         try:
             await asyncio.wait({serving, disconnecting}, return_when=asyncio.FIRST_COMPLETED)
@@ -126,9 +133,14 @@
                 async with asyncio.timeout(hold_until - now):
                     await node.initial_sync_finished.wait()
 
-    def _find_route(
-        self, scope, table: routes.RouteTable | None, trace: local_reply.RequestTrace
-    ) -> tuple[local_reply.LocalReply | None, routes.Route | None]:
+    def _admit(
+        self,
+        scope,
+        table: routes.RouteTable | None,
+        caller_headers: header_fields.CallerHeaders,
+        relayed: relay_headers.RelayedRequest | None,
+        trace: local_reply.RequestTrace,
+    ) -> tuple[local_reply.LocalReply | None, admissions.AdmittedRequest | None]:
         if table is None:
             return (
                 local_reply.LocalReply(
@@ -144,11 +156,19 @@
         hosts = [value.decode("latin-1") for name, value in scope["headers"] if name == b"host"]
         if len(hosts) != 1:
             return local_reply.LocalReply(400, local_reply.LocalReplyReason.MALFORMED), None
-        route = table.find_route(_strip_port(hosts[0]), scope["raw_path"].decode("latin-1"))
-        if route is None:
-            return local_reply.LocalReply(404, local_reply.LocalReplyReason.NO_ROUTE), None
+        admitted = admissions.admit(
+            table,
+            _strip_port(hosts[0]),
+            scope["raw_path"].decode("latin-1"),
+            caller_headers.credential,
+            relayed.team if relayed is not None else None,
+        )
+        if isinstance(admitted, local_reply.LocalReply):
+            return admitted, None
+        route = admitted.route
         trace.route, trace.kind, trace.host = route.name, route.kind.value, route.host
-        return None, route
+        trace.team = admitted.team.name if admitted.team is not None else ""
+        return None, admitted
 
     async def _read_body(self, receive) -> bytes | None:
         """Returns the whole body, or None if it is too large."""
@@ -172,10 +192,11 @@
         caller_headers: header_fields.CallerHeaders,
         body: bytes,
         table: routes.RouteTable,
-        route: routes.Route,
+        admitted: admissions.AdmittedRequest,
         trace: local_reply.RequestTrace,
         relayed: relay_headers.RelayedRequest | None,
     ) -> sender.CallerRequest:
+        route = admitted.route
         wait_ms = (
             CALLER_WAIT_DEFAULT_MS if caller_headers.wait_ms is None else caller_headers.wait_ms
         )
@@ -197,6 +218,7 @@
             caller_timeout_at,
             route.kind.is_repeatable,
             relayed,
+            admitted.identity,
         )
 
     async def _send_local_reply(
@@ -210,6 +232,8 @@
             caller_headers.request_id, answer.retry_seconds
         )
         body = answer.reason.value.encode()
+        if answer.status == UNAUTHORIZED_STATUS:
+            headers.append((b"www-authenticate", b"Bearer"))
         headers += [(b"content-type", b"text/plain"), (b"content-length", b"%d" % len(body))]
         headers += self._make_relay_headers(_RELAY_OUTCOMES.get(answer.reason))
         await self._send_head(send, answer.status, headers)
@@ -276,6 +300,8 @@
         else:
             node.metrics.count_refusal(trace.host, trace.service, str(status), outcome)
         extra_fields = {"relayed_by": trace.relayed_by} if trace.relayed_by else {}
+        if trace.team:
+            extra_fields["team"] = trace.team
         if status >= ERROR_STATUS_MIN:
             extra_fields["knowledge"] = node.provenance.describe(node.now())
             extra_fields["path"] = node.describe_path(trace.service)
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -53,6 +53,7 @@
     :param caller_timeout_at: time at which the caller stops waiting; None if it sent no deadline.
     :param is_repeatable: whether the request may run more than once.
     :param relayed: set if another instance relayed the request.
+    :param identity: what a server learns of the caller, by ``table``.
     """
 
     caller_headers: header_fields.CallerHeaders
@@ -67,6 +68,7 @@
     caller_timeout_at: float | None = None
     is_repeatable: bool = False
     relayed: relay_headers.RelayedRequest | None = None
+    identity: header_fields.Identity = header_fields.UnmanagedIdentity()
 
 
 class FailureKind(enum.Enum):
@@ -203,7 +205,9 @@
     ) -> Result:
         node, server = self._node, placed.view.server
         wait_ms = (request.deadline - node.now()) * 1000
-        headers = node.headers.make_server_headers(request.headers, wait_ms, server.backend)
+        headers = node.headers.make_server_headers(
+            request.headers, wait_ms, server.backend, request.identity
+        )
         if request.body:
             headers.append((b"content-length", b"%d" % len(request.body)))
         sent_at = node.now()
--- a/src/caperdyke/transport/gateway/store_sync.py
+++ b/src/caperdyke/transport/gateway/store_sync.py
@@ -274,6 +274,8 @@
                 source=source,
                 position=str(row.changed),
             )
+            for fault in table.teams.faults if table.teams is not None else ():
+                events.log(events.Event.TEAM_INVALID, version=table.version, fault=fault)
 
     def _record_call(self, report: table_sync.CallReport) -> None:
         node, outcome = self._node, report.outcome
--- a/testing/platform/test_headers.py
+++ b/testing/platform/test_headers.py
@@ -66,7 +66,9 @@
             (b"caperdyke-expect-instance", b"forged"),
             (b"x-other", b"1"),
         ]
-        forwarded = headers.make_server_headers(raw, 1234.5, ids.BackendId("s1"))
+        forwarded = headers.make_server_headers(
+            raw, 1234.5, ids.BackendId("s1"), header_fields.UnmanagedIdentity()
+        )
         self.assertEqual(
             [
                 (b"caperdyke-request-id", b"r1"),
