Pass datagrams other than announcements to handlers by their kind

What instances tell each other about teams goes in messages of their own: builds that run beside this one during an upgrade reject announcements of any other layout. Kinds are told apart by two bytes, so an announcement is still decoded once. Unknown kinds are counted.

--- a/src/caperdyke/transport/gateway/announcer.py
+++ b/src/caperdyke/transport/gateway/announcer.py
@@ -8,7 +8,7 @@
 from caperdyke import errors
 from caperdyke.coordination import overlay
 from caperdyke.coordination.registry import fleet, intervals, load_sums
-from caperdyke.protocol import announcements
+from caperdyke.protocol import announcements, instance_messages
 from caperdyke.state import ids, member, name_hashes, store_rows
 from caperdyke.transport import events
 from caperdyke.transport.gateway import context, store_sync
@@ -32,6 +32,8 @@
 
     :param sync: supplies the positions to announce, and receives those that others announce.
     :param rng: selects the receivers of urgent announcements and spreads calls of the store.
+    :ivar message_handlers: handlers of datagrams that are not announcements, by the kind of message;
+        each gets the message's items and the sender's address.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         self._row_changes: dict[ids.InstanceId, store_rows.Position] = {}
         self._removals: set[asyncio.Task] = set()
         self._rng = rng or random.Random()
+        self.message_handlers: dict[int, collections.abc.Callable[[list, ids.Address], None]] = {}
 
     async def listen(self) -> None:
         """Opens the UDP socket on the peer address."""
@@ -67,8 +70,12 @@
         events.log(events.Event.LINK_CLOSED, peer="datagram", cause=repr(error))
 
     def datagram_received(self, data: bytes, address) -> None:
-        """Applies an announcement of another instance."""
+        """Applies an announcement of another instance, or passes another message on."""
         try:
+            message = instance_messages.decode_message(data)
+            if message is not None:
+                self._pass_message(*message, ids.Address(f"{address[0]}:{address[1]}"))
+                return
             announcement = announcements.decode_announcement(data)
         except errors.ProtocolError as error:
             events.log(events.Event.FRAME_REJECTED, peer=address[0], error=str(error))
@@ -108,6 +115,17 @@
         if self._store_sync.is_behind(sender, store_rows.StoreTable.CONFIGURATION):
             self._store_sync.record_peer_ahead(sender)
 
+    def send_message(self, address: ids.Address, data: bytes) -> None:
+        """Sends a datagram other than an announcement to the peer address of an instance."""
+        self._send_to(address, data)
+
+    def _pass_message(self, kind: int, items: list, address: ids.Address) -> None:
+        handler = self.message_handlers.get(kind)
+        if handler is None:
+            self._node.metrics.count_unknown_message(kind)
+            return
+        handler(items, address)
+
     async def announce(self) -> None:
         """Announces this instance to each other instance when it is due, forever."""
         while True:
--- a/src/caperdyke/transport/metrics.py
+++ b/src/caperdyke/transport/metrics.py
@@ -28,6 +28,7 @@
         meter.create_observable_counter("lookups", callbacks=[self._observe_lookups])
         self._retries = meter.create_counter("retries")
         self._relayed = meter.create_counter("relayed_requests")
+        self._unknown_messages = meter.create_counter("unknown_messages")
         self._has_path = True
         meter.create_observable_gauge("server_path", callbacks=[self._observe_path])
         self._store_calls = meter.create_counter("store_calls")
@@ -79,6 +80,10 @@
     def _observe_path(self, _options):
         return [otel_metrics_api.Observation(int(self._has_path))]
 
+    def count_unknown_message(self, kind: int) -> None:
+        """Counts a datagram of a kind that this build does not know."""
+        self._unknown_messages.add(1, {"kind": str(kind)})
+
     def count_store_call(self, table: str, outcome: str) -> None:
         """Counts a finished call to the store.
 
