--- a/src/caperdyke/transport/gateway/announcer.py
+++ b/src/caperdyke/transport/gateway/announcer.py
@@ -32,7 +32,7 @@
 
     :param sync: supplies the positions to announce, and receives those that others announce.
     :param rng: selects the receivers of urgent announcements and spreads calls of the store.
-    :ivar message_handlers: handlers of datagrams that are not announcements, by the kind of message;
+    :ivar message_handlers: handlers of other datagrams than announcements, by the kind of message;
         each gets the message's items and the sender's address.
     """
 
