Change the near weight without jumps when servers come and go

Change: with '[placing] steady_weights = on' the near weight approaches its maximum gradually. Off by default.

Ruled out: a weight whose logarithm is proportional to the near capacity (one of 16 servers changed it by 1.28 times near the maximum, bound 1.25); remembering the weight in force, which differs between instances that started at different times and would rank servers differently.

--- a/src/caperdyke/coordination/placement/server_rankings.py
+++ b/src/caperdyke/coordination/placement/server_rankings.py
@@ -2,7 +2,7 @@
 
 import math
 
-from caperdyke.coordination.placement import homes, rendezvous
+from caperdyke.coordination.placement import homes, rendezvous, steady_weights
 from caperdyke.state import backend, gateway_settings, ids
 
 Servers = dict[ids.ServiceName, list[backend.BackendServer]]
@@ -95,6 +95,17 @@
                 for server in self._servers.get(service, ())
             ]
             locality = homes.Locality(settings.domain, settings.region, is_large)
-            entry = located, locality, homes.compute_near_weight(locality, located)
+            entry = located, locality, _compute_near_weight(settings, locality, located)
             self._located[service, is_large] = entry
         return entry
+
+
+def _compute_near_weight(
+    settings: gateway_settings.GatewaySettings,
+    locality: homes.Locality,
+    located: list[homes.LocatedServer],
+) -> float:
+    if not settings.has_steady_weights:
+        return homes.compute_near_weight(locality, located)
+    groups = len(settings.domains if locality.is_by_domain else set(settings.domains.values()))
+    return steady_weights.compute_steady_near_weight(locality, located, groups)
--- a/src/caperdyke/protocol/gateway_files.py
+++ b/src/caperdyke/protocol/gateway_files.py
@@ -40,6 +40,10 @@
         backoff_seconds_max=document.read_decimal(
             "placing", "rest_max_s", 0.0, 1e6, gateway_settings.BACKOFF_SECONDS_MAX
         ),
+        has_steady_weights=document.read_choice("placing", "steady_weights", ("off", "on"), "off")
+        == "on",
+        stay_margin_seconds=document.read_decimal("placing", "stay_margin_ms", 0.0, 10_000.0, 0.0)
+        / 1000,
     )
     document.check_all_read()
     return result
--- a/src/caperdyke/state/gateway_settings.py
+++ b/src/caperdyke/state/gateway_settings.py
@@ -43,6 +43,9 @@
         for each megabyte that is not sent between failure domains.
     :param backoff_seconds_max: longest time for which a backend server that refused a request gets
         no further ones at its request, in seconds.
+    :param has_steady_weights: whether the weight of near servers changes without jumps.
+    :param stay_margin_seconds: by how much another server must be cheaper before the requests for
+        an object leave the server that answered last, in seconds; 0 to choose anew each time.
     :param seeds: peer addresses of possible other instances.
     """
 
@@ -61,3 +64,5 @@
     logs: settings.LogSettings
     cross_domain_seconds_per_megabyte: float = CROSS_DOMAIN_SECONDS_PER_MEGABYTE
     backoff_seconds_max: float = BACKOFF_SECONDS_MAX
+    has_steady_weights: bool = False
+    stay_margin_seconds: float = 0.0
