Keep a configuration in force whose teams have faulty entries

Operators saw: a team whose home regions were no list, whose rate was a very large number or whose key had a lone surrogate made the whole version unreadable, or ended the task that applies it, so none of its changes took effect. A missing or invalid priority made a team the most urgent one. The error of a version that was no UTF-8 quoted the whole document, with its keys.

Cause: entries were converted before they were checked, and representations of errors were logged.

Change: each field is checked by itself; a fault leaves the rest of the entry in force and names the team and the field, never a text, which may be a key in the wrong field. A table of teams that is no table at all rejects the version, so that the one before stays in force. Names of teams that no header can contain are percent-encoded instead of ending the header. Everything behind the scheme of a credential is compared as it is.

Ruled out: taking a table of another type for an empty one (401 for all callers) or for none (all routes open).

--- a/src/caperdyke/platform/documents.py
+++ b/src/caperdyke/platform/documents.py
@@ -1,13 +1,16 @@
 """Decodes rows that operators and backend servers write to the platform's store."""
 
 import json
-import math
 
 from caperdyke import errors
 from caperdyke.state import backend, ids, registration, routes, store_rows, teams
 
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
+KEYS = "apiKeys"
+HOMES = "homeRegions"
+# Largest valid rate, burst and priority of a team; JSON numbers have no bound.
+AMOUNT_MAX = 1e12
 
 
 def read_route_table(row: store_rows.StoreRow) -> routes.RouteTable | None:
@@ -33,9 +36,12 @@
                 float(limits["headerTimeoutMs"]),
                 float(limits["idleTimeoutMs"]),
             ),
-            _read_teams(document["tenants"]) if "tenants" in document else None,
+            _read_teams(document["tenants"]) if document.get("tenants") is not None else None,
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except UnicodeDecodeError as error:
+        # The representation of this error contains the whole document, with its keys.
+        raise errors.ProtocolError(f"configuration, change {row.changed.number}: {error}") from None
+    except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as error:
         raise errors.ProtocolError(
             f"configuration, change {row.changed.number}: {error!r}"
         ) from error
@@ -123,40 +129,57 @@
         rate = _read_amount(name, item, "ratePerS", faults)
         burst = _read_amount(name, item, "burst", faults)
         if burst and not rate:
-            faults.append(f"team {name}: got burst {burst} without a rate, expected both")
-        homes = item.get("homeRegions") or ()
+            faults.append(f"team {name}: got burst {burst:g} without a rate, expected both")
+        priority = _read_amount(name, item, "priority", faults)
         team = teams.Team(
             ids.TeamName(name),
-            int(_read_amount(name, item, "priority", faults)) if "priority" in item else None,
-            rate,
-            burst,
-            frozenset(ids.RegionName(region) for region in homes),
+            int(priority) if priority is not None else None,
+            rate or 0.0,
+            burst or 0.0,
+            frozenset(ids.RegionName(text) for text in _read_texts(name, item, HOMES, faults)),
         )
-        held_keys.append((team, _read_keys(name, item, faults)))
+        keys = _read_texts(name, item, KEYS, faults)
+        if not keys:
+            faults.append(f"team {name}: no keys, expected one or more")
+        held_keys.append((team, keys))
     return teams.make_directory(held_keys, faults)
 
 
-def _read_amount(name: str, item: dict, field: str, faults: list[str]) -> float:
-    """Returns a number that is not negative; 0 where it is missing or invalid."""
+def _read_amount(name: str, item: dict, field: str, faults: list[str]) -> float | None:
+    """Returns a number that is not negative; None where it is missing or invalid."""
     value = item.get(field)
     if value is None:
-        return 0.0
+        return None
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if is_number and 0 <= value < math.inf:
+    if is_number and 0 <= value <= AMOUNT_MAX:
         return float(value)
-    faults.append(f"team {name}: got {field} {value!r}, expected a number from 0 on")
-    return 0.0
-
-
-def _read_keys(name: str, item: dict, faults: list[str]) -> list[str]:
-    listed = item.get("apiKeys")
-    listed = listed if isinstance(listed, list) else []
-    keys = [key for key in listed if isinstance(key, str) and key]
-    if not keys:
-        faults.append(f"team {name}: no keys, expected one or more")
-    elif len(keys) < len(listed):
-        faults.append(f"team {name}: {len(listed) - len(keys)} keys are not texts")
-    return keys
+    # A text may be a key that was entered in the wrong field, so it is not quoted.
+    found = f"{value:g}" if is_number and abs(value) <= AMOUNT_MAX else type(value).__name__
+    faults.append(f"team {name}: got {field} {found}, expected a number from 0 to {AMOUNT_MAX:g}")
+    return None
+
+
+def _read_texts(name: str, item: dict, field: str, faults: list[str]) -> list[str]:
+    """Returns the usable texts of a list; the fault names neither these nor the others."""
+    listed = item.get(field)
+    if listed is None:
+        return []
+    if not isinstance(listed, list):
+        faults.append(f"team {name}: got {field} {type(listed).__name__}, expected a list")
+        return []
+    texts = [text for text in listed if isinstance(text, str) and text and _is_encodable(text)]
+    if len(texts) < len(listed):
+        faults.append(f"team {name}: {len(listed) - len(texts)} of {field} are not usable texts")
+    return texts
+
+
+def _is_encodable(text: str) -> bool:
+    """Returns whether a text has no lone surrogates, which JSON allows and UTF-8 does not."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
 
 
 def _read_service(name: str, item: dict) -> routes.ServiceLimits:
--- a/src/caperdyke/platform/headers.py
+++ b/src/caperdyke/platform/headers.py
@@ -3,6 +3,8 @@
 import datetime
 import email.utils
 import http.cookies
+import re
+import urllib.parse
 
 from caperdyke.state import header_fields, ids, teams
 
@@ -32,6 +34,11 @@
 # Status of a backend server other than the expected one; it did not run the request.
 MISDIRECTED_STATUS = 421
 
+# A value that arrives as it was sent: white space around it would be dropped.
+_HEADER_VALUE = re.compile(
+    rb"(?:[\x21-\x7e\x80-\xff](?:[\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?)?"
+)
+
 RawHeaders = list[tuple[bytes, bytes]]
 
 
@@ -79,7 +86,7 @@
         case header_fields.TeamIdentity(team=team):
             passed_headers = _strip_identity(passed_headers)
             if team is not None:
-                passed_headers.append((TENANT, team.encode()))
+                passed_headers.append((TENANT, _encode_team(team)))
         case header_fields.UnmanagedIdentity():
             pass
     passed_headers.append((REQUEST_DEADLINE, b"%d" % max(1, int(wait_ms))))
@@ -118,6 +125,18 @@
     return [item for item in headers if item[0] not in (AUTHORIZATION, TENANT)]
 
 
+def _encode_team(name: ids.TeamName) -> bytes:
+    """Returns a team's name as a header value.
+
+    A name with characters that no header value can contain is percent-encoded: it must neither end
+    the header nor cost the team its requests.
+    """
+    value = name.encode("utf-8", "surrogatepass")
+    if _HEADER_VALUE.fullmatch(value):
+        return value
+    return urllib.parse.quote_from_bytes(value, safe="").encode()
+
+
 def _parse_credential(headers: RawHeaders) -> header_fields.Credential:
     values = [value for name, value in headers if name == AUTHORIZATION]
     if not values:
@@ -125,8 +144,7 @@
     key = values[0].removeprefix(KEY_SCHEME)
     if len(values) > 1 or not values[0].startswith(KEY_SCHEME) or not key:
         return header_fields.MalformedCredential()
-    if any(byte <= 0x20 for byte in key):
-        return header_fields.MalformedCredential()
+    # Whatever follows the scheme is compared as it is: further white space makes it another key.
     return header_fields.KeyCredential(teams.digest_key(key))
 
 
--- a/src/caperdyke/protocol/relay_headers.py
+++ b/src/caperdyke/protocol/relay_headers.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import urllib.parse
 
 from caperdyke import errors
 from caperdyke.state import ids
@@ -66,7 +67,7 @@
 
 def encode_request(fields: RelayedRequest) -> RawHeaders:
     """Returns the headers of a relayed request."""
-    team_headers = [] if fields.team is None else [(TEAM, fields.team.encode())]
+    team_headers = [] if fields.team is None else [(TEAM, _encode_team(fields.team))]
     return [
         *team_headers,
         (INSTANCE, fields.instance.encode("latin-1")),
@@ -90,7 +91,7 @@
             int(found[REACHED]),
             bool(int(found[COUNTED])),
             int(found[VERSION]),
-            ids.TeamName(found[TEAM].decode()) if TEAM in found else None,
+            _decode_team(found[TEAM]) if TEAM in found else None,
         )
     except (KeyError, ValueError) as error:
         raise errors.ProtocolError(f"invalid headers of a relayed request: {error!r}") from error
@@ -114,6 +115,15 @@
         raise errors.ProtocolError(f"invalid headers of a relayed answer: {error!r}") from error
 
 
+def _encode_team(name: ids.TeamName) -> bytes:
+    # Names may contain any character, header values may not.
+    return urllib.parse.quote(name, safe="", errors="surrogatepass").encode()
+
+
+def _decode_team(value: bytes) -> ids.TeamName:
+    return ids.TeamName(urllib.parse.unquote(value.decode("ascii"), errors="surrogatepass"))
+
+
 def is_relayed(headers: RawHeaders) -> bool:
     """Returns whether a request was relayed by another instance."""
     return any(name == INSTANCE for name, _ in headers)
--- a/testing/platform/harness.py
+++ b/testing/platform/harness.py
@@ -86,13 +86,14 @@
     ):
         """Sends a caller's request and returns status, headers and body.
 
-        :param options: ``request_id``, ``wait_ms``, ``key`` and ``host`` of the request.
+        :param options: ``request_id``, ``wait_ms``, ``key``, ``host`` and further ``headers``.
         """
         request_headers = {
             "Host": options.get("host", HOST),
             "Caperdyke-Request-Id": options.get("request_id", f"request-{next(self._numbers)}"),
             "Caperdyke-Request-Deadline": str(options.get("wait_ms", 3000)),
             "Cookie": f"Caperdyke-Affinity-Key={options.get('key', 'k1')}",
+            **options.get("headers", {}),
         }
         address = self.gateway.node.settings.caller_address
         response = await self._client.request(
--- a/testing/platform/test_headers.py
+++ b/testing/platform/test_headers.py
@@ -1,10 +1,12 @@
 """Tests for the headers of callers and backend servers."""
 
 import testtools
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
 from parameterized import parameterized
 
 from caperdyke.platform import headers
-from caperdyke.state import header_fields, ids
+from caperdyke.state import header_fields, ids, teams
 
 
 class CallerHeadersTest(testtools.TestCase):
@@ -137,3 +139,97 @@
     )
     def test_leaving(self, _name, status, raw, expected) -> None:
         self.assertEqual(expected, headers.parse_server_headers(status, raw).is_leaving)
+
+
+KEY = b"ymh2rrytapjsujqurtyi"
+DIGEST = teams.digest_key(KEY)
+KEY_CREDENTIAL = header_fields.KeyCredential(DIGEST)
+MALFORMED = header_fields.MalformedCredential()
+PIECES = (b"Bearer", b"bearer", b" ", b"\t", KEY, b",", b"Basic", b"Bearer " + KEY)
+
+
+class CredentialTest(testtools.TestCase):
+    """Credentials of callers (T2), and what replaces them (T4, T5)."""
+
+    @parameterized.expand(
+        [
+            ("missing", [], header_fields.NoCredential()),
+            ("key", [b"Bearer " + KEY], KEY_CREDENTIAL),
+            ("twice", [b"Bearer " + KEY] * 2, MALFORMED),
+            ("several", [b"Bearer " + KEY, b"Basic eDp5"], MALFORMED),
+            ("empty", [b""], MALFORMED),
+            ("scheme_only", [b"Bearer"], MALFORMED),
+            ("empty_key", [b"Bearer "], MALFORMED),
+            ("key_only", [KEY], MALFORMED),
+            ("lower_case", [b"bearer " + KEY], MALFORMED),
+            ("upper_case", [b"BEARER " + KEY], MALFORMED),
+            ("other_scheme", [b"Basic " + KEY], MALFORMED),
+            ("tab", [b"Bearer\t" + KEY], MALFORMED),
+            ("no_space", [b"Bearer" + KEY], MALFORMED),
+            ("space_before", [b" Bearer " + KEY], MALFORMED),
+        ]
+    )
+    def test_credential(self, _name, values, expected) -> None:
+        raw = [(b"authorization", value) for value in values]
+        self.assertEqual(expected, headers.parse_caller_headers(raw).credential)
+
+    @parameterized.expand(
+        [
+            ("two_spaces", b"Bearer  " + KEY),
+            ("tab_after_space", b"Bearer \t" + KEY),
+            ("space_behind", b"Bearer " + KEY + b" "),
+            ("two_keys", b"Bearer " + KEY + b"," + KEY),
+            ("parameters", b"Bearer " + KEY + b" realm=x"),
+            ("other_case_of_key", b"Bearer " + KEY.upper()),
+            ("part_of_key", b"Bearer " + KEY[:-1]),
+        ]
+    )
+    def test_other_text_is_another_key(self, _name, value) -> None:
+        """Guards against credentials that are trimmed or repaired until they match."""
+        credential = headers.parse_caller_headers([(b"authorization", value)]).credential
+        self.assertNotEqual(KEY_CREDENTIAL, credential)
+
+    @seed(7)
+    @settings(max_examples=500, deadline=None)
+    @given(st.lists(st.sampled_from(PIECES) | st.binary(max_size=4), max_size=6).map(b"".join))
+    def test_odd_values_are_never_taken_for_the_key(self, value) -> None:
+        """Guards against errors and matches for values that nobody listed above."""
+        credential = headers.parse_caller_headers([(b"authorization", value)]).credential
+        self.assertEqual(value == b"Bearer " + KEY, credential == KEY_CREDENTIAL, value)
+        self.assertNotIn(KEY.decode(), repr(credential))
+
+    @parameterized.expand(
+        [
+            ("team", header_fields.TeamIdentity(ids.TeamName("a")), [b"a"], False),
+            ("no_team", header_fields.TeamIdentity(None), [], False),
+            ("unmanaged", header_fields.UnmanagedIdentity(), [b"forged"], True),
+        ]
+    )
+    def test_headers_for_server(self, _name, identity, expected, is_key_passed) -> None:
+        raw = [(b"authorization", b"Bearer " + KEY), (b"caperdyke-tenant", b"forged")]
+        forwarded = headers.make_server_headers(raw, 1000.0, ids.BackendId("s1"), identity)
+        found = [value for name, value in forwarded if name == b"caperdyke-tenant"]
+        self.assertEqual(expected, found)
+        self.assertIs(is_key_passed, b"authorization" in dict(forwarded))
+        relayed = dict(headers.make_relayed_headers(raw, 1000.0, identity))
+        self.assertEqual(
+            (is_key_passed, is_key_passed),
+            (b"authorization" in relayed, b"caperdyke-tenant" in relayed),
+        )
+
+    @parameterized.expand(
+        [
+            ("plain", "huka270", b"huka270"),
+            ("inner_space", "a b", b"a b"),
+            ("other_letters", "Z\u00fcrich", "Z\u00fcrich".encode()),
+            ("line_break", "a\r\nX-Admin: 1", b"a%0D%0AX-Admin%3A%201"),
+            ("space_around", " a ", b"%20a%20"),
+            ("surrogate", "\ud800", b"\xed\xa0\x80"),
+            ("empty", "", b""),
+        ]
+    )
+    def test_name_in_header(self, _name, name, expected) -> None:
+        """Guards against team names that end the header, or whose requests fail."""
+        identity = header_fields.TeamIdentity(ids.TeamName(name))
+        forwarded = headers.make_server_headers([], 1000.0, ids.BackendId("s1"), identity)
+        self.assertEqual(expected, dict(forwarded)[b"caperdyke-tenant"])
