Count requests of teams against their quotas

Callers of a team with a rate got no limit: rate and burst were read and not applied. A team over its quota now gets 429 with a retry delay.

A request takes a token before it is sent; the token is returned if no server can have run the request. Settings [quotas] window_s, overrun and slack.

Not covered yet: the bound in fleets, by tests.

--- a/src/caperdyke/protocol/gateway_files.py
+++ b/src/caperdyke/protocol/gateway_files.py
@@ -40,6 +40,7 @@
         backoff_seconds_max=document.read_decimal(
             "placing", "rest_max_s", 0.0, 1e6, gateway_settings.BACKOFF_SECONDS_MAX
         ),
+        quota_tolerance=_read_quota_tolerance(document),
     )
     document.check_all_read()
     return result
@@ -65,3 +66,12 @@
         lookup_seconds=document.read_decimal(section, "lookup_s", 0.1, 3600.0),
         stop_seconds=document.read_decimal(section, "stop_s", 0.5, 3600.0),
     )
+
+
+def _read_quota_tolerance(document: ini.Document) -> gateway_settings.QuotaTolerance:
+    section, default = "quotas", gateway_settings.QuotaTolerance()
+    return gateway_settings.QuotaTolerance(
+        window_s=document.read_decimal(section, "window_s", 0.1, 3600.0, default.window_s),
+        overrun=document.read_decimal(section, "overrun", 0.0, 10.0, default.overrun),
+        slack=document.read_decimal(section, "slack", 0.0, 1e6, default.slack),
+    )
--- a/src/caperdyke/state/gateway_settings.py
+++ b/src/caperdyke/state/gateway_settings.py
@@ -34,6 +34,20 @@
     stop_seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaTolerance:
+    """By how much all instances together may exceed the quota of a team.
+
+    :param window_s: window over which requests are counted, in seconds.
+    :param overrun: ratio of the requests that the quota allows in a window.
+    :param slack: requests in a window.
+    """
+
+    window_s: float = 5.0
+    overrun: float = 0.1
+    slack: float = 20.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """Settings of one gateway.
@@ -43,6 +57,7 @@
         for each megabyte that is not sent between failure domains.
     :param backoff_seconds_max: longest time for which a backend server that refused a request gets
         no further ones at its request, in seconds.
+    :param quota_tolerance: by how much teams may exceed their quotas.
     :param seeds: peer addresses of possible other instances.
     """
 
@@ -61,3 +76,4 @@
     logs: settings.LogSettings
     cross_domain_seconds_per_megabyte: float = CROSS_DOMAIN_SECONDS_PER_MEGABYTE
     backoff_seconds_max: float = BACKOFF_SECONDS_MAX
+    quota_tolerance: QuotaTolerance = QuotaTolerance()
--- a/src/caperdyke/transport/events.py
+++ b/src/caperdyke/transport/events.py
@@ -90,6 +90,12 @@
     )
     ROUTES_ADOPTED = (6201, "INFO", "configuration {version} is in force, {routes} routes")
     TEAM_INVALID = (6601, "ERROR", "configuration {version}: {fault}")
+    TEAM_OVER_QUOTA = (
+        6602,
+        "INFO",
+        "team {team} is over its quota of {rate} requests/s and a burst of {burst}: "
+        "{rejected} rejected",
+    )
     SERVER_CHANGED = (6202, "INFO", "backend server {backend} of {service}: {change}")
     EVACUATION_CHANGED = (6203, "INFO", "evacuated failure domains: {domains}")
     PATH_LOST = (
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -8,7 +8,15 @@
 from caperdyke.coordination.placement import attempts, selection
 from caperdyke.coordination.registry import fleet
 from caperdyke.state import ids, routes
-from caperdyke.transport.gateway import admissions, context, local_reply, relay, sender
+from caperdyke.transport.gateway import (
+    admissions,
+    context,
+    local_reply,
+    relay,
+    request_tokens,
+    sender,
+    team_quotas,
+)
 
 # Longest Retry-After as a ratio of the time that the caller has left. It does not apply where the
 # servers themselves specify when they accept requests again.
@@ -18,6 +26,8 @@
 NO_PATH_RETRY_AFTER_SECONDS = 0.5
 # Ratio of the retry budget that copies which warm a near home must leave to retries.
 WARMING_RESERVE_RATIO = 0.5
+# Shortest Retry-After of a team that is over its quota.
+OVER_QUOTA_RETRY_AFTER_MIN_SECONDS = 0.1
 
 
 class Dispatcher:
@@ -27,6 +37,7 @@
         self._node = node
         self._sender = sender.Sender(node)
         self.relay = relay.Relay(node)
+        self.quotas = team_quotas.TeamQuotas(node)
         self._rng = random.Random()
         self._copies: set[asyncio.Task] = set()
 
@@ -38,10 +49,23 @@
         :returns: the answer of a server, the last one with an error status if all failed, or a
             local reply if there was none.
         """
+        tokens = request_tokens.RequestTokens(self._node, self.quotas)
+        try:
+            return await self._serve(request, route, trace, tokens)
+        finally:
+            tokens.release()
+
+    async def _serve(
+        self,
+        request: sender.CallerRequest,
+        route: routes.Route,
+        trace: local_reply.RequestTrace,
+        tokens: request_tokens.RequestTokens,
+    ) -> sender.ServerAnswer | local_reply.LocalReply:
         node, relayed = self._node, request.relayed
         if not node.path.can_use_kept(node.now()):
             attempt_state = attempts.Attempts(route.attempts_max, route.kind.is_repeatable)
-            return await self._serve_by_relay(request, route, None, attempt_state, trace)
+            return await self._serve_by_relay(request, route, None, attempt_state, trace, tokens)
         service = trace.service = node.splits.choose(route)
         if relayed is None or not relayed.is_counted:
             node.retries.record_request(node.now(), service)
@@ -63,18 +87,29 @@
                 route = admitted.route
                 service = self._find_changed_service(route, service, trace)
             if not node.path.can_use_kept(node.now()) and failed is None:
-                return await self._serve_by_relay(request, route, service, attempt_state, trace)
+                return await self._serve_by_relay(
+                    request, route, service, attempt_state, trace, tokens
+                )
+            exceeded = await tokens.acquire(request, _find_objective_end(route, trace))
+            if node.routes is not request.table:
+                continue
+            if exceeded is not None:
+                return failed or self._make_over_quota_reply(request, attempt_state, exceeded)
             selected = self._select_server(request, route, service, tried_servers, trace)
             if isinstance(selected, selection.NoCapacity):
                 if node.path.is_lost and failed is None:
-                    return await self._serve_by_relay(request, route, service, attempt_state, trace)
+                    return await self._serve_by_relay(
+                        request, route, service, attempt_state, trace, tokens
+                    )
                 trace.sends.append(_describe_no_capacity(selected))
                 return failed or self._make_final_reply(request, attempt_state, selected)
             if attempt_state.sent and not self._try_acquire_retry(route, service):
                 return failed or self._make_refused_reply(request, route, service, attempt_state)
             tried_servers.add(selected.view.server.backend)
             sent_at = node.now()
+            tokens.start_send()
             result = await self._sender.send(request, selected)
+            tokens.end_send(_may_have_run(result))
             self._record_result(request, route, selected, sent_at, result)
             trace.sends.append(self._describe(selected, sent_at, result))
             match result:
@@ -88,7 +123,9 @@
                         await failed.remaining_body.aclose()
                     failed = result
                 case sender.Failure(kind=sender.FailureKind.NO_PATH) if failed is None:
-                    return await self._serve_by_relay(request, route, service, attempt_state, trace)
+                    return await self._serve_by_relay(
+                        request, route, service, attempt_state, trace, tokens
+                    )
                 case sender.Failure(kind=sender.FailureKind.NOT_SENT):
                     tried_servers.discard(selected.view.server.backend)
                 case sender.Failure():
@@ -103,6 +140,7 @@
         service: ids.ServiceName | None,
         attempt_state: attempts.Attempts,
         trace: local_reply.RequestTrace,
+        tokens: request_tokens.RequestTokens,
     ) -> sender.ServerAnswer | local_reply.LocalReply:
         """Sends a request to other instances until one serves it.
 
@@ -125,6 +163,11 @@
                 request = dataclasses.replace(
                     request, table=node.routes, identity=admitted.identity
                 )
+            exceeded = await tokens.acquire(request, _find_objective_end(route, trace))
+            if node.routes is not request.table:
+                continue
+            if exceeded is not None:
+                return self._make_over_quota_reply(request, attempt_state, exceeded)
             peer = self.relay.choose(route, tried)
             if peer is None:
                 break
@@ -135,7 +178,9 @@
             tried.add(peer.record.instance)
             sent_at = node.now()
             reached, is_counted = attempt_state.reached, service is not None
+            tokens.start_send()
             result = await self.relay.send(request, peer, reached, is_counted)
+            tokens.end_send(_may_have_run(result))
             trace.sends.append(_describe_relay(peer, node.now() - sent_at, result))
             match result:
                 case sender.ServerAnswer():
@@ -214,9 +259,15 @@
         candidates = node.list_candidates(service, requirements.key, route)
         placement = selection.select_near_home(now, requirements, candidates, times)
         fraction = node.fleet.compute_limit_fraction(now)
-        if placement is None or not node.retries.try_acquire(
-            now, service, fraction, WARMING_RESERVE_RATIO
-        ):
+        if placement is None:
+            return
+        team = request_tokens.find_limited_team(request)
+        granted = self.quotas.try_acquire(team) if team is not None else None
+        if team is not None and granted is None:
+            return
+        if not node.retries.try_acquire(now, service, fraction, WARMING_RESERVE_RATIO):
+            if granted is not None:
+                self.quotas.release(granted.token)
             return
         node.metrics.count_retry(route.host, service)
         trace.sends.append(f"copy to {placement.view.server.backend}, the object's near home")
@@ -380,6 +431,26 @@
             503, reason, max(0.0, min(jittered, time_left * RETRY_AFTER_RATIO_MAX))
         )
 
+    def _make_over_quota_reply(
+        self,
+        request: sender.CallerRequest,
+        attempt_state: attempts.Attempts,
+        exceeded: team_quotas.Exceeded,
+    ) -> local_reply.LocalReply:
+        """Returns the reply to a request whose team is over its quota."""
+        if not attempt_state.is_known_not_run:
+            return self._make_final_reply(request, attempt_state, None)
+        retry_after = max(OVER_QUOTA_RETRY_AFTER_MIN_SECONDS, exceeded.retry_after_s)
+        time_left = request.deadline - self._node.now()
+        return local_reply.LocalReply(
+            429,
+            local_reply.LocalReplyReason.OVER_QUOTA,
+            max(
+                0.0,
+                min(retry_after * self._rng.uniform(1.0, 1.5), time_left * RETRY_AFTER_RATIO_MAX),
+            ),
+        )
+
     def _describe(
         self, placement: selection.Placement, sent_at: float, result: sender.Result
     ) -> str:
@@ -416,6 +487,21 @@
     return local_reply.LocalReply(502, local_reply.LocalReplyReason.FAILED)
 
 
+def _may_have_run(result: relay.RelayResult) -> bool:
+    """Returns whether a server may have run a request with this result."""
+    match result:
+        case sender.ServerAnswer():
+            return True
+        case sender.Failure():
+            return result.may_have_run
+        case relay.NotRun():
+            return False
+
+
+def _find_objective_end(route: routes.Route, trace: local_reply.RequestTrace) -> float:
+    return trace.received_at + route.objective_ms / 1000
+
+
 def _describe_relay(peer: fleet.PeerInstance, took_s: float, result: relay.RelayResult) -> str:
     match result:
         case sender.Failure():
--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -53,6 +53,7 @@
         self.store_sync.on_configuration_changed = self.announcer.announce_change
         node.bounds.on_urgent_change = self.announcer.announce_server_state
         self._dispatcher = dispatcher.Dispatcher(node)
+        self._dispatcher.quotas.connect(self.announcer)
         self.requests = request_app.RequestApp(node, self._dispatcher)
         self._path_monitor = path_monitor.PathMonitor(
             node, self._dispatcher, self.announcer.announce_path
@@ -102,6 +103,7 @@
             "upkeep": self._run_upkeep,
             "enrolment": self.announcer.enrol,
             "path": self._path_monitor.run,
+            "quotas": self._dispatcher.quotas.run,
         }
         for name, run_task in loops.items():
             self._tasks.append(asyncio.create_task(_run_forever(name, run_task)))
--- a/src/caperdyke/transport/metrics.py
+++ b/src/caperdyke/transport/metrics.py
@@ -26,6 +26,8 @@
         self._refusals = meter.create_counter("request_refusals")
         self._lookup_counts: collections.Counter[str] = collections.Counter()
         meter.create_observable_counter("lookups", callbacks=[self._observe_lookups])
+        self._quota_counts: collections.Counter[tuple[str, str]] = collections.Counter()
+        meter.create_observable_counter("quota_decisions", callbacks=[self._observe_quotas])
         self._retries = meter.create_counter("retries")
         self._relayed = meter.create_counter("relayed_requests")
         self._unknown_messages = meter.create_counter("unknown_messages")
@@ -59,6 +61,19 @@
             for customer, count in self._lookup_counts.items()
         ]
 
+    def count_quota_decision(self, team: str, outcome: str) -> None:
+        """Counts a request of a team with a limit.
+
+        :param outcome: ``granted``, ``exceeded`` or ``skipped`` for a repeated send.
+        """
+        self._quota_counts[team, outcome] += 1
+
+    def _observe_quotas(self, _options):
+        return [
+            otel_metrics_api.Observation(count, {"team": team, "outcome": outcome})
+            for (team, outcome), count in self._quota_counts.items()
+        ]
+
     def record_configuration(self, version: int) -> None:
         """Sets the gauge of the configuration version in force."""
         self._configuration_version = version
--- a/testing/platform/harness.py
+++ b/testing/platform/harness.py
@@ -86,7 +86,8 @@
     ):
         """Sends a caller's request and returns status, headers and body.
 
-        :param options: ``request_id``, ``wait_ms``, ``key`` and ``host`` of the request.
+        :param options: ``request_id``, ``wait_ms``, ``key``, ``host`` and ``team_key`` of the
+            request.
         """
         request_headers = {
             "Host": options.get("host", HOST),
@@ -94,6 +95,8 @@
             "Caperdyke-Request-Deadline": str(options.get("wait_ms", 3000)),
             "Cookie": f"Caperdyke-Affinity-Key={options.get('key', 'k1')}",
         }
+        if "team_key" in options:
+            request_headers["Authorization"] = f"Bearer {options['team_key']}"
         address = self.gateway.node.settings.caller_address
         response = await self._client.request(
             f"http://{address}{path}", method, headers=request_headers, data=body or None
--- a/testing/platform/test_gateway_settings.py
+++ b/testing/platform/test_gateway_settings.py
@@ -10,6 +10,7 @@
 
 from caperdyke import errors
 from caperdyke.protocol import gateway_files
+from caperdyke.state import gateway_settings
 from caperdyke.transport.gateway import reload
 from testing.platform import harness
 
@@ -41,6 +42,12 @@
     """Returns the template rendered as by the platform, with one failure domain."""
     values = TEMPLATE_VALUES | changes
     text = TEMPLATE.read_text()
+    text = re.sub(
+        r"{{#(bounds[a-zA-Z._]+)}}(.*?){{/\1}}",
+        lambda match: match[2] if match[1] in values else "",
+        text,
+        flags=re.DOTALL,
+    )
     text = re.sub(r"{{#zones}}(.*?){{/zones}}", r"\1", text, flags=re.DOTALL)
     text = text.replace("{{@}}", values["zone"]).replace("{{.}}", values["region"])
     return re.sub(r"{{([a-zA-Z._]+)}}", lambda match: values[match[1]], text)
@@ -57,26 +64,46 @@
     """Reading of settings files."""
 
     def test_template(self) -> None:
-        gateway_settings = gateway_files.read_gateway(write_settings(fill_template()))
-        self.assertEqual({"only-hall": "alone"}, gateway_settings.domains)
-        self.assertEqual((), gateway_settings.seeds)
+        read = gateway_files.read_gateway(write_settings(fill_template()))
+        self.assertEqual({"only-hall": "alone"}, read.domains)
+        self.assertEqual((), read.seeds)
         self.assertEqual(
             (0.05, 7.0, 3.0, 1.0, 0.0, 0.9, 1.0, 20.0),
             (
-                gateway_settings.bounds.retry_ratio,
-                gateway_settings.bounds.retry_allowance,
-                gateway_settings.bounds.retry_window,
-                gateway_settings.bounds.cold_factor,
-                gateway_settings.bounds.cold_allowance,
-                gateway_settings.bounds.leaving_seconds,
-                gateway_settings.bounds.lookup_seconds,
-                gateway_settings.bounds.stop_seconds,
+                read.bounds.retry_ratio,
+                read.bounds.retry_allowance,
+                read.bounds.retry_window,
+                read.bounds.cold_factor,
+                read.bounds.cold_allowance,
+                read.bounds.leaving_seconds,
+                read.bounds.lookup_seconds,
+                read.bounds.stop_seconds,
             ),
         )
 
+    @parameterized.expand(
+        [
+            ("absent", {}, gateway_settings.QuotaTolerance(5.0, 0.1, 20.0)),
+            (
+                "given",
+                {
+                    "bounds.quotaWindowS": "2",
+                    "bounds.quotaOverrun": "0.2",
+                    "bounds.quotaSlack": "3",
+                },
+                gateway_settings.QuotaTolerance(2.0, 0.2, 3.0),
+            ),
+        ]
+    )
+    def test_quota_tolerance(self, _name, changes, expected) -> None:
+        """Guards against a platform without quotas, whose template lacks the values."""
+        read = gateway_files.read_gateway(write_settings(fill_template(**changes)))
+        self.assertEqual(expected, read.quota_tolerance)
+
     @parameterized.expand(
         [
             ("listen.front", "nowhere", "requests"),
+            ("bounds.quotaSlack", "-1", "slack"),
             ("bounds.graceS", "soon", "stop_s"),
             ("bounds.drainMs", "nan", "leaving_ms"),
             ("bounds.retryBudgetRatio", "-1", "retry_ratio"),
