--- a/src/caperdyke/state/gateway_settings.py
+++ b/src/caperdyke/state/gateway_settings.py
@@ -34,6 +34,20 @@
     stop_seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaTolerance:
+    """By how much all instances together may exceed the quota of a team.
+
+    :param window_s: window over which requests are counted, in seconds.
+    :param overrun: ratio of the requests that the quota allows in a window.
+    :param slack: requests in a window.
+    """
+
+    window_s: float = 5.0
+    overrun: float = 0.1
+    slack: float = 20.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """Settings of one gateway.
@@ -46,6 +60,7 @@
     :param has_steady_weights: whether the weight of near servers changes without jumps.
     :param stay_margin_seconds: by how much another server must be cheaper before the requests for
         an object leave the server that answered last, in seconds; 0 to choose anew each time.
+    :param quota_tolerance: by how much teams may exceed their quotas.
     :param seeds: peer addresses of possible other instances.
     """
 
@@ -66,3 +81,4 @@
     backoff_seconds_max: float = BACKOFF_SECONDS_MAX
     has_steady_weights: bool = False
     stay_margin_seconds: float = 0.0
+    quota_tolerance: QuotaTolerance = QuotaTolerance()
--- a/testing/platform/harness.py
+++ b/testing/platform/harness.py
@@ -86,7 +86,8 @@
     ):
         """Sends a caller's request and returns status, headers and body.
 
-        :param options: ``request_id``, ``wait_ms``, ``key``, ``host`` and further ``headers``.
+        :param options: ``request_id``, ``wait_ms``, ``key``, ``host`` and ``team_key`` of the
+            request, and further ``headers``.
         """
         request_headers = {
             "Host": options.get("host", HOST),
@@ -95,6 +96,8 @@
             "Cookie": f"Caperdyke-Affinity-Key={options.get('key', 'k1')}",
             **options.get("headers", {}),
         }
+        if "team_key" in options:
+            request_headers["Authorization"] = f"Bearer {options['team_key']}"
         address = self.gateway.node.settings.caller_address
         response = await self._client.request(
             f"http://{address}{path}", method, headers=request_headers, data=body or None
