Split the final replies and the relaying out of the dispatcher

The final replies and their retry delays are in refusals.py now, sending through other instances is in relaying.py, and admissions.py looks up a request again.

Run: testing/test_layers.py, test_gateway_requests.py, test_gateway_backoffs.py and test_gateway_changes.py of testing/platform, all passed.

--- a/src/caperdyke/transport/gateway/admissions.py
+++ b/src/caperdyke/transport/gateway/admissions.py
@@ -4,7 +4,7 @@
 
 from caperdyke.coordination import authentication
 from caperdyke.state import header_fields, ids, routes, teams
-from caperdyke.transport.gateway import local_reply
+from caperdyke.transport.gateway import local_reply, sender
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,6 +45,19 @@
             return AdmittedRequest(route.apply_team(team), team, _make_identity(table, team))
 
 
+def admit_again(
+    request: sender.CallerRequest, table: routes.RouteTable
+) -> AdmittedRequest | local_reply.LocalReply:
+    """Decides by a changed configuration whether a request in flight may still be sent."""
+    return admit(
+        table,
+        request.host,
+        request.path,
+        request.caller_headers.credential,
+        request.relayed.team if request.relayed is not None else None,
+    )
+
+
 def _make_identity(table: routes.RouteTable, team: teams.Team | None) -> header_fields.Identity:
     if table.teams is None:
         return header_fields.UnmanagedIdentity()
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -6,16 +6,18 @@
 import random
 
 from caperdyke.coordination.placement import attempts, selection
-from caperdyke.coordination.registry import fleet
 from caperdyke.state import ids, routes
-from caperdyke.transport.gateway import admissions, context, local_reply, relay, sender
+from caperdyke.transport.gateway import (
+    admissions,
+    context,
+    local_reply,
+    refusals,
+    relay,
+    relaying,
+    sender,
+)
 
-# Longest Retry-After as a ratio of the time that the caller has left. It does not apply where the
-# servers themselves specify when they accept requests again.
-RETRY_AFTER_RATIO_MAX = 0.3
 SERVER_ERROR_STATUS = 500
-# Retry-After while neither this instance nor another one has a path to the servers.
-NO_PATH_RETRY_AFTER_SECONDS = 0.5
 # Ratio of the retry budget that copies which warm a near home must leave to retries.
 WARMING_RESERVE_RATIO = 0.5
 
@@ -27,7 +29,12 @@
         self._node = node
         self._sender = sender.Sender(node)
         self.relay = relay.Relay(node)
-        self._rng = random.Random()
+        final_replies = refusals.Refusals(node, random.Random())
+        self._make_final_reply = final_replies.make_final_reply
+        self._make_refused_reply = final_replies.make_refused_reply
+        self._serve_by_relay = relaying.Relaying(
+            node, self.relay, final_replies, self._try_acquire_retry
+        ).serve
         self._copies: set[asyncio.Task] = set()
 
     async def serve(
@@ -54,9 +61,9 @@
         failed: sender.ServerAnswer | None = None
         while True:
             if node.routes is not request.table:
-                admitted = _admit_again(request, node.routes)
+                admitted = admissions.admit_again(request, node.routes)
                 if isinstance(admitted, local_reply.LocalReply):
-                    return failed or _make_no_longer_allowed_reply(admitted, attempt_state)
+                    return failed or refusals.make_no_longer_allowed_reply(admitted, attempt_state)
                 request = dataclasses.replace(
                     request, table=node.routes, identity=admitted.identity
                 )
@@ -96,71 +103,6 @@
             if not attempt_state.allows_retry() or node.now() >= request.deadline:
                 return failed or self._make_refused_reply(request, route, service, attempt_state)
 
-    async def _serve_by_relay(
-        self,
-        request: sender.CallerRequest,
-        route: routes.Route,
-        service: ids.ServiceName | None,
-        attempt_state: attempts.Attempts,
-        trace: local_reply.RequestTrace,
-    ) -> sender.ServerAnswer | local_reply.LocalReply:
-        """Sends a request to other instances until one serves it.
-
-        Pattern: this instance has no path to any server, and callers still reach it. A request
-        that another instance relayed here is declined, so that it cannot go in a circle.
-
-        :param service: service for which the request counts already; None if it does not count.
-        """
-        node = self._node
-        if request.relayed is not None and not attempt_state.sent:
-            return local_reply.LocalReply(503, local_reply.LocalReplyReason.DECLINED)
-        tried: set[ids.InstanceId] = set()
-        refused: sender.ServerAnswer | None = None
-        while request.relayed is None and node.now() < request.deadline:
-            if node.routes is not request.table:
-                admitted = _admit_again(request, node.routes)
-                if isinstance(admitted, local_reply.LocalReply):
-                    return _make_no_longer_allowed_reply(admitted, attempt_state)
-                route = admitted.route
-                request = dataclasses.replace(
-                    request, table=node.routes, identity=admitted.identity
-                )
-            peer = self.relay.choose(route, tried)
-            if peer is None:
-                break
-            if attempt_state.sent and not self._try_acquire_retry(
-                route, service or node.splits.choose(route)
-            ):
-                return self._make_final_reply(request, attempt_state, None)
-            tried.add(peer.record.instance)
-            sent_at = node.now()
-            reached, is_counted = attempt_state.reached, service is not None
-            result = await self.relay.send(request, peer, reached, is_counted)
-            trace.sends.append(_describe_relay(peer, node.now() - sent_at, result))
-            match result:
-                case sender.ServerAnswer():
-                    return result
-                case relay.NotRun():
-                    refused = result.answer
-                    if not result.has_no_capacity:
-                        break
-                case sender.Failure(may_have_run=True):
-                    attempt_state.record_reached()
-                    attempt_state.record_may_have_run()
-                    if not attempt_state.allows_retry():
-                        break
-        if refused is not None and attempt_state.is_known_not_run:
-            return refused
-        if not attempt_state.is_known_not_run:
-            return self._make_final_reply(request, attempt_state, None)
-        retry_after = NO_PATH_RETRY_AFTER_SECONDS * self._rng.uniform(1.0, 1.5)
-        time_left = request.deadline - node.now()
-        return local_reply.LocalReply(
-            503,
-            local_reply.LocalReplyReason.NO_PATH,
-            max(0.0, min(retry_after, time_left * RETRY_AFTER_RATIO_MAX)),
-        )
-
     def abandon_waiting(self) -> None:
         """Ends the sends of repeatable requests that wait on connections which hang."""
         self._sender.abandon_waiting()
@@ -331,55 +273,6 @@
                 if view.record_failure(now, node.compute_service_failure_ratio(view)):
                     node.log_server_avoided(view, result.detail)
 
-    def _make_refused_reply(
-        self,
-        request: sender.CallerRequest,
-        route: routes.Route,
-        service: ids.ServiceName,
-        attempt_state: attempts.Attempts,
-    ) -> local_reply.LocalReply:
-        """Returns the reply to a request that servers refused and that is not retried."""
-        backoff_end = self._node.find_service_backoff_end(route, service)
-        return self._make_final_reply(request, attempt_state, None, backoff_end)
-
-    def _make_final_reply(
-        self,
-        request: sender.CallerRequest,
-        attempt_state: attempts.Attempts,
-        no_capacity: selection.NoCapacity | None,
-        backoff_end: float = -math.inf,
-    ) -> local_reply.LocalReply:
-        """Returns the final reply to a request that no server answered.
-
-        :param no_capacity: why no server was selected; None if servers refused the request.
-        :param backoff_end: end of the first backoff if all servers asked for one, otherwise minus
-            infinity.
-        """
-        time_left = request.deadline - self._node.now()
-        if not attempt_state.is_known_not_run:
-            if time_left <= 0:
-                return local_reply.LocalReply(504, local_reply.LocalReplyReason.TIMED_OUT)
-            return local_reply.LocalReply(502, local_reply.LocalReplyReason.FAILED)
-        if no_capacity is None:
-            reason = local_reply.LocalReplyReason.REFUSED
-            backoff = backoff_end - self._node.now()
-            is_from_servers, retry_after = backoff > 0, max(selection.RETRY_AFTER_MIN_S, backoff)
-        else:
-            reason = (
-                local_reply.LocalReplyReason.NO_SERVER
-                if no_capacity.is_empty
-                else local_reply.LocalReplyReason.NO_CAPACITY
-            )
-            is_from_servers, retry_after = no_capacity.is_advertised, no_capacity.retry_after
-        # Jitter, so that callers that were refused together do not retry together.
-        jittered = retry_after * self._rng.uniform(1.0, 1.5)
-        if is_from_servers:
-            # A retry before the servers accept requests again would certainly be refused.
-            return local_reply.LocalReply(503, reason, jittered)
-        return local_reply.LocalReply(
-            503, reason, max(0.0, min(jittered, time_left * RETRY_AFTER_RATIO_MAX))
-        )
-
     def _describe(
         self, placement: selection.Placement, sent_at: float, result: sender.Result
     ) -> str:
@@ -394,39 +287,6 @@
         )
 
 
-def _admit_again(
-    request: sender.CallerRequest, table: routes.RouteTable
-) -> admissions.AdmittedRequest | local_reply.LocalReply:
-    """Decides by a changed configuration whether a request in flight may still be sent."""
-    return admissions.admit(
-        table,
-        request.host,
-        request.path,
-        request.caller_headers.credential,
-        request.relayed.team if request.relayed is not None else None,
-    )
-
-
-def _make_no_longer_allowed_reply(
-    refusal: local_reply.LocalReply, attempt_state: attempts.Attempts
-) -> local_reply.LocalReply:
-    """Returns the reply to a request whose route or key was removed while it was in flight."""
-    if attempt_state.is_known_not_run:
-        return refusal
-    return local_reply.LocalReply(502, local_reply.LocalReplyReason.FAILED)
-
-
-def _describe_relay(peer: fleet.PeerInstance, took_s: float, result: relay.RelayResult) -> str:
-    match result:
-        case sender.Failure():
-            outcome = f"{result.kind.value} ({result.detail})"
-        case relay.NotRun():
-            outcome = f"{result.answer.status}, not run"
-        case sender.ServerAnswer():
-            outcome = str(result.status)
-    return f"relayed through {peer.record.instance}: {outcome} after {round(took_s * 1000)} ms"
-
-
 def _record_failure(attempt_state: attempts.Attempts, failure: sender.Failure) -> None:
     match failure.kind:
         case sender.FailureKind.UNREACHABLE:
