Split the estimated times and prewarming from the selection of servers

The expected times of a request on one server are in answer_times.py now, and the decision on copies that warm a near home in prewarming.py.

Run: testing/placement and testing/test_layers.py pass.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -10,15 +10,15 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 from bench import placing
-from caperdyke.coordination.placement import homes, selection, server_view
+from caperdyke.coordination.placement import answer_times, homes, selection, server_view
 from testing.placement import simulation
 
 # By mechanism, the constants of the placement decisions that disable it.
 MECHANISMS = {
     "all on": {},
     "homes near callers": {(homes, "NEAR_WEIGHT_MAX"): 1.0},
-    "second home": {(selection, "WARM_PROBABILITIES"): (0.85,)},
-    "assumed warmth of homes": {(selection, "WARM_PROBABILITIES"): (0.3, 0.3)},
+    "second home": {(answer_times, "WARM_PROBABILITIES"): (0.85,)},
+    "assumed warmth of homes": {(answer_times, "WARM_PROBABILITIES"): (0.3, 0.3)},
     "preference for homes": {(selection, "NON_HOME_COST_RATIO"): 0.0},
     "preference for the first home": {(selection, "SECOND_HOME_COST_RATIO"): 0.0},
     "no late requests queued when full": {(selection, "FULL_UTILIZATION"): math.inf},
--- a/src/caperdyke/coordination/placement/selection.py
+++ b/src/caperdyke/coordination/placement/selection.py
@@ -5,22 +5,13 @@
 
 import dataclasses
 
-from caperdyke.coordination.placement import processing_times, server_view
+from caperdyke.coordination.placement import answer_times, processing_times, server_view
 from caperdyke.state import ids
 
-# Assumed probability that an object is warm on its first and its second home, as long as this
-# instance has had no answer for it from there.
-WARM_PROBABILITIES = (0.85, 0.3)
-# Probability from which on a server is treated as warm; also assumed for requests without a key.
-WARM_PROBABILITY_MIN = 0.3
 # Cost of leaving the failure domain, in seconds of waiting: for an answer of any size, and the
 # upper bound for a large one.
 CROSS_DOMAIN_PENALTY_S = 0.02
 CROSS_DOMAIN_PENALTY_MAX_S = 0.15
-# Highest utilization of a service, and of the server itself, at which a server is prewarmed.
-PREWARM_UTILIZATION_MAX = 0.4
-# Lowest cross-domain penalty at which an object is prewarmed in the own failure domain.
-PREWARM_PENALTY_MIN_S = 0.05
 # Extra cost of a server that is no home of the object but may happen to be warm, relative to the
 # difference between cold and warm processing time. It moves objects to servers that joined.
 NON_HOME_COST_RATIO = 0.5
@@ -44,10 +35,6 @@
 CANDIDATES_MAX = 24
 # Part of the remaining time that must be left after the wait for a slot and the round trip.
 DEADLINE_MARGIN_RATIO = 0.05
-# When a request is overdue, which makes a server that sent nothing since count as unresponsive: a
-# multiple of the expected time of a cold run, waiting included, and its lower bound.
-UNRESPONSIVE_FACTOR = 3.0
-UNRESPONSIVE_MIN_S = 1.0
 # Bounds of the time after which a caller is asked to retry.
 RETRY_AFTER_MIN_S = 0.1
 RETRY_AFTER_MAX_S = 1.0
@@ -157,10 +144,10 @@
     candidates: list[Candidate],
     times: processing_times.ProcessingTime,
 ) -> Selection:
-    eligible = [item for item in candidates if _is_eligible(now, item, needs)]
+    eligible = [item for item in candidates if is_eligible(now, item, needs)]
     if not eligible:
         return NoCapacity(RETRY_AFTER_MAX_S if not candidates else RETRY_AFTER_MIN_S * 3, True)
-    utilization = _compute_utilization(eligible)
+    utilization = compute_utilization(eligible)
     cross_domain_cost = _compute_cross_domain_cost(now, needs, eligible)
     has_homes = bool(needs.key)
     second_home_cost = 0.0
@@ -170,14 +157,14 @@
     best_cost = 0.0
     shortest_wait = RETRY_AFTER_MAX_S
     for rank, candidate in enumerate(eligible):
-        estimate = _estimate(now, needs, candidate, rank, times)
+        estimate = estimate_placement(now, needs, candidate, rank, times)
         placement = estimate.placement
         if not _should_send(now, needs, estimate, utilization):
-            shortest_wait = min(shortest_wait, max(0.0, estimate.wait_s))
+            shortest_wait = min(shortest_wait, max(0.0, estimate.times.wait_s))
             continue
-        cost = placement.expected_s + utilization * estimate.processing_s
+        cost = placement.expected_s + utilization * estimate.times.processing_s
         cost += second_home_cost if rank == 1 else 0.0
-        if has_homes and rank >= len(WARM_PROBABILITIES):
+        if has_homes and rank >= len(answer_times.WARM_PROBABILITIES):
             cost += NON_HOME_COST_RATIO * max(0.0, times.cold - times.warm)
         if not candidate.is_near:
             cost += cross_domain_cost
@@ -204,87 +191,47 @@
     )
 
 
-def select_near_home(
-    now: float,
-    needs: Requirements,
-    candidates: list[Candidate],
-    times: processing_times.ProcessingTime,
-) -> Placement | None:
-    """Returns the object's home in the own failure domain if prewarming it is worthwhile.
-
-    Pattern: large answers come from a home in the sibling failure domain for the whole day. While
-    there is capacity to spare, a copy of a repeatable request warms the near home, and no caller
-    waits for its answer.
-
-    :param candidates: servers in the order of their rank for the object.
-    """
-    if needs.cross_domain_penalty < PREWARM_PENALTY_MIN_S or not needs.key:
-        return None
-    eligible = [item for item in candidates if _is_eligible(now, item, needs)]
-    if not eligible or _compute_utilization(eligible) > PREWARM_UTILIZATION_MAX:
-        return None
-    for rank, candidate in enumerate(eligible[: len(WARM_PROBABILITIES)]):
-        view = candidate.view
-        if not candidate.is_near:
-            continue
-        has_capacity = view.outstanding + 1 <= PREWARM_UTILIZATION_MAX * view.server.slots
-        if has_capacity and not candidate.is_deprioritized and not view.is_warm(now, needs.key):
-            return _estimate(now, needs, candidate, rank, times).placement
-        return None
-    return None
-
-
-def _compute_utilization(candidates: list[Candidate]) -> float:
+def compute_utilization(candidates: list[Candidate]) -> float:
     """Returns the outstanding requests per slot of all candidates, at most 1."""
     slots = sum(item.view.server.slots for item in candidates)
     return min(1.0, sum(item.view.outstanding for item in candidates) / slots)
 
 
-def _is_eligible(now: float, candidate: Candidate, needs: Requirements) -> bool:
+def is_eligible(now: float, candidate: Candidate, needs: Requirements) -> bool:
+    """Returns whether a server is open and the request was not sent to it before."""
     view = candidate.view
     is_open = view.find_status(now) is server_view.ServerStatus.OPEN
     return is_open and view.server.backend not in needs.tried
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Estimate:
-    """Expected times of a request on one server.
-
-    :param wait_s: time until a slot is free.
-    :param processing_s: time for which the server works on the request.
-    """
+class Estimate:
+    """A possible placement, and the times that it is expected to take."""
 
     placement: Placement
-    wait_s: float
-    processing_s: float
-    round_trip: float
+    times: answer_times.AnswerTimes
 
 
-def _estimate(
+def estimate_placement(
     now: float,
     needs: Requirements,
     candidate: Candidate,
     rank: int,
     times: processing_times.ProcessingTime,
-) -> _Estimate:
+) -> Estimate:
+    """Returns the placement of a request on one server.
+
+    :param rank: rank of the server for the object, from 0.
+    """
     view = candidate.view
-    p_warm = _estimate_warm_probability(now, needs, candidate, rank)
-    processing_s = view.slowdown * (p_warm * times.warm + (1 - p_warm) * times.cold)
-    oldest_sent_at = view.find_oldest_send_time()
-    if oldest_sent_at is not None:
-        # The age of the oldest pending request reveals a slow server before its first slow answer.
-        processing_s = max(processing_s, now - oldest_sent_at - times.cold)
-    slots = view.server.slots
-    wait_s = max(0, view.outstanding + 1 - slots) / slots * view.slowdown * times.mean
-    must_wait = view.outstanding + 1 > slots
-    worst_case_s = wait_s + view.slowdown * times.cold + candidate.round_trip
-    due_at = now + max(UNRESPONSIVE_MIN_S, UNRESPONSIVE_FACTOR * worst_case_s)
-    expected_s = wait_s + processing_s + candidate.round_trip
-    placement = Placement(view, expected_s, due_at, p_warm >= WARM_PROBABILITY_MIN, must_wait)
-    return _Estimate(placement, wait_s, processing_s, candidate.round_trip)
-
-
-def _should_send(now: float, needs: Requirements, estimate: _Estimate, utilization: float) -> bool:
+    expected = answer_times.estimate(now, view, needs.key, rank, candidate.round_trip, times)
+    placement = Placement(
+        view, expected.answer_s, expected.due_at, expected.is_warm, expected.is_queued
+    )
+    return Estimate(placement, expected)
+
+
+def _should_send(now: float, needs: Requirements, estimate: Estimate, utilization: float) -> bool:
     """Returns whether the request should be sent to a server rather than be refused.
 
     Pattern: more work than slots. Requests that are queued then are answered late, as is everything
@@ -297,7 +244,7 @@
     if view.outstanding >= OUTSTANDING_PER_SLOT_MAX * view.server.slots:
         return False
     # The processing time is left out: its estimate may stem from another kind of request.
-    earliest_answer_at = now + estimate.wait_s + estimate.round_trip
+    earliest_answer_at = now + estimate.times.wait_s + estimate.times.round_trip
     if earliest_answer_at > needs.deadline - DEADLINE_MARGIN_RATIO * max(0.0, needs.deadline - now):
         return False
     if not placement.is_warm and (placement.is_queued or utilization >= COLD_UTILIZATION):
@@ -307,16 +254,6 @@
     return utilization < FULL_UTILIZATION or now + placement.expected_s <= needs.objective_at
 
 
-def _estimate_warm_probability(
-    now: float, needs: Requirements, candidate: Candidate, rank: int
-) -> float:
-    if not needs.key:
-        return WARM_PROBABILITY_MIN
-    if candidate.view.is_warm(now, needs.key):
-        return 1.0
-    return WARM_PROBABILITIES[rank] if rank < len(WARM_PROBABILITIES) else 0.0
-
-
 def _compute_second_home_cost(
     now: float,
     needs: Requirements,
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -5,7 +5,7 @@
 import math
 import random
 
-from caperdyke.coordination.placement import attempts, selection
+from caperdyke.coordination.placement import attempts, prewarming, selection
 from caperdyke.coordination.registry import fleet
 from caperdyke.state import ids, routes
 from caperdyke.transport.gateway import admissions, context, local_reply, relay, sender
@@ -212,7 +212,7 @@
         requirements = self._make_requirements(request, route, service, frozenset(), trace)
         times = node.times.find(route.name, route.objective_ms / 1000)
         candidates = node.list_candidates(service, requirements.key, route)
-        placement = selection.select_near_home(now, requirements, candidates, times)
+        placement = prewarming.select_near_home(now, requirements, candidates, times)
         fraction = node.fleet.compute_limit_fraction(now)
         if placement is None or not node.retries.try_acquire(
             now, service, fraction, WARMING_RESERVE_RATIO
--- a/testing/placement/test_selection.py
+++ b/testing/placement/test_selection.py
@@ -3,7 +3,7 @@
 import testtools
 from parameterized import parameterized
 
-from caperdyke.coordination.placement import processing_times, selection
+from caperdyke.coordination.placement import prewarming, processing_times, selection
 from testing.placement import builders
 
 
@@ -133,7 +133,7 @@
         requirements = builders.make_requirements(
             far_seconds=selection.compute_cross_domain_penalty(size, 20.0)
         )
-        selected = selection.select_near_home(0.0, requirements, candidates, builders.TIMES)
+        selected = prewarming.select_near_home(0.0, requirements, candidates, builders.TIMES)
         self.assertEqual(expected, selected.view.server.backend if selected else "")
 
     def test_full_service_is_not_prewarmed(self) -> None:
@@ -142,7 +142,9 @@
             builders.make_candidate("near"),
         ]
         requirements = builders.make_requirements(far_seconds=selection.CROSS_DOMAIN_PENALTY_MAX_S)
-        self.assertIsNone(selection.select_near_home(0.0, requirements, candidates, builders.TIMES))
+        self.assertIsNone(
+            prewarming.select_near_home(0.0, requirements, candidates, builders.TIMES)
+        )
 
     def test_tried_and_avoided_servers_are_not_selected(self) -> None:
         candidates = [builders.make_candidate(name, warm="k") for name in ("a", "b", "c")]
