Test the pace in the load header of backend servers

A fourth figure used to invalidate the whole report, so that instances had no load of such servers. A fifth and later figure is ignored, and the fourth still counts as the pace.

--- a/testing/platform/test_headers.py
+++ b/testing/platform/test_headers.py
@@ -59,6 +59,37 @@
         raw = [(b"caperdyke-server-load", text.encode())]
         self.assertEqual(expected, headers.parse_server_headers(200, raw).load)
 
+    @parameterized.expand(
+        [
+            ("absent", b"3,1,8", None),
+            ("as usual", b"3,1,8,100", 1.0),
+            ("slow", b"3,1,8,250", 2.5),
+            ("fast", b"3,1,8,80", 0.8),
+            ("fraction", b"3,1,8,112.5", 1.125),
+            ("spaces", b" 3, 1 ,8 , 250 ", 2.5),
+            ("further figures", b"3,1,8,250,7,x", 2.5),
+            ("empty", b"3,1,8,", None),
+            ("no number", b"3,1,8,slow", None),
+            ("with a unit", b"3,1,8,250%", None),
+            ("not a number", b"3,1,8,nan", None),
+            ("infinite", b"3,1,8,inf", None),
+            ("zero", b"3,1,8,0", None),
+            ("negative", b"3,1,8,-250", None),
+            ("100 times as long", b"3,1,8,10000", 100.0),
+            ("longer than that", b"3,1,8,10001", None),
+            ("huge", b"3,1,8,1e300", None),
+        ]
+    )
+    def test_pace(self, _name, value, expected) -> None:
+        """Pattern: a server reports a fourth figure that is unusable, or further ones.
+
+        Guards against a report whose first three figures are lost with it.
+        """
+        raw = [(b"caperdyke-server-load", value)]
+        self.assertEqual(
+            header_fields.ServerLoad(3, 1, 8, expected), headers.parse_server_headers(200, raw).load
+        )
+
     def test_headers_passed_on(self) -> None:
         raw = [
             (b"caperdyke-request-id", b"r1"),
