Account for the pace of servers, and place requests where they complete

- server_pace.py: the reported pace multiplies wait and processing time, with a weight that is halved after 0.3 s and zero from 1 s on.
It is factored out of measured times and of the slowdown.
- Where a server reports its pace, its slowdown is the median of nine answers, single stragglers in flight are left out, and outliers change the estimates of a route by a bounded amount.
- load_estimate.py: between reports, the requests at a server approach what the servers of its service usually report.
Used where servers report a pace, and where [placing] load_model = blended asks for it.
- completion.py: a request that is not repeatable goes to the servers with about the best chance to complete it by the recent spread of the route's times, and is rejected at once if none has a chance of half.
Initial, outdated and hopeless estimates reject nothing.

Ruled out: a fixed factor on the mean as margin. It knows nothing of a route whose times spread little.

Run: test_server_pace, test_load_estimate, test_completion, test_selection, test_server_view and the gateway tests of requests, context, settings, backoffs and spread pass.

--- a/src/caperdyke/coordination/placement/answer_times.py
+++ b/src/caperdyke/coordination/placement/answer_times.py
@@ -56,21 +56,27 @@
 ) -> AnswerTimes:
     """Returns the expected times of a request on one server.
 
+    Pattern: servers are slow for good, or because work takes longer on their machine for a while.
+    The first is measured and the second reported, and both multiply the usual times.
+
     :param key: object that the request concerns; empty if there is none.
     :param rank: rank of the server for the object, from 0.
     :param round_trip: network round-trip time in seconds.
     """
     p_warm = estimate_warm_probability(now, view, key, rank)
-    processing_s = view.slowdown * (p_warm * times.warm + (1 - p_warm) * times.cold)
-    oldest_sent_at = view.find_oldest_send_time()
+    factor = view.slowdown * view.pace.estimate(now)
+    processing_s = factor * (p_warm * times.warm + (1 - p_warm) * times.cold)
+    oldest_sent_at = view.find_oldest_send_time(now)
     if oldest_sent_at is not None:
         # The age of the oldest pending request reveals a slow server before its first slow answer.
         processing_s = max(processing_s, now - oldest_sent_at - times.cold)
     slots = view.server.slots
-    wait_s = max(0, view.outstanding + 1 - slots) / slots * view.slowdown * times.mean
-    worst_case_s = wait_s + view.slowdown * times.cold + round_trip
+    outstanding = view.estimate_outstanding(now)
+    wait_s = max(0, outstanding + 1 - slots) / slots * factor * times.mean
+    worst_case_s = wait_s + factor * times.cold + round_trip
     due_at = now + max(UNRESPONSIVE_MIN_S, UNRESPONSIVE_FACTOR * worst_case_s)
-    is_queued = view.outstanding + 1 > slots
+    # An estimate between reports may be a fraction, so it is rounded.
+    is_queued = outstanding + 0.5 > slots
     return AnswerTimes(wait_s, processing_s, round_trip, due_at, p_warm, is_queued)
 
 
--- a/src/caperdyke/coordination/placement/prewarming.py
+++ b/src/caperdyke/coordination/placement/prewarming.py
@@ -25,14 +25,19 @@
     if needs.cross_domain_penalty < PREWARM_PENALTY_MIN_S or not needs.key:
         return None
     eligible = [item for item in candidates if selection.is_eligible(now, item, needs)]
-    if not eligible or selection.compute_utilization(eligible) > PREWARM_UTILIZATION_MAX:
+    if not eligible or selection.compute_utilization(now, eligible) > PREWARM_UTILIZATION_MAX:
         return None
     for rank, candidate in enumerate(eligible[: len(answer_times.WARM_PROBABILITIES)]):
         view = candidate.view
         if not candidate.is_near:
             continue
-        has_capacity = view.outstanding + 1 <= PREWARM_UTILIZATION_MAX * view.server.slots
+        has_capacity = (
+            view.estimate_outstanding(now) + 1 <= PREWARM_UTILIZATION_MAX * view.server.slots
+        )
         if has_capacity and not candidate.is_deprioritized and not view.is_warm(now, needs.key):
-            return selection.estimate_placement(now, needs, candidate, rank, times).placement
+            expected = answer_times.estimate(
+                now, view, needs.key, rank, candidate.round_trip, times
+            )
+            return selection.make_placement(view, expected)
         return None
     return None
--- a/src/caperdyke/coordination/placement/processing_times.py
+++ b/src/caperdyke/coordination/placement/processing_times.py
@@ -1,6 +1,8 @@
 """Estimates how long backend servers take to process a request of a route."""
 
+import collections
 import dataclasses
+import math
 
 from caperdyke.state import ids
 
@@ -11,6 +13,11 @@
 WARM_INITIAL_RATIO = 0.5
 # Lowest expected time that an answer's time is divided by.
 EXPECTED_MIN_S = 0.001
+# Multiple of an estimate to which the time of an answer is reduced where servers report their pace:
+# there, 3 of 100 runs take seven times as long, for no reason that lasts.
+OUTLIER_RATIO_MAX = 2.5
+# Latest answers whose times relative to the estimates are kept as the spread of a route.
+SPREAD_ANSWERS_MAX = 64
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,6 +30,8 @@
     :param warm_answers: number of answers in ``warm``.
     :param cold_answers: number of answers in ``cold``.
     :param answer_bytes: size of an answer's body; 0 before the first one.
+    :param recent_ratios: times of the latest answers as multiples of the estimates.
+    :param measured_at: time of the latest answer.
     """
 
     warm: float
@@ -31,6 +40,18 @@
     warm_answers: int = 0
     cold_answers: int = 0
     answer_bytes: float = 0.0
+    recent_ratios: collections.deque[float] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=SPREAD_ANSWERS_MAX)
+    )
+    measured_at: float = -math.inf
+    _sorted_ratios: list[float] | None = None
+
+    @property
+    def spread(self) -> list[float]:
+        """Times of the latest answers as multiples of the estimates, in ascending order."""
+        if self._sorted_ratios is None:
+            self._sorted_ratios = sorted(self.recent_ratios)
+        return self._sorted_ratios
 
     def was_cold(self, elapsed_s: float) -> bool:
         """Returns whether a time is closer to that of a cold object, by ratio."""
@@ -65,6 +86,29 @@
         elif not is_known_warm:
             self._record_warm(elapsed_s)
 
+    def limit_outlier(self, is_known_warm: bool, elapsed_s: float) -> float:
+        """Returns the time of an answer, reduced to what may change the estimates.
+
+        Pattern: 3 of 100 runs take seven times as long. They would raise the mean by a fifth, and
+        far more just after one of them.
+        """
+        is_first = not self.warm_answers if is_known_warm else not self.cold_answers
+        if is_first:
+            return elapsed_s
+        return min(elapsed_s, OUTLIER_RATIO_MAX * (self.warm if is_known_warm else self.cold))
+
+    def record_ratio(self, now: float, is_known_warm: bool, elapsed_s: float) -> None:
+        """Adds the time of an answer to the spread.
+
+        A run for an object that was known to be warm is compared with a warm run, whatever it took,
+        as its object may have been evicted.
+        """
+        expected_s = max(EXPECTED_MIN_S, self.warm)
+        ratio = elapsed_s / expected_s if is_known_warm else self.compare(elapsed_s)
+        self.recent_ratios.append(ratio)
+        self._sorted_ratios = None
+        self.measured_at = now
+
     def record_size(self, size: int) -> None:
         """Updates the average size of answers.
 
@@ -97,17 +141,30 @@
         return times
 
     def record(
-        self, route: ids.RouteName, objective: float, is_known_warm: bool, elapsed_s: float
+        self,
+        route: ids.RouteName,
+        objective: float,
+        is_known_warm: bool,
+        elapsed_s: float,
+        pace: float | None = None,
+        now: float = -math.inf,
     ) -> float:
         """Updates the estimates with an answer to a request that did not wait for a slot.
 
         :param objective: latency objective of the route in seconds.
         :param is_known_warm: whether the server answered for the object recently.
         :param elapsed_s: seconds from sending the request to the complete answer.
+        :param pace: pace of the server during the run, which is factored out of all estimates; None
+            if the server reports none.
         :returns: time of the answer as a multiple of the expected time.
         """
         times = self.find(route, objective)
-        times.update(is_known_warm, elapsed_s)
+        if pace is None:
+            times.update(is_known_warm, elapsed_s)
+        else:
+            elapsed_s /= pace
+            times.update(is_known_warm, times.limit_outlier(is_known_warm, elapsed_s))
+        times.record_ratio(now, is_known_warm, elapsed_s)
         return times.compare(elapsed_s)
 
 
--- a/src/caperdyke/coordination/placement/selection.py
+++ b/src/caperdyke/coordination/placement/selection.py
@@ -4,8 +4,15 @@
 """
 
 import dataclasses
-
-from caperdyke.coordination.placement import answer_times, processing_times, server_view
+import math
+
+from caperdyke.coordination.placement import (
+    answer_times,
+    completion,
+    processing_times,
+    server_options,
+    server_view,
+)
 from caperdyke.state import ids
 
 # Cost of leaving the failure domain, in seconds of waiting: for an answer of any size, and the
@@ -26,9 +33,6 @@
 COLD_UTILIZATION = 0.7
 # Outstanding requests per slot from which on a server would reject another one.
 OUTSTANDING_PER_SLOT_MAX = 2.5
-# Costs that differ by less than this differ by rounding alone. The better ranked server is kept
-# then, so that rounding does not move an object away from its first home.
-COST_TIE_S = 1e-6
 # Servers of a service that are considered for one request, in rank order: the object's homes and
 # some others, of which usually at least one has capacity. All servers are considered only if none
 # of these has.
@@ -49,6 +53,8 @@
     :param objective_at: time at which the latency objective of the route expires.
     :param cross_domain_penalty: cost of an answer that leaves the failure domain, in seconds.
     :param tried: servers that are not selected since the request was sent to them before.
+    :param is_repeatable: whether the request may run more than once.
+    :param timeout_s: timeout of the route in seconds; the deadline may be earlier.
     """
 
     service: ids.ServiceName
@@ -57,6 +63,8 @@
     objective_at: float
     cross_domain_penalty: float
     tried: frozenset[ids.BackendId] = frozenset()
+    is_repeatable: bool = True
+    timeout_s: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -147,31 +155,36 @@
     eligible = [item for item in candidates if is_eligible(now, item, needs)]
     if not eligible:
         return NoCapacity(RETRY_AFTER_MAX_S if not candidates else RETRY_AFTER_MIN_S * 3, True)
-    utilization = compute_utilization(eligible)
+    utilization = compute_utilization(now, eligible)
     cross_domain_cost = _compute_cross_domain_cost(now, needs, eligible)
     has_homes = bool(needs.key)
     second_home_cost = 0.0
     if has_homes:
         second_home_cost = _compute_second_home_cost(now, needs, eligible[0], times, utilization)
-    best: Placement | None = None
-    best_cost = 0.0
+    options: list[server_options.Option] = []
     shortest_wait = RETRY_AFTER_MAX_S
     for rank, candidate in enumerate(eligible):
-        estimate = estimate_placement(now, needs, candidate, rank, times)
-        placement = estimate.placement
-        if not _should_send(now, needs, estimate, utilization):
-            shortest_wait = min(shortest_wait, max(0.0, estimate.times.wait_s))
+        view = candidate.view
+        expected = answer_times.estimate(now, view, needs.key, rank, candidate.round_trip, times)
+        if not _should_send(now, needs, view, expected, utilization):
+            shortest_wait = min(shortest_wait, max(0.0, expected.wait_s))
             continue
-        cost = placement.expected_s + utilization * estimate.times.processing_s
+        cost = expected.answer_s + utilization * expected.processing_s
         cost += second_home_cost if rank == 1 else 0.0
         if has_homes and rank >= len(answer_times.WARM_PROBABILITIES):
             cost += NON_HOME_COST_RATIO * max(0.0, times.cold - times.warm)
         if not candidate.is_near:
             cost += cross_domain_cost
-        if best is None or cost < best_cost - COST_TIE_S:
-            best, best_cost = placement, cost
-    if best is not None:
-        return best
+        options.append(server_options.Option(view, expected, cost))
+    completing = options
+    if options and not needs.is_repeatable:
+        conditions = completion.Conditions(needs.deadline - now, needs.timeout_s, times)
+        completing = completion.keep_completing(now, conditions, needs.objective_at, options)
+    if completing:
+        best = server_options.find_cheapest(completing)
+        return make_placement(best.view, best.times)
+    if options:
+        shortest_wait = min(shortest_wait, completion.find_shortest_wait(options))
     retry_after = max(RETRY_AFTER_MIN_S, shortest_wait)
     return NoCapacity(retry_after, False, len(eligible), utilization)
 
@@ -191,10 +204,10 @@
     )
 
 
-def compute_utilization(candidates: list[Candidate]) -> float:
+def compute_utilization(now: float, candidates: list[Candidate]) -> float:
     """Returns the outstanding requests per slot of all candidates, at most 1."""
     slots = sum(item.view.server.slots for item in candidates)
-    return min(1.0, sum(item.view.outstanding for item in candidates) / slots)
+    return min(1.0, sum(item.view.estimate_outstanding(now) for item in candidates) / slots)
 
 
 def is_eligible(now: float, candidate: Candidate, needs: Requirements) -> bool:
@@ -204,34 +217,18 @@
     return is_open and view.server.backend not in needs.tried
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Estimate:
-    """A possible placement, and the times that it is expected to take."""
-
-    placement: Placement
-    times: answer_times.AnswerTimes
+def make_placement(view: server_view.ServerView, expected: answer_times.AnswerTimes) -> Placement:
+    """Returns the placement of a request on a server."""
+    return Placement(view, expected.answer_s, expected.due_at, expected.is_warm, expected.is_queued)
 
 
-def estimate_placement(
+def _should_send(
     now: float,
     needs: Requirements,
-    candidate: Candidate,
-    rank: int,
-    times: processing_times.ProcessingTime,
-) -> Estimate:
-    """Returns the placement of a request on one server.
-
-    :param rank: rank of the server for the object, from 0.
-    """
-    view = candidate.view
-    expected = answer_times.estimate(now, view, needs.key, rank, candidate.round_trip, times)
-    placement = Placement(
-        view, expected.answer_s, expected.due_at, expected.is_warm, expected.is_queued
-    )
-    return Estimate(placement, expected)
-
-
-def _should_send(now: float, needs: Requirements, estimate: Estimate, utilization: float) -> bool:
+    view: server_view.ServerView,
+    expected: answer_times.AnswerTimes,
+    utilization: float,
+) -> bool:
     """Returns whether the request should be sent to a server rather than be refused.
 
     Pattern: more work than slots. Requests that are queued then are answered late, as is everything
@@ -239,19 +236,17 @@
     late because of the queue is refused while its caller can still retry in time. One that is
     merely slow to process is sent.
     """
-    placement = estimate.placement
-    view = placement.view
-    if view.outstanding >= OUTSTANDING_PER_SLOT_MAX * view.server.slots:
+    if view.estimate_outstanding(now) >= OUTSTANDING_PER_SLOT_MAX * view.server.slots:
         return False
     # The processing time is left out: its estimate may stem from another kind of request.
-    earliest_answer_at = now + estimate.times.wait_s + estimate.times.round_trip
+    earliest_answer_at = now + expected.wait_s + expected.round_trip
     if earliest_answer_at > needs.deadline - DEADLINE_MARGIN_RATIO * max(0.0, needs.deadline - now):
         return False
-    if not placement.is_warm and (placement.is_queued or utilization >= COLD_UTILIZATION):
+    if not expected.is_warm and (expected.is_queued or utilization >= COLD_UTILIZATION):
         return False
-    if not placement.is_queued:
+    if not expected.is_queued:
         return True
-    return utilization < FULL_UTILIZATION or now + placement.expected_s <= needs.objective_at
+    return utilization < FULL_UTILIZATION or now + expected.answer_s <= needs.objective_at
 
 
 def _compute_second_home_cost(
--- a/src/caperdyke/coordination/placement/server_view.py
+++ b/src/caperdyke/coordination/placement/server_view.py
@@ -1,11 +1,14 @@
 """What this instance has observed of a backend server: load, warm objects, speed and failures."""
 
 import collections
+import collections.abc
 import dataclasses
 import enum
 import math
+import statistics
 
-from caperdyke.state import backend, ids, name_hashes
+from caperdyke.coordination.placement import load_estimate, server_pace
+from caperdyke.state import backend, header_fields, ids, name_hashes
 
 # Objects that are recorded as warm on one server; more than any server is known to keep warm.
 WARM_OBJECTS_MAX = 64
@@ -16,6 +19,9 @@
 # Bounds of the estimated slowdown, relative to the usual processing time of the service.
 SLOWDOWN_MIN = 0.5
 SLOWDOWN_MAX = 20.0
+# Answers whose median is the slowdown of a server that reports its pace. If 3 of 100 runs take
+# seven times as long, 5 of 9 do so about 3 times in a million.
+SLOWDOWN_ANSWERS = 9
 # How far the failure ratio of a server may exceed that of its service before the server is avoided,
 # and for how long it is avoided.
 EXCESS_FAILURE_RATIO = 0.35
@@ -62,10 +68,16 @@
     :param suspended_until: time until which no connection is opened.
     :param connect_failures: failures to connect since the last good answer.
     :param load_reported_at: time at which the server last reported its load.
+    :param reported_others: requests of other instances by that report.
+    :param service_load: what the servers of the same service usually report.
     :param last_activity_at: time at which the server last sent anything.
     :param pending: requests of this instance in flight, the oldest first.
     :param warm_until: time until which each object counts as warm; the latest answer comes last.
     :param name_hash: hash of the server's name, as used in announcements.
+    :param pace: how long work takes on the server's machine, as last reported.
+    :param recent_times: times of the latest answers as multiples of the expected times, where the
+        server reports its pace.
+    :param slowdown_measured_at: time of the latest answer that changed the slowdown.
     """
 
     server: backend.BackendServer
@@ -77,6 +89,10 @@
     suspended_until: float = 0.0
     connect_failures: int = 0
     load_reported_at: float = 0.0
+    reported_others: int | None = None
+    service_load: load_estimate.ServiceLoad = dataclasses.field(
+        default_factory=load_estimate.ServiceLoad
+    )
     last_activity_at: float = -math.inf
     pending: collections.deque[PendingRequest] = dataclasses.field(
         default_factory=collections.deque
@@ -85,6 +101,11 @@
         default_factory=collections.OrderedDict
     )
     name_hash: int = 0
+    pace: server_pace.ServerPace = dataclasses.field(default_factory=server_pace.ServerPace)
+    recent_times: collections.deque[float] = dataclasses.field(
+        default_factory=lambda: collections.deque([1.0] * SLOWDOWN_ANSWERS, SLOWDOWN_ANSWERS)
+    )
+    slowdown_measured_at: float = -math.inf
 
     def __post_init__(self) -> None:
         self.name_hash = name_hashes.hash_name(self.server.backend)
@@ -94,12 +115,51 @@
         """Number of requests of all instances in flight, as far as reported."""
         return self.in_flight + self.others
 
+    def is_load_blended(self, now: float) -> bool:
+        """Returns whether the load between reports is estimated from the usual load."""
+        usual = self.service_load
+        if not usual.reports:
+            return False
+        if usual.is_requested or self.pace.is_reported(now):
+            return True
+        return self.reported_others is None and usual.reports_pace(now)
+
+    def estimate_outstanding(self, now: float) -> float:
+        """Returns the estimated number of requests of all instances at the server.
+
+        Pattern: see ``load_estimate.ServiceLoad``. What this instance sent is known; the rest is
+        what the server reported, and the older that is, the more what its service usually reports.
+        """
+        if not self.is_load_blended(now):
+            return self.outstanding
+        usual = self.service_load.others_per_slot * self.server.slots
+        weight = self._compute_report_weight(now)
+        return self.in_flight + usual + weight * ((self.reported_others or 0) - usual)
+
+    def estimate_load_uncertainty(self, now: float) -> float:
+        """Returns by how many requests ``estimate_outstanding`` is expected to differ."""
+        if not self.is_load_blended(now):
+            return 0.0
+        usual_deviation = self.service_load.deviation_per_slot * self.server.slots
+        return (1 - self._compute_report_weight(now)) * usual_deviation
+
+    def list_usual_paces(self) -> collections.abc.Sequence[float]:
+        """Returns paces that the servers of the service reported."""
+        return self.service_load.paces
+
+    def record_load_report(self, now: float, load: header_fields.ServerLoad) -> None:
+        """Records the load and the pace that an answer of the server reports."""
+        self.record_reported_load(now, load.running + load.waiting)
+        if load.pace is not None:
+            self.pace.record(now, load.pace)
+        self.service_load.record(now, load, self.others, self.server.slots)
+
     def record_reported_load(self, now: float, load: int) -> None:
         """Records the load that the server reported.
 
         :param load: requests of all instances, this one included.
         """
-        self.others = max(0, load - self.in_flight)
+        self.others = self.reported_others = max(0, load - self.in_flight)
         self.load_reported_at = now
 
     def record_remote_load(self, now: float, load: int) -> None:
@@ -161,14 +221,13 @@
         """Records a good answer.
 
         :param key: the object that the answer concerns; empty if there is none.
-        :param relative_time: time of the answer as a multiple of the expected time; None if the
-            request waited for a slot.
+        :param relative_time: time of the answer as a multiple of the expected time, without the
+            reported pace; None if the request waited for a slot.
         """
         self.connect_failures = 0
         self._record_outcome(0.0)
         if relative_time is not None:
-            self.slowdown += EWMA_WEIGHT * (relative_time - self.slowdown)
-            self.slowdown = min(SLOWDOWN_MAX, max(SLOWDOWN_MIN, self.slowdown))
+            self._record_relative_time(now, relative_time)
         if key:
             self.warm_until[key] = now + WARM_S
             self.warm_until.move_to_end(key)
@@ -209,13 +268,44 @@
     def reset(self) -> None:
         """Discards all observations that do not apply to a server that was restarted."""
         self.slowdown = 1.0
+        self.recent_times.extend([1.0] * SLOWDOWN_ANSWERS)
+        self.pace.clear()
+        self.reported_others = None
         self.failure_ratio = 0.0
         self.clear_failures()
         self.warm_until.clear()
 
-    def find_oldest_send_time(self) -> float | None:
-        """Returns when the oldest request in flight was sent, or None if there is none."""
-        return self.pending[0].sent_at if self.pending else None
+    def find_oldest_send_time(self, now: float) -> float | None:
+        """Returns when the oldest request in flight was sent, or None if there is none.
+
+        Pattern: one of many runs takes seven times as long, and the server has answered others
+        since. Where servers report their pace, such a single run is left out.
+        """
+        if not self.pending:
+            return None
+        oldest = self.pending[0]
+        if self.pace.is_reported(now) and self.last_activity_at >= oldest.sent_at:
+            return self.pending[1].sent_at if len(self.pending) > 1 else None
+        return oldest.sent_at
+
+    def _compute_report_weight(self, now: float) -> float:
+        if self.reported_others is None:
+            return 0.0
+        return load_estimate.compute_weight(now - self.load_reported_at)
+
+    def _record_relative_time(self, now: float, relative_time: float) -> None:
+        """Updates the slowdown.
+
+        Pattern: 3 of 100 runs take seven times as long. A moving average would make a server look
+        twice as slow after one of them; the median does not change.
+        """
+        if self.pace.is_reported(now):
+            self.recent_times.append(relative_time)
+            self.slowdown = statistics.median(self.recent_times)
+        else:
+            self.slowdown += EWMA_WEIGHT * (relative_time - self.slowdown)
+        self.slowdown = min(SLOWDOWN_MAX, max(SLOWDOWN_MIN, self.slowdown))
+        self.slowdown_measured_at = now
 
     def _record_outcome(self, outcome: float) -> None:
         self.failure_ratio += EWMA_WEIGHT * (outcome - self.failure_ratio)
--- a/src/caperdyke/protocol/gateway_files.py
+++ b/src/caperdyke/protocol/gateway_files.py
@@ -40,6 +40,14 @@
         backoff_seconds_max=document.read_decimal(
             "placing", "rest_max_s", 0.0, 1e6, gateway_settings.BACKOFF_SECONDS_MAX
         ),
+        load_model=gateway_settings.LoadModel(
+            document.read_choice(
+                "placing",
+                "load_model",
+                [model.value for model in gateway_settings.LoadModel],
+                gateway_settings.LoadModel.REPORTED.value,
+            )
+        ),
     )
     document.check_all_read()
     return result
--- a/src/caperdyke/state/gateway_settings.py
+++ b/src/caperdyke/state/gateway_settings.py
@@ -1,6 +1,7 @@
 """Validated settings of a gateway."""
 
 import dataclasses
+import enum
 
 from caperdyke.state import ids, settings
 
@@ -10,6 +11,15 @@
 BACKOFF_SECONDS_MAX = 3600.0
 
 
+class LoadModel(enum.Enum):
+    """How the requests at a backend server are estimated between its reports."""
+
+    # From the last report, and from what instances announce to each other.
+    REPORTED = "reported"
+    # From the last report, and from what the servers of the service usually report.
+    BLENDED = "blended"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatewayBounds:
     """Limits and times agreed with the platform.
@@ -43,6 +53,8 @@
         for each megabyte that is not sent between failure domains.
     :param backoff_seconds_max: longest time for which a backend server that refused a request gets
         no further ones at its request, in seconds.
+    :param load_model: how the requests at servers that report no pace are estimated; those that
+        report it are always estimated by ``LoadModel.BLENDED``.
     :param seeds: peer addresses of possible other instances.
     """
 
@@ -61,3 +73,4 @@
     logs: settings.LogSettings
     cross_domain_seconds_per_megabyte: float = CROSS_DOMAIN_SECONDS_PER_MEGABYTE
     backoff_seconds_max: float = BACKOFF_SECONDS_MAX
+    load_model: LoadModel = LoadModel.REPORTED
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -9,6 +9,7 @@
 import time
 
 from caperdyke.coordination.placement import (
+    load_estimate,
     processing_times,
     selection,
     server_path,
@@ -77,6 +78,9 @@
         self.pool = pool.ConnectionPool(now)
         self.splits = traffic_splits.WeightedRoundRobin()
         self.times = processing_times.ProcessingTimes()
+        self.service_loads = load_estimate.ServiceLoads(
+            settings.load_model is gateway_settings.LoadModel.BLENDED
+        )
         self.bounds = server_bounds.ServerBounds(
             self.fleet, settings.domains, settings.backoff_seconds_max
         )
@@ -103,6 +107,7 @@
         self.fleet.apply_regions(changed.domains)
         self.bounds.apply_regions(changed.domains)
         self.bounds.backoffs.max_backoff_s = changed.backoff_seconds_max
+        self.service_loads.apply_setting(changed.load_model is gateway_settings.LoadModel.BLENDED)
         bounds = changed.bounds
         self.retries.apply_limits(bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window)
         self._rankings.clear()
@@ -182,7 +187,9 @@
         server = registered.registration.server
         view = self.views.get(name)
         if view is None:
-            view = self.views[name] = server_view.ServerView(server)
+            view = self.views[name] = server_view.ServerView(
+                server, service_load=self.service_loads.find(server.service)
+            )
         elif view.server != server:
             view.server = server
         return view
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -254,6 +254,8 @@
                 size, node.settings.cross_domain_seconds_per_megabyte
             ),
             tried_servers,
+            route.kind.is_repeatable,
+            route.timeout_ms / 1000,
         )
 
     def _select_server(
@@ -311,7 +313,14 @@
             is_queue_seen = result.load is not None and result.load.waiting > 0
             if not placement.is_queued and not is_queue_seen:
                 key = request.caller_headers.object_key
-                ratio = node.times.record(route.name, objective, view.is_warm(now, key), duration)
+                ratio = node.times.record(
+                    route.name,
+                    objective,
+                    view.is_warm(now, key),
+                    duration,
+                    view.pace.find_run_pace(sent_at, now),
+                    now,
+                )
             view.record_answer(now, request.caller_headers.object_key, ratio)
             return
         if node.path.is_lost:
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -262,7 +262,7 @@
         if is_whole:
             self._release_connection(placed, conn, header_map)
         if fields.load is not None:
-            placed.view.record_reported_load(node.now(), fields.load.running + fields.load.waiting)
+            placed.view.record_load_report(node.now(), fields.load)
         if fields.is_refused:
             kind = FailureKind.MISDIRECTED if fields.is_misdirected else FailureKind.REFUSED
             if not is_whole:
--- a/testing/placement/builders.py
+++ b/testing/placement/builders.py
@@ -35,7 +35,8 @@
 ) -> selection.Requirements:
     """Returns the requirements of a request that arrived at time 0.
 
-    :param options: ``far_seconds`` is the cross-domain penalty, ``tried`` lists servers.
+    :param options: ``far_seconds`` is the cross-domain penalty, ``tried`` lists servers;
+        ``is_repeatable`` and ``timeout_s`` as in ``selection.Requirements``.
     """
     return selection.Requirements(
         SERVICE,
@@ -44,9 +45,19 @@
         objective_at,
         options.get("far_seconds", selection.CROSS_DOMAIN_PENALTY_S),
         frozenset(options.get("tried", ())),
+        options.get("is_repeatable", True),
+        options.get("timeout_s", math.inf),
     )
 
 
+def make_measured_times(warm: float, cold: float) -> processing_times.ProcessingTime:
+    """Returns the estimates of a route after enough recent answers, with some spread."""
+    times = processing_times.ProcessingTime(warm=warm, cold=cold, mean=warm)
+    for number in range(processing_times.SPREAD_ANSWERS_MAX):
+        times.record_ratio(0.0, True, warm * (0.85 + 0.3 * number / 63))
+    return times
+
+
 def make_located_servers(domains: dict[str, tuple[str, int]]) -> list[homes.LocatedServer]:
     """Returns the servers of some failure domains.
 
--- a/testing/platform/test_gateway_settings.py
+++ b/testing/platform/test_gateway_settings.py
@@ -10,6 +10,7 @@
 
 from caperdyke import errors
 from caperdyke.protocol import gateway_files
+from caperdyke.state import gateway_settings
 from caperdyke.transport.gateway import reload
 from testing.platform import harness
 
@@ -57,20 +58,20 @@
     """Reading of settings files."""
 
     def test_template(self) -> None:
-        gateway_settings = gateway_files.read_gateway(write_settings(fill_template()))
-        self.assertEqual({"only-hall": "alone"}, gateway_settings.domains)
-        self.assertEqual((), gateway_settings.seeds)
+        read = gateway_files.read_gateway(write_settings(fill_template()))
+        self.assertEqual({"only-hall": "alone"}, read.domains)
+        self.assertEqual((), read.seeds)
         self.assertEqual(
             (0.05, 7.0, 3.0, 1.0, 0.0, 0.9, 1.0, 20.0),
             (
-                gateway_settings.bounds.retry_ratio,
-                gateway_settings.bounds.retry_allowance,
-                gateway_settings.bounds.retry_window,
-                gateway_settings.bounds.cold_factor,
-                gateway_settings.bounds.cold_allowance,
-                gateway_settings.bounds.leaving_seconds,
-                gateway_settings.bounds.lookup_seconds,
-                gateway_settings.bounds.stop_seconds,
+                read.bounds.retry_ratio,
+                read.bounds.retry_allowance,
+                read.bounds.retry_window,
+                read.bounds.cold_factor,
+                read.bounds.cold_allowance,
+                read.bounds.leaving_seconds,
+                read.bounds.lookup_seconds,
+                read.bounds.stop_seconds,
             ),
         )
 
@@ -88,6 +89,22 @@
         error = self.assertRaises(errors.SettingsError, gateway_files.read_gateway, path)
         self.assertEqual(key, error.key)
 
+    @parameterized.expand(
+        [
+            ("absent", "", gateway_settings.LoadModel.REPORTED),
+            ("reported", "load_model = reported", gateway_settings.LoadModel.REPORTED),
+            ("blended", "load_model = blended", gateway_settings.LoadModel.BLENDED),
+        ]
+    )
+    def test_load_model(self, _name, line, expected) -> None:
+        path = write_settings(f"{fill_template()}\n[placing]\n{line}\n")
+        self.assertEqual(expected, gateway_files.read_gateway(path).load_model)
+
+    def test_unknown_load_model_is_rejected(self) -> None:
+        path = write_settings(f"{fill_template()}\n[placing]\nload_model = guessed\n")
+        error = self.assertRaises(errors.SettingsError, gateway_files.read_gateway, path)
+        self.assertEqual("load_model", error.key)
+
 
 class ReloadTest(harness.AsyncTestCase):
     """Changes of the settings file while the gateway runs."""
