--- a/src/caperdyke/protocol/gateway_files.py
+++ b/src/caperdyke/protocol/gateway_files.py
@@ -45,6 +45,14 @@
         stay_margin_seconds=document.read_decimal("placing", "stay_margin_ms", 0.0, 10_000.0, 0.0)
         / 1000,
         quota_tolerance=_read_quota_tolerance(document),
+        load_model=gateway_settings.LoadModel(
+            document.read_choice(
+                "placing",
+                "load_model",
+                [model.value for model in gateway_settings.LoadModel],
+                gateway_settings.LoadModel.REPORTED.value,
+            )
+        ),
     )
     document.check_all_read()
     return result
--- a/src/caperdyke/state/gateway_settings.py
+++ b/src/caperdyke/state/gateway_settings.py
@@ -1,6 +1,7 @@
 """Validated settings of a gateway."""
 
 import dataclasses
+import enum
 
 from caperdyke.state import ids, settings
 
@@ -10,6 +11,15 @@
 BACKOFF_SECONDS_MAX = 3600.0
 
 
+class LoadModel(enum.Enum):
+    """How the requests at a backend server are estimated between its reports."""
+
+    # From the last report, and from what instances announce to each other.
+    REPORTED = "reported"
+    # From the last report, and from what the servers of the service usually report.
+    BLENDED = "blended"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatewayBounds:
     """Limits and times agreed with the platform.
@@ -61,6 +71,8 @@
     :param stay_margin_seconds: by how much another server must be cheaper before the requests for
         an object leave the server that answered last, in seconds; 0 to choose anew each time.
     :param quota_tolerance: by how much teams may exceed their quotas.
+    :param load_model: how the requests at servers that report no pace are estimated; those that
+        report it are always estimated by ``LoadModel.BLENDED``.
     :param seeds: peer addresses of possible other instances.
     """
 
@@ -82,3 +94,4 @@
     has_steady_weights: bool = False
     stay_margin_seconds: float = 0.0
     quota_tolerance: QuotaTolerance = QuotaTolerance()
+    load_model: LoadModel = LoadModel.REPORTED
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -5,7 +5,7 @@
 import math
 import random
 
-from caperdyke.coordination.placement import attempts, selection
+from caperdyke.coordination.placement import attempts, prewarming, selection
 from caperdyke.state import ids, routes
 from caperdyke.transport.gateway import (
     admissions,
@@ -184,7 +184,7 @@
         requirements = self._make_requirements(request, route, service, frozenset(), trace)
         times = node.times.find(route.name, route.objective_ms / 1000)
         candidates = node.list_candidates(service, requirements.key, route)
-        placement = selection.select_near_home(now, requirements, candidates, times)
+        placement = prewarming.select_near_home(now, requirements, candidates, times)
         fraction = node.fleet.compute_limit_fraction(now)
         if placement is None:
             return
@@ -232,6 +232,8 @@
                 size, node.settings.cross_domain_seconds_per_megabyte
             ),
             tried_servers,
+            route.kind.is_repeatable,
+            route.timeout_ms / 1000,
         )
 
     def _select_server(
@@ -289,7 +291,14 @@
             is_queue_seen = result.load is not None and result.load.waiting > 0
             if not placement.is_queued and not is_queue_seen:
                 key = request.caller_headers.object_key
-                ratio = node.times.record(route.name, objective, view.is_warm(now, key), duration)
+                ratio = node.times.record(
+                    route.name,
+                    objective,
+                    view.is_warm(now, key),
+                    duration,
+                    view.pace.find_run_pace(sent_at, now),
+                    now,
+                )
             view.record_answer(now, request.caller_headers.object_key, ratio)
             return
         if node.path.is_lost:
--- a/testing/platform/test_gateway_settings.py
+++ b/testing/platform/test_gateway_settings.py
@@ -115,6 +115,22 @@
         error = self.assertRaises(errors.SettingsError, gateway_files.read_gateway, path)
         self.assertEqual(key, error.key)
 
+    @parameterized.expand(
+        [
+            ("absent", "", gateway_settings.LoadModel.REPORTED),
+            ("reported", "load_model = reported", gateway_settings.LoadModel.REPORTED),
+            ("blended", "load_model = blended", gateway_settings.LoadModel.BLENDED),
+        ]
+    )
+    def test_load_model(self, _name, line, expected) -> None:
+        path = write_settings(f"{fill_template()}\n[placing]\n{line}\n")
+        self.assertEqual(expected, gateway_files.read_gateway(path).load_model)
+
+    def test_unknown_load_model_is_rejected(self) -> None:
+        path = write_settings(f"{fill_template()}\n[placing]\nload_model = guessed\n")
+        error = self.assertRaises(errors.SettingsError, gateway_files.read_gateway, path)
+        self.assertEqual("load_model", error.key)
+
 
 class ReloadTest(harness.AsyncTestCase):
     """Changes of the settings file while the gateway runs."""
