Let a bounded part of the requests leave a region for an object's home in another one

Cause: only the 24 best ranked servers are considered, which are all near. An object's home in another region, which is warm for the callers there, was considered only if none of these had capacity.

Change: with '[placing] overflow_ratio_max' above 0 the first server of each other region in the object's ranking is considered too, at most for that part of an instance's requests in 2 s, and only if it is clearly cheaper. Off by default.

Ruled out: considering all servers, which costs time at each request; an unbounded overflow, which moves a wave on to the next region.

Run: test_region_overflow, test_selection, test_server_rankings, settings, layers: passed.

--- a/src/caperdyke/coordination/placement/answer_times.py
+++ b/src/caperdyke/coordination/placement/answer_times.py
@@ -53,6 +53,7 @@
     rank: int,
     round_trip: float,
     times: processing_times.ProcessingTime,
+    is_regional_home: bool = False,
 ) -> AnswerTimes:
     """Returns the expected times of a request on one server.
 
@@ -62,8 +63,9 @@
     :param key: object that the request concerns; empty if there is none.
     :param rank: rank of the server for the object, from 0.
     :param round_trip: network round-trip time in seconds.
+    :param is_regional_home: whether the server is the object's home in another region.
     """
-    p_warm = estimate_warm_probability(now, view, key, rank)
+    p_warm = estimate_warm_probability(now, view, key, rank, is_regional_home)
     factor = view.slowdown * view.pace.estimate(now)
     processing_s = factor * (p_warm * times.warm + (1 - p_warm) * times.cold)
     oldest_sent_at = view.find_oldest_send_time(now)
@@ -81,7 +83,11 @@
 
 
 def estimate_warm_probability(
-    now: float, view: server_view.ServerView, key: ids.ObjectKey, rank: int
+    now: float,
+    view: server_view.ServerView,
+    key: ids.ObjectKey,
+    rank: int,
+    is_regional_home: bool = False,
 ) -> float:
     """Returns the probability that an object is warm on a server.
 
@@ -92,4 +98,6 @@
         return WARM_PROBABILITY_MIN
     if view.is_warm(now, key):
         return 1.0
+    if is_regional_home:
+        return WARM_PROBABILITIES[0]
     return WARM_PROBABILITIES[rank] if rank < len(WARM_PROBABILITIES) else 0.0
--- a/src/caperdyke/coordination/placement/selection.py
+++ b/src/caperdyke/coordination/placement/selection.py
@@ -25,6 +25,9 @@
 # Extra cost of the second home while the first home is not warm for the object, relative to the
 # same difference. It applies in full to an idle service and shrinks as the utilization grows.
 SECOND_HOME_COST_RATIO = 0.35
+# Extra cost of an object's home in another region, in seconds of waiting: a request leaves its
+# region only if it would clearly wait longer there, so that small differences of load move none.
+REGION_CHANGE_COST_S = 0.05
 # Utilization of a service from which on a request is queued only if it is expected to meet its
 # latency objective.
 FULL_UTILIZATION = 0.9
@@ -74,12 +77,14 @@
     :param is_near: whether the server is in the failure domain of this instance.
     :param round_trip: network round-trip time in seconds.
     :param is_deprioritized: whether the server requested a backoff from another instance.
+    :param is_regional_home: whether the server is the object's home in another region.
     """
 
     view: server_view.ServerView
     is_near: bool
     round_trip: float
     is_deprioritized: bool = False
+    is_regional_home: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,6 +102,7 @@
     due_at: float
     is_warm: bool
     is_queued: bool
+    is_regional_home: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -165,24 +171,28 @@
     shortest_wait = RETRY_AFTER_MAX_S
     for rank, candidate in enumerate(eligible):
         view = candidate.view
-        expected = answer_times.estimate(now, view, needs.key, rank, candidate.round_trip, times)
+        expected = answer_times.estimate(
+            now, view, needs.key, rank, candidate.round_trip, times, candidate.is_regional_home
+        )
         if not _should_send(now, needs, view, expected, utilization):
             shortest_wait = min(shortest_wait, max(0.0, expected.wait_s))
             continue
         cost = expected.answer_s + utilization * expected.processing_s
         cost += second_home_cost if rank == 1 else 0.0
-        if has_homes and rank >= len(answer_times.WARM_PROBABILITIES):
+        if candidate.is_regional_home:
+            cost += REGION_CHANGE_COST_S
+        elif has_homes and rank >= len(answer_times.WARM_PROBABILITIES):
             cost += NON_HOME_COST_RATIO * max(0.0, times.cold - times.warm)
         if not candidate.is_near:
             cost += cross_domain_cost
-        options.append(server_options.Option(view, expected, cost))
+        options.append(server_options.Option(view, expected, cost, candidate.is_regional_home))
     completing = options
     if options and not needs.is_repeatable:
         conditions = completion.Conditions(needs.deadline - now, needs.timeout_s, times)
         completing = completion.keep_completing(now, conditions, needs.objective_at, options)
     if completing:
         best = server_options.find_cheapest(completing)
-        return make_placement(best.view, best.times)
+        return make_placement(best.view, best.times, best.is_regional_home)
     if options:
         shortest_wait = min(shortest_wait, completion.find_shortest_wait(options))
     retry_after = max(RETRY_AFTER_MIN_S, shortest_wait)
@@ -217,9 +227,20 @@
     return is_open and view.server.backend not in needs.tried
 
 
-def make_placement(view: server_view.ServerView, expected: answer_times.AnswerTimes) -> Placement:
+def make_placement(
+    view: server_view.ServerView,
+    expected: answer_times.AnswerTimes,
+    is_regional_home: bool = False,
+) -> Placement:
     """Returns the placement of a request on a server."""
-    return Placement(view, expected.answer_s, expected.due_at, expected.is_warm, expected.is_queued)
+    return Placement(
+        view,
+        expected.answer_s,
+        expected.due_at,
+        expected.is_warm,
+        expected.is_queued,
+        is_regional_home,
+    )
 
 
 def _should_send(
--- a/src/caperdyke/coordination/placement/server_options.py
+++ b/src/caperdyke/coordination/placement/server_options.py
@@ -15,11 +15,13 @@
 
     :param times: expected times of the request on the server.
     :param cost: expected time until the answer and what others lose by it, in seconds.
+    :param is_regional_home: whether the server is the object's home in another region.
     """
 
     view: server_view.ServerView
     times: answer_times.AnswerTimes
     cost: float
+    is_regional_home: bool = False
 
 
 def find_cheapest(options: list[Option]) -> Option:
--- a/src/caperdyke/coordination/placement/server_rankings.py
+++ b/src/caperdyke/coordination/placement/server_rankings.py
@@ -16,6 +16,9 @@
 
     def __init__(self) -> None:
         self._servers: Servers = {}
+        self._regional_homes: dict[
+            tuple[ids.ServiceName, ids.ObjectKey], list[homes.LocatedServer]
+        ] = {}
         # Keys are the service, the object, and whether answers are large.
         self._rankings: dict[
             tuple[ids.ServiceName, ids.ObjectKey, bool], list[homes.LocatedServer]
@@ -47,6 +50,7 @@
     def clear(self) -> None:
         """Discards all cached rankings."""
         self._rankings.clear()
+        self._regional_homes.clear()
         self._located.clear()
 
     def apply_servers(self, servers: Servers) -> None:
@@ -84,6 +88,26 @@
             self._rankings[service, key, is_large] = ranking
         return ranking
 
+    def find_regional_homes(
+        self,
+        now: float,
+        settings: gateway_settings.GatewaySettings,
+        service: ids.ServiceName,
+        key: ids.ObjectKey,
+    ) -> list[homes.LocatedServer]:
+        """Returns the first server of each other region in an object's ranking.
+
+        The instances there rank their own servers alike, so that these are the object's homes.
+        """
+        found = self._regional_homes.get((service, key))
+        if found is None:
+            first: dict[ids.RegionName, homes.LocatedServer] = {}
+            for located in self.find(now, settings, service, key, False):
+                if located.region != settings.region:
+                    first.setdefault(located.region, located)
+            found = self._regional_homes[service, key] = list(first.values())
+        return found
+
     def _find_located(
         self, settings: gateway_settings.GatewaySettings, service: ids.ServiceName, is_large: bool
     ) -> tuple[list[homes.LocatedServer], homes.Locality, float]:
--- a/src/caperdyke/protocol/gateway_files.py
+++ b/src/caperdyke/protocol/gateway_files.py
@@ -44,6 +44,7 @@
         == "on",
         stay_margin_seconds=document.read_decimal("placing", "stay_margin_ms", 0.0, 10_000.0, 0.0)
         / 1000,
+        overflow_ratio_max=document.read_decimal("placing", "overflow_ratio_max", 0.0, 1.0, 0.0),
         quota_tolerance=_read_quota_tolerance(document),
         load_model=gateway_settings.LoadModel(
             document.read_choice(
--- a/src/caperdyke/state/gateway_settings.py
+++ b/src/caperdyke/state/gateway_settings.py
@@ -70,6 +70,8 @@
     :param has_steady_weights: whether the weight of near servers changes without jumps.
     :param stay_margin_seconds: by how much another server must be cheaper before the requests for
         an object leave the server that answered last, in seconds; 0 to choose anew each time.
+    :param overflow_ratio_max: largest part of the requests that may leave the region for an
+        object's home in another one while the servers here are busier, 0 to 1; 0 if none may.
     :param quota_tolerance: by how much teams may exceed their quotas.
     :param load_model: how the requests at servers that report no pace are estimated; those that
         report it are always estimated by ``LoadModel.BLENDED``.
@@ -93,5 +95,6 @@
     backoff_seconds_max: float = BACKOFF_SECONDS_MAX
     has_steady_weights: bool = False
     stay_margin_seconds: float = 0.0
+    overflow_ratio_max: float = 0.0
     quota_tolerance: QuotaTolerance = QuotaTolerance()
     load_model: LoadModel = LoadModel.REPORTED
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -11,6 +11,7 @@
 from caperdyke.coordination.placement import (
     load_estimate,
     processing_times,
+    region_overflow,
     selection,
     server_path,
     server_rankings,
@@ -100,10 +101,12 @@
         self.is_stopping = False
         self._services: dict[ids.ServiceName, list[server_registry.RegisteredServer]] = {}
         self._rankings = server_rankings.ServerRankings()
+        self.region_overflow = region_overflow.RegionOverflow(settings.overflow_ratio_max)
 
     def apply_settings(self, changed: gateway_settings.GatewaySettings) -> None:
         """Applies changed limits and failure domains."""
         self.settings = changed
+        self.region_overflow.ratio_max = changed.overflow_ratio_max
         self.fleet.apply_regions(changed.domains)
         self.bounds.apply_regions(changed.domains)
         self.bounds.backoffs.max_backoff_s = changed.backoff_seconds_max
@@ -245,9 +248,48 @@
                 )
             )
             if len(candidates) >= count_max:
-                break
+                return candidates + self._list_regional_homes(now, service, key, route, candidates)
         return candidates
 
+    def _list_regional_homes(
+        self,
+        now: float,
+        service: ids.ServiceName,
+        key: ids.ObjectKey,
+        route: routes.Route,
+        candidates: list[selection.Candidate],
+    ) -> list[selection.Candidate]:
+        """Returns an object's homes in other regions that are not candidates already."""
+        is_large = route.kind is routes.RouteKind.DOWNLOAD
+        if not key or is_large or not self.region_overflow.allows(now):
+            return []
+        known = {item.view.server.backend for item in candidates}
+        found = []
+        for located in self._rankings.find_regional_homes(now, self.settings, service, key):
+            server = located.server
+            registered = self.servers.find(server.backend)
+            is_allowed = not route.homes or located.region in route.homes
+            if not is_allowed or server.backend in known or registered is None:
+                continue
+            if self.find_next_send_time(now, registered) > now:
+                continue
+            found.append(
+                selection.Candidate(
+                    self.find_view(server.backend),
+                    False,
+                    self.round_trips.get(server.domain, ROUND_TRIP_DEFAULT_SECONDS),
+                    self.bounds.backoffs.is_deprioritized(now, server.backend),
+                    True,
+                )
+            )
+        return found
+
+    def record_region(self, server: backend.BackendServer, is_regional_home: bool) -> None:
+        """Counts a request that was placed, for the part that may leave the region."""
+        region = self.settings.domains.get(server.domain)
+        has_left = is_regional_home and region != self.settings.region
+        self.region_overflow.record(self.now(), has_left)
+
     def record_no_capacity(self, service: ids.ServiceName) -> bool:
         """Records that no server had capacity for a download; returns whether to select again."""
         return self._rankings.record_no_capacity(self.now(), service)
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -107,6 +107,7 @@
                 return failed or self._make_refused_reply(request, route, service, attempt_state)
             tried_servers.add(selected.view.server.backend)
             sent_at = node.now()
+            node.record_region(selected.view.server, selected.is_regional_home)
             tokens.start_send()
             result = await self._sender.send(request, selected)
             tokens.end_send(relaying.may_have_run(result))
