Decide about teams with a confirmed configuration and through instances that support teams

Callers saw: a request of a team went through an instance of a build before teams and reached a server without the team's name; a key that was removed while a connection to another instance opened still ran there; a relayed request whose team had been renamed got 401 although its key was valid; an instance cut off from the store served removed keys without end, also where the platform forbids it. Operators could not tell why keys were rejected, nor how many requests each team sent.

Cause: the core looked the team up at each send to a server, but not at each send to an instance, and nothing told builds apart or recorded when the configuration was last confirmed.

A changed configuration stops a relayed send. An unknown team of a relayed request is 503 with a retry delay. With strict revocation, long polls wait for at most a quarter of the time of revocation, a stalled one is replaced, and requests that need a key get 503 when the configuration is older than that; its age counts from the start of the store's call. Log lines have the team and the cause of a rejection, and a counter has requests by team and outcome, for at most 2,500 teams.

Ruled out: an item in announcements, which older builds reject; the arrival of an answer as the time of confirmation, since an answer may be on its way for seconds; confirmation by other instances, whose announcements do not say how old their configuration is.

Run: test_relayed_teams, test_stranded_instances, test_gateway_teams, registry, test_layers, test_events, test_gateway_changes, test_gateway_store, test_gateway_lifecycle, knowledge, test_gateway_settings, test_authentication, test_teams, test_greeting_messages, test_boundary: passed.

--- a/src/caperdyke/coordination/authentication.py
+++ b/src/caperdyke/coordination/authentication.py
@@ -28,6 +28,11 @@
 Authentication = Admitted | Rejected
 
 
+def needs_key(table: routes.RouteTable, route: routes.Route) -> bool:
+    """Returns whether requests of a route are served only with a key that some team holds."""
+    return table.teams is not None and not route.is_public
+
+
 def authenticate(
     table: routes.RouteTable, route: routes.Route, credential: header_fields.Credential
 ) -> Authentication:
--- a/src/caperdyke/coordination/registry/fleet.py
+++ b/src/caperdyke/coordination/registry/fleet.py
@@ -45,6 +45,8 @@
     :param announce_at: time of the next announcement to it.
     :param changed: position of the newest change of each table that it announced.
     :param read_at: time at which it read the registrations from the store.
+    :param supports_teams: whether this start of it has said so; builds before teams do not.
+    :param greeted_at: time of the latest greeting to it.
     """
 
     record: member.Member
@@ -56,6 +58,8 @@
     first_seen_at: float = 0.0
     announce_at: float = 0.0
     read_at: float = -math.inf
+    supports_teams: bool = False
+    greeted_at: float = -math.inf
     changed: dict[store_rows.StoreTable, store_rows.Position] = dataclasses.field(
         default_factory=dict
     )
@@ -162,6 +166,10 @@
         peer.alive_until = now + max(SILENCE_MIN_SECONDS, LOST_ANNOUNCEMENTS_MAX * interval)
         return peer
 
+    def find_by_hash(self, name_hash: int) -> PeerInstance | None:
+        """Returns another instance by the hash of its name, or None if it is not known."""
+        return self._peers.get(self._names_by_hash.get(name_hash, ids.InstanceId("")))
+
     def list_live(self, now: float) -> list[PeerInstance]:
         """Returns the other instances that are alive and not leaving."""
         return [
@@ -280,6 +288,7 @@
         now: float,
         homes: frozenset[ids.RegionName] = frozenset(),
         excluded: collections.abc.Set[ids.InstanceId] = frozenset(),
+        needs_teams: bool = False,
     ) -> list[PeerInstance]:
         """Returns the instances that may serve requests for this one, which has no path.
 
@@ -288,12 +297,14 @@
 
         :param homes: regions to which the request is restricted; empty if it is not.
         :param excluded: instances that cannot be used.
+        :param needs_teams: whether only instances that are known to support teams can be used.
         """
         ready = [
             peer
             for peer in self.list_live(now)
             if peer.is_ready
             and peer.record.instance not in excluded
+            and (peer.supports_teams or not needs_teams)
             and (not homes or self._regions.get(peer.record.domain) in homes)
         ]
         ready.append(PeerInstance(self.own, self.is_ready, has_path=False))
--- a/src/caperdyke/coordination/registry/provenance.py
+++ b/src/caperdyke/coordination/registry/provenance.py
@@ -16,6 +16,8 @@
     :param position: store position of the active version.
     :param adopted_at: time at which the active version was adopted.
     :param store_answered_at: time of the store's latest answer about the configuration.
+    :param confirmed_at: start of the latest call by which the store confirmed the active version:
+        the store's answer, however late it arrives, shows a state that is no older.
     :param announcement_received_at: time of the latest announcement of another instance.
     :param calls: start time of each pending call to the store.
     """
@@ -24,6 +26,7 @@
     position: store_rows.Position = store_rows.FIRST_POSITION
     adopted_at: float = -math.inf
     store_answered_at: float = -math.inf
+    confirmed_at: float = -math.inf
     announcement_received_at: float = -math.inf
     calls: list[float] = dataclasses.field(default_factory=list)
 
@@ -31,6 +34,17 @@
         """Records that a version became the active one."""
         self.adopted_at, self.source, self.position = now, source, position
 
+    def record_confirmation(self, started_at: float) -> None:
+        """Records that a call which started at this time found the configuration as it is here."""
+        self.confirmed_at = max(self.confirmed_at, started_at)
+
+    def is_confirmed(self, now: float, seconds_max: float) -> bool:
+        """Returns whether the configuration was confirmed within a time.
+
+        Pattern: an instance is cut off from the store, or was paused, while keys are removed.
+        """
+        return now <= self.confirmed_at + seconds_max
+
     def describe(self, now: float) -> dict[str, object]:
         """Returns the fields of a log line; ages are in milliseconds, -1 if there was none."""
         return {
--- a/src/caperdyke/protocol/gateway_files.py
+++ b/src/caperdyke/protocol/gateway_files.py
@@ -40,6 +40,7 @@
         backoff_seconds_max=document.read_decimal(
             "placing", "rest_max_s", 0.0, 1e6, gateway_settings.BACKOFF_SECONDS_MAX
         ),
+        teams=_read_teams(document),
     )
     document.check_all_read()
     return result
@@ -53,6 +54,18 @@
     return domains
 
 
+def _read_teams(document: ini.Document) -> gateway_settings.TeamSettings:
+    section = "teams"
+    # The platform writes truth values as JSON does.
+    choices = ("yes", "no", "true", "false")
+    strict = document.read_choice(section, "strict_revocation", choices, "no")
+    revoke_seconds_default = gateway_settings.REVOKE_SECONDS * 1000
+    return gateway_settings.TeamSettings(
+        strict in ("yes", "true"),
+        document.read_decimal(section, "revoke_ms", 100.0, 1e6, revoke_seconds_default) / 1000,
+    )
+
+
 def _read_bounds(document: ini.Document) -> gateway_settings.GatewayBounds:
     section = "bounds"
     return gateway_settings.GatewayBounds(
--- a/src/caperdyke/state/gateway_settings.py
+++ b/src/caperdyke/state/gateway_settings.py
@@ -8,6 +8,9 @@
 CROSS_DOMAIN_SECONDS_PER_MEGABYTE = 20.0
 # Longest backoff of a backend server that is honoured, in seconds.
 BACKOFF_SECONDS_MAX = 3600.0
+# Age of the configuration, in seconds, above which it no longer decides about keys where strict
+# revocation is set.
+REVOKE_SECONDS = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +37,19 @@
     stop_seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TeamSettings:
+    """How an instance that is cut off from the store treats requests that need a key.
+
+    :param is_revocation_strict: whether it refuses them, as their keys may have been removed.
+    :param revoke_seconds: time since the last confirmation of the configuration after which it
+        does so.
+    """
+
+    is_revocation_strict: bool = False
+    revoke_seconds: float = REVOKE_SECONDS
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """Settings of one gateway.
@@ -61,3 +77,4 @@
     logs: settings.LogSettings
     cross_domain_seconds_per_megabyte: float = CROSS_DOMAIN_SECONDS_PER_MEGABYTE
     backoff_seconds_max: float = BACKOFF_SECONDS_MAX
+    teams: TeamSettings = TeamSettings()
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -107,6 +107,13 @@
         self.retries.apply_limits(bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window)
         self._rankings.clear()
 
+    def may_check_keys(self) -> bool:
+        """Returns whether the configuration is recent enough to decide about keys of teams."""
+        teams = self.settings.teams
+        if not teams.is_revocation_strict:
+            return True
+        return self.provenance.is_confirmed(self.now(), teams.revoke_seconds)
+
     def record_initial_read(self, read: initial_sync.SyncStep) -> None:
         """Records that one of the initial reads has succeeded."""
         self.initial_sync.record_read(read)
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -7,7 +7,7 @@
 
 from caperdyke.coordination.placement import attempts, selection
 from caperdyke.coordination.registry import fleet
-from caperdyke.state import ids, routes
+from caperdyke.state import header_fields, ids, routes
 from caperdyke.transport.gateway import admissions, context, local_reply, relay, sender
 
 # Longest Retry-After as a ratio of the time that the caller has left. It does not apply where the
@@ -53,8 +53,8 @@
         tried_servers: set[ids.BackendId] = set()
         failed: sender.ServerAnswer | None = None
         while True:
-            if node.routes is not request.table:
-                admitted = _admit_again(request, node.routes)
+            if node.routes is not request.table or not node.may_check_keys():
+                admitted = self._admit_again(request, trace)
                 if isinstance(admitted, local_reply.LocalReply):
                     return failed or _make_no_longer_allowed_reply(admitted, attempt_state)
                 request = dataclasses.replace(
@@ -117,15 +117,15 @@
         tried: set[ids.InstanceId] = set()
         refused: sender.ServerAnswer | None = None
         while request.relayed is None and node.now() < request.deadline:
-            if node.routes is not request.table:
-                admitted = _admit_again(request, node.routes)
+            if node.routes is not request.table or not node.may_check_keys():
+                admitted = self._admit_again(request, trace)
                 if isinstance(admitted, local_reply.LocalReply):
                     return _make_no_longer_allowed_reply(admitted, attempt_state)
                 route = admitted.route
                 request = dataclasses.replace(
                     request, table=node.routes, identity=admitted.identity
                 )
-            peer = self.relay.choose(route, tried)
+            peer = self.relay.choose(route, tried, _has_team(request))
             if peer is None:
                 break
             if attempt_state.sent and not self._try_acquire_retry(
@@ -144,6 +144,8 @@
                     refused = result.answer
                     if not result.has_no_capacity:
                         break
+                case sender.Failure(kind=sender.FailureKind.NOT_SENT):
+                    tried.discard(peer.record.instance)
                 case sender.Failure(may_have_run=True):
                     attempt_state.record_reached()
                     attempt_state.record_may_have_run()
@@ -165,6 +167,26 @@
         """Ends the sends of repeatable requests that wait on connections which hang."""
         self._sender.abandon_waiting()
 
+    def _admit_again(
+        self, request: sender.CallerRequest, trace: local_reply.RequestTrace
+    ) -> admissions.AdmittedRequest | local_reply.LocalReply:
+        """Decides by the configuration in force whether a request may still be sent.
+
+        Pattern: keys are removed, or move to another team, while their holders' requests wait.
+        """
+        node = self._node
+        admitted = admissions.admit(
+            node.routes,
+            request.host,
+            request.path,
+            request.caller_headers.credential,
+            request.relayed.team if request.relayed is not None else None,
+            node.may_check_keys(),
+        )
+        if isinstance(admitted, admissions.AdmittedRequest):
+            trace.team = admitted.team.name if admitted.team is not None else ""
+        return admitted
+
     def _find_changed_service(
         self, route: routes.Route, service: ids.ServiceName, trace: local_reply.RequestTrace
     ) -> ids.ServiceName:
@@ -394,17 +416,12 @@
         )
 
 
-def _admit_again(
-    request: sender.CallerRequest, table: routes.RouteTable
-) -> admissions.AdmittedRequest | local_reply.LocalReply:
-    """Decides by a changed configuration whether a request in flight may still be sent."""
-    return admissions.admit(
-        table,
-        request.host,
-        request.path,
-        request.caller_headers.credential,
-        request.relayed.team if request.relayed is not None else None,
-    )
+def _has_team(request: sender.CallerRequest) -> bool:
+    match request.identity:
+        case header_fields.TeamIdentity(team=team):
+            return team is not None
+        case header_fields.UnmanagedIdentity():
+            return False
 
 
 def _make_no_longer_allowed_reply(
--- a/src/caperdyke/transport/gateway/local_reply.py
+++ b/src/caperdyke/transport/gateway/local_reply.py
@@ -11,6 +11,8 @@
     NO_ROUTE = "no route"
     NO_TEAM = "no valid key"
     OVER_QUOTA = "over the team's quota"
+    UNCONFIRMED = "configuration not confirmed"
+    TEAM_UNKNOWN = "team not known here"
     BODY_TOO_LARGE = "body too large"
     MALFORMED = "request cannot be passed on"
     HEADERS_TOO_LARGE = "headers too large"
@@ -40,6 +42,7 @@
     kind: str = ""
     host: str = ""
     team: str = ""
+    cause: str = ""
     relayed_by: str = ""
     sends: list[str] = dataclasses.field(default_factory=list)
 
@@ -49,8 +52,10 @@
     """A reply that the gateway generates itself.
 
     :param retry_seconds: delay after which the caller may retry; None if a retry would not help.
+    :param cause: more about the reason, for the log and the metrics; not sent to the caller.
     """
 
     status: int
     reason: LocalReplyReason
     retry_seconds: float | None = None
+    cause: str = ""
--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -13,6 +13,7 @@
     announcer,
     context,
     dispatcher,
+    greeter,
     path_monitor,
     peer_app,
     request_app,
@@ -52,6 +53,7 @@
         self.store_sync.on_servers_read = self.announcer.announce_to_domain
         self.store_sync.on_configuration_changed = self.announcer.announce_change
         node.bounds.on_urgent_change = self.announcer.announce_server_state
+        self._greeter = greeter.Greeter(node, self.announcer)
         self._dispatcher = dispatcher.Dispatcher(node)
         self.requests = request_app.RequestApp(node, self._dispatcher)
         self._path_monitor = path_monitor.PathMonitor(
@@ -102,6 +104,7 @@
             "upkeep": self._run_upkeep,
             "enrolment": self.announcer.enrol,
             "path": self._path_monitor.run,
+            "greetings": self._greeter.run,
         }
         for name, run_task in loops.items():
             self._tasks.append(asyncio.create_task(_run_forever(name, run_task)))
@@ -111,6 +114,7 @@
         log_at = node.now() + CONFIGURATION_LOG_SECONDS
         while True:
             self.store_sync.update_evacuations()
+            self.store_sync.confirm_configuration()
             if node.now() >= log_at and node.routes is not None:
                 log_at = node.now() + CONFIGURATION_LOG_SECONDS
                 origin = node.provenance.describe(node.now())
--- a/src/caperdyke/transport/gateway/relay.py
+++ b/src/caperdyke/transport/gateway/relay.py
@@ -55,17 +55,22 @@
         self._version = 0
 
     def choose(
-        self, route: routes.Route, tried: collections.abc.Set[ids.InstanceId]
+        self,
+        route: routes.Route,
+        tried: collections.abc.Set[ids.InstanceId],
+        has_team: bool = False,
     ) -> fleet.PeerInstance | None:
         """Returns the instance through which a request should go, or None if there is none.
 
         :param tried: instances that are not chosen.
+        :param has_team: whether the request belongs to a team, whose name only instances that
+            support teams pass to the server.
         """
         if len(tried) >= RELAYS_MAX:
             return None
         now = self._node.now()
         unusable = {name for name, until in self._unusable_until.items() if now < until}
-        usable = self._node.fleet.list_relays(now, route.homes, unusable | tried)
+        usable = self._node.fleet.list_relays(now, route.homes, unusable | tried, has_team)
         if not usable:
             return None
         choices = self._rng.sample(usable, min(CHOICES, len(usable)))
@@ -105,6 +110,10 @@
             except errors.BackendFailedError as error:
                 self._unusable_until[peer.record.instance] = now() + UNREACHABLE_SECONDS
                 return sender.Failure(sender.FailureKind.UNREACHABLE, str(error))
+        # The configuration may have changed while the connection was opened.
+        if self._node.routes is not request.table:
+            self._pool.release(address, conn, None)
+            return sender.Failure(sender.FailureKind.NOT_SENT, "the configuration changed")
         is_done = False
         try:
             async with asyncio.timeout(max(0.0, request.deadline - now())):
--- a/src/caperdyke/transport/gateway/reload.py
+++ b/src/caperdyke/transport/gateway/reload.py
@@ -25,7 +25,7 @@
         self._loaded_file_state = self._read_file_state()
 
     def reload(self) -> None:
-        """Applies changed bounds, failure domains, seeds and the cost of leaving a failure domain.
+        """Applies changed bounds, failure domains, seeds, rules of revocation and penalties.
 
         Addresses and names stay as they are until a restart. A file that cannot be read leaves all
         settings unchanged.
@@ -42,6 +42,7 @@
             bounds=new.bounds,
             domains=new.domains,
             seeds=new.seeds,
+            teams=new.teams,
             cross_domain_seconds_per_megabyte=new.cross_domain_seconds_per_megabyte,
         )
         is_restart_needed = dataclasses.replace(merged, logs=new.logs) != new
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -30,6 +30,9 @@
 _RELAY_OUTCOMES = {
     local_reply.LocalReplyReason.REFUSED: relay_headers.RelayOutcome.NOT_RUN,
     local_reply.LocalReplyReason.NO_PATH: relay_headers.RelayOutcome.NOT_RUN,
+    local_reply.LocalReplyReason.NO_TEAM: relay_headers.RelayOutcome.NOT_RUN,
+    local_reply.LocalReplyReason.TEAM_UNKNOWN: relay_headers.RelayOutcome.NOT_RUN,
+    local_reply.LocalReplyReason.UNCONFIRMED: relay_headers.RelayOutcome.NOT_RUN,
     local_reply.LocalReplyReason.DECLINED: relay_headers.RelayOutcome.DECLINED,
     local_reply.LocalReplyReason.NO_CAPACITY: relay_headers.RelayOutcome.NO_CAPACITY,
     local_reply.LocalReplyReason.NO_SERVER: relay_headers.RelayOutcome.NO_CAPACITY,
@@ -162,6 +165,7 @@
             scope["raw_path"].decode("latin-1"),
             caller_headers.credential,
             relayed.team if relayed is not None else None,
+            self._node.may_check_keys(),
         )
         if isinstance(admitted, local_reply.LocalReply):
             return admitted, None
@@ -238,6 +242,7 @@
         headers += self._make_relay_headers(_RELAY_OUTCOMES.get(answer.reason))
         await self._send_head(send, answer.status, headers)
         await send({"type": "http.response.body", "body": body})
+        trace.cause = answer.cause
         self._log_request_end(trace, answer.status, answer.reason.value)
 
     async def _forward_answer(
@@ -302,6 +307,11 @@
         extra_fields = {"relayed_by": trace.relayed_by} if trace.relayed_by else {}
         if trace.team:
             extra_fields["team"] = trace.team
+        if trace.cause:
+            extra_fields["cause"] = trace.cause
+        if node.routes is not None and node.routes.teams is not None and not trace.relayed_by:
+            # Requests are counted where the caller sent them.
+            node.metrics.count_team_request(trace.team, trace.cause or outcome)
         if status >= ERROR_STATUS_MIN:
             extra_fields["knowledge"] = node.provenance.describe(node.now())
             extra_fields["path"] = node.describe_path(trace.service)
--- a/src/caperdyke/transport/gateway/store_sync.py
+++ b/src/caperdyke/transport/gateway/store_sync.py
@@ -26,6 +26,11 @@
 # announce a change, this one included, and at most.
 CONFIGURATION_WAIT_MS = 3000
 CONFIGURATION_WAIT_MAX_MS = 12_000
+# With strict revocation, the longest wait of a long poll as a ratio of the time after which the
+# configuration counts as not confirmed, and the age at which a stalled long poll is replaced. An
+# answer confirms the state at the start of its call, so two waits and the replacement must fit in.
+CONFIRM_WAIT_RATIO = 0.25
+CONFIRM_CHECK_RATIO = 0.6
 # Longest interval between reads of the registrations by any instance of the failure domain: as a
 # ratio of the time after which a leaving server must get no new requests, and at most.
 SERVERS_READ_RATIO = 0.45
@@ -58,6 +63,7 @@
             rng,
             self._record_call,
             node.record_initial_failure,
+            on_confirmed=node.provenance.record_confirmation,
         )
         self.servers = table_sync.TableSync(
             node.store,
@@ -220,7 +226,24 @@
         may go unnoticed.
         """
         count = 1 + len(self._node.fleet.list_domain_peers(self._node.now()))
-        return min(CONFIGURATION_WAIT_MAX_MS, CONFIGURATION_WAIT_MS * count)
+        wait_ms = min(CONFIGURATION_WAIT_MAX_MS, CONFIGURATION_WAIT_MS * count)
+        teams = self._node.settings.teams
+        if teams.is_revocation_strict:
+            wait_ms = min(wait_ms, round(teams.revoke_seconds * CONFIRM_WAIT_RATIO * 1000))
+        return wait_ms
+
+    def confirm_configuration(self) -> None:
+        """Calls the store if strict revocation needs a confirmation of the configuration soon.
+
+        Pattern: the connection of the long poll has stalled. It is replaced before the requests
+        that need a key are refused.
+        """
+        node, teams = self._node, self._node.settings.teams
+        if not teams.is_revocation_strict or self.configuration.position is None:
+            return
+        seconds = teams.revoke_seconds * CONFIRM_CHECK_RATIO
+        if not node.provenance.is_confirmed(node.now(), seconds):
+            self.watch.check()
 
     def _find_servers_interval(self) -> float:
         """Returns the longest time between two reads of the registrations, in seconds."""
--- a/src/caperdyke/transport/gateway/table_sync.py
+++ b/src/caperdyke/transport/gateway/table_sync.py
@@ -39,6 +39,10 @@
     detail: str
 
 
+def _do_nothing(_started_at: float) -> None:
+    """Default callback."""
+
+
 class TableSync:
     """Keeps the replica of one table in step with the store.
 
@@ -47,6 +51,7 @@
     :param on_call_ended: called with a report of each call.
     :param on_failure: called when the store stops answering.
     :param on_recovery: called when the store answers again or starts a new era.
+    :param on_confirmed: called with the start of each call whose answer was applied.
     :ivar away_since: time since which the store has not answered; None while it answers.
     :ivar source: origin of the last applied changes, ``store`` or the address of an instance.
     :ivar calls: start of each call in progress.
@@ -62,6 +67,7 @@
         on_call_ended,
         on_failure,
         on_recovery=None,
+        on_confirmed=_do_nothing,
     ) -> None:
         self._store = store
         self.table = table
@@ -70,6 +76,7 @@
         self._now = now
         self._rng = rng
         self._on_recovery = on_recovery
+        self._on_confirmed = on_confirmed
         self._on_call_ended = on_call_ended
         self._on_failure = on_failure
         self.away_since: float | None = None
@@ -113,6 +120,8 @@
             )
             self._record_failure(f"reading at {changes.position}, expected one after {previous}")
             return False
+        if is_applied:
+            self._on_confirmed(started_at)
         self._failures = 0
         if self.away_since is not None:
             away_seconds = round(self._now() - self.away_since, 2)
--- a/src/caperdyke/transport/metrics.py
+++ b/src/caperdyke/transport/metrics.py
@@ -11,6 +11,11 @@
 LATENCY_BUCKETS_MS = (1, 2, 3, 5, 8, 12, 20, 30, 50, 80, 120, 200, 350, 600, 1000, 2000, 5000)
 
 
+# Teams with series of their own; the requests of further ones count together.
+TEAMS_MAX = 2500
+OTHER_TEAMS = "other teams"
+
+
 class Metrics:
     """Metric instruments of one instance."""
 
@@ -28,6 +33,11 @@
         meter.create_observable_counter("lookups", callbacks=[self._observe_lookups])
         self._retries = meter.create_counter("retries")
         self._relayed = meter.create_counter("relayed_requests")
+        # Requests by team and outcome; the teams are those of the configuration, never what a
+        # request claims.
+        self._team_counts: collections.Counter[tuple[str, str]] = collections.Counter()
+        self._teams: set[str] = set()
+        meter.create_observable_counter("team_requests", callbacks=[self._observe_teams])
         self._unknown_messages = meter.create_counter("unknown_messages")
         self._has_path = True
         meter.create_observable_gauge("server_path", callbacks=[self._observe_path])
@@ -59,6 +69,27 @@
             for customer, count in self._lookup_counts.items()
         ]
 
+    def count_team_request(self, team: str, outcome: str) -> None:
+        """Counts a finished request of a deployment with teams.
+
+        :param team: empty if the request belongs to none.
+        :param outcome: ``answered``, or why the request was rejected.
+        """
+        if team not in self._teams:
+            if len(self._teams) >= TEAMS_MAX:
+                team = OTHER_TEAMS
+            self._teams.add(team)
+        self._team_counts[team, outcome] += 1
+
+    def _observe_teams(self, _options):
+        # A lone surrogate in a name would make the whole page unreadable.
+        return [
+            otel_metrics_api.Observation(
+                count, {"team": team.encode(errors="replace").decode(), "outcome": outcome}
+            )
+            for (team, outcome), count in self._team_counts.items()
+        ]
+
     def record_configuration(self, version: int) -> None:
         """Sets the gauge of the configuration version in force."""
         self._configuration_version = version
--- a/testing/platform/test_boundary.py
+++ b/testing/platform/test_boundary.py
@@ -9,6 +9,7 @@
 NAMES = re.compile(
     r"caperdyke-(request-(id|deadline)|expect|server|not-executed|instance-id|affinity|cold)"
     r"|rows-(tx|get|feed|parts)|caperdyke/(resolve|readiness)|CAPERDYKE_NODE_FILE"
+    r"|caperdyke-tenant|tenants|apiKeys|ratePerS|strictRevocation|revokeMs"
     r"|latencyObjectiveMs|coldRemainingMs|trafficSplit|homeRegions|maxAttempts|tombstone",
     re.IGNORECASE,
 )
--- a/testing/platform/test_gateway_settings.py
+++ b/testing/platform/test_gateway_settings.py
@@ -38,10 +38,19 @@
 
 
 def fill_template(**changes) -> str:
-    """Returns the template rendered as by the platform, with one failure domain."""
+    """Returns the template rendered as by the platform, with one failure domain.
+
+    :param changes: values by name; sections of names without a value are left out.
+    """
     values = TEMPLATE_VALUES | changes
     text = TEMPLATE.read_text()
     text = re.sub(r"{{#zones}}(.*?){{/zones}}", r"\1", text, flags=re.DOTALL)
+    text = re.sub(
+        r"{{#([a-zA-Z._]+)}}\n(.*?){{/\1}}\n",
+        lambda match: match[2] if match[1] in values else "",
+        text,
+        flags=re.DOTALL,
+    )
     text = text.replace("{{@}}", values["zone"]).replace("{{.}}", values["region"])
     return re.sub(r"{{([a-zA-Z._]+)}}", lambda match: values[match[1]], text)
 
@@ -76,6 +85,28 @@
 
     @parameterized.expand(
         [
+            ("absent", {}, False, 5.0),
+            ("lenient", {"bounds.strictRevocation": "false"}, False, 5.0),
+            ("strict", {"bounds.strictRevocation": "true"}, True, 5.0),
+            ("time_only", {"bounds.revokeMs": "900"}, False, 0.9),
+            ("both", {"bounds.strictRevocation": "true", "bounds.revokeMs": "2000"}, True, 2.0),
+        ]
+    )
+    def test_revocation(self, _name, values, is_strict, seconds) -> None:
+        teams = gateway_files.read_gateway(write_settings(fill_template(**values))).teams
+        self.assertEqual((is_strict, seconds), (teams.is_revocation_strict, teams.revoke_seconds))
+
+    def test_settings_without_the_section_of_teams_are_read(self) -> None:
+        """Guards against settings of the previous template that are rejected at an upgrade."""
+        teams = gateway_files.read_gateway(
+            write_settings(fill_template().replace("[teams]\n", ""))
+        ).teams
+        self.assertEqual((False, 5.0), (teams.is_revocation_strict, teams.revoke_seconds))
+
+    @parameterized.expand(
+        [
+            ("bounds.strictRevocation", "maybe", "strict_revocation"),
+            ("bounds.revokeMs", "-5", "revoke_ms"),
             ("listen.front", "nowhere", "requests"),
             ("bounds.graceS", "soon", "stop_s"),
             ("bounds.drainMs", "nan", "leaving_ms"),
--- a/testing/platform/test_stranded_instances.py
+++ b/testing/platform/test_stranded_instances.py
@@ -24,11 +24,14 @@
 AT_ONCE_SECONDS = 0.1
 
 
-async def strand(fleet: live_fleet.LiveFleet, *numbers: int) -> list[path_cuts.PathCut]:
-    """Cuts gateways off and waits until all gateways know it."""
+async def strand(fleet: live_fleet.LiveFleet, *numbers: int, **options) -> list[path_cuts.PathCut]:
+    """Cuts gateways off and waits until all gateways know it.
+
+    :param options: of the requests by which the loss is noticed, see ``LiveFleet.send_request``.
+    """
     cuts = [fleet.cut(number, RESET) for number in numbers]
     for number in numbers:
-        await fleet.send_load(number, 0.5, PER_SECOND)
+        await fleet.send_load(number, 0.5, PER_SECOND, **options)
     names = {fleet.nodes[number].settings.instance for number in numbers}
     await fleet.wait_until(
         lambda: all(
--- a/testing/registry/test_path_groups.py
+++ b/testing/registry/test_path_groups.py
@@ -1,5 +1,7 @@
 """Which instances callers and relayed requests get while some have no path to the servers."""
 
+import dataclasses
+
 import testtools
 from parameterized import parameterized
 
@@ -57,6 +59,30 @@
         relays = make_fleet(domains).list_relays(NOW, regions)
         self.assertEqual(list(expected), sorted(peer.record.instance for peer in relays))
 
+    @parameterized.expand(
+        [
+            ("needed", True, ["d"]),
+            ("not_needed", False, ["b"]),
+        ]
+    )
+    def test_instances_that_may_not_support_teams(self, _name, needs_teams, expected) -> None:
+        """Guards against old builds that pass a team's request on without its name."""
+        members = make_fleet(ONE)
+        members.find_by_hash(name_hashes.hash_name("d")).supports_teams = True
+        relays = members.list_relays(NOW, needs_teams=needs_teams)
+        self.assertEqual(expected, [peer.record.instance for peer in relays])
+
+    def test_restarted_instance_is_not_known_to_support_teams(self) -> None:
+        """Guards against an instance that was replaced by an older build."""
+        members = make_fleet(ONE)
+        before = members.find_by_hash(name_hashes.hash_name("b"))
+        before.supports_teams = True
+        record = dataclasses.replace(
+            before.record, incarnation=ids.Incarnation(before.record.incarnation + 1)
+        )
+        members.merge(NOW, record)
+        self.assertFalse(members.find_by_hash(name_hashes.hash_name("b")).supports_teams)
+
     def test_silent_instance_is_no_relay(self) -> None:
         self.assertEqual([], make_fleet(ONE).list_relays(5.0, frozenset()))
 
--- a/testing/registry/test_provenance.py
+++ b/testing/registry/test_provenance.py
@@ -31,3 +31,22 @@
             },
             recorded.describe(10.0),
         )
+
+
+class ConfirmationTest(testtools.TestCase):
+    """How long the configuration counts as confirmed."""
+
+    def test_never_confirmed(self) -> None:
+        self.assertFalse(provenance.Provenance().is_confirmed(0.0, 5.0))
+
+    def test_age_counts_from_the_start_of_the_call(self) -> None:
+        """Guards against an answer that was on its way for long and counts as new."""
+        recorded = provenance.Provenance()
+        recorded.record_confirmation(10.0)
+        self.assertEqual([True, False], [recorded.is_confirmed(now, 5.0) for now in (15.0, 15.01)])
+
+    def test_call_that_started_earlier_does_not_take_a_confirmation_back(self) -> None:
+        recorded = provenance.Provenance()
+        for started_at in (10.0, 8.0):
+            recorded.record_confirmation(started_at)
+        self.assertTrue(recorded.is_confirmed(15.0, 5.0))
