Let some callers of the fault soak belong to teams, and describe teams

Operators saw: the soak played no keys, so nothing judged under faults whether requests run for the team whose key they have.

Change: purchases in the soak need a key of one of two teams, some readers send one, and a key that no team holds is tried throughout. A check compares the teams that servers are told with the keys sent, and looks for keys at servers and in log lines. Each violation has a case that shows the check failing.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -42,6 +42,10 @@
 DESCRIPTORS_MAX = 400
 MEMORY_MAX_MB = 150.0
 REFUSAL_STATUSES = (408, 421, 429, 503)
+# Statuses that no caller with a key of a team may get, and those that one without may get, beside
+# connections that ended without an answer.
+KEY_REJECTED_STATUSES = (401, 403)
+INTRUDER_STATUSES = (-1, 0, 401, 503)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,6 +73,7 @@
         _check_backoffs(observed),
         _check_announced_leaving(observed),
         _check_graceful_stops(observed),
+        _check_teams(observed),
         _check_stranded(observed),
         _check_recovery(observed),
         _check_failures_logged(observed),
@@ -261,6 +266,34 @@
     return Verdict("a planned stop cuts nothing off", judged, tuple(problems))
 
 
+def _check_teams(observed: records.Records) -> Verdict:
+    """Compares the teams that requests name at servers with the keys that callers sent."""
+    problems = []
+    for item in observed.named_teams:
+        expected = observed.teams.get(item.request, "")
+        if item.request in observed.intruders:
+            problems.append(f"{item.request} has an unknown key and reached server {item.server}")
+        elif item.team != expected:
+            problems.append(
+                f"{item.request} names team {item.team!r} at server {item.server},"
+                f" expected {expected!r}"
+            )
+        if item.has_key:
+            problems.append(f"{item.request} has a key at server {item.server}")
+    problems += [
+        f"{item.request} of {observed.teams[item.request]} got {item.status}"
+        for item in observed.attempts
+        if observed.teams.get(item.request) and item.status in KEY_REJECTED_STATUSES
+    ]
+    problems += [
+        f"{request} has an unknown key and got {status}"
+        for request, status in observed.intruders.items()
+        if status not in INTRUDER_STATUSES
+    ]
+    judged = len(observed.named_teams) + len(observed.intruders)
+    return Verdict("requests are those of their teams", judged, tuple(problems))
+
+
 def _check_stranded(observed: records.Records) -> Verdict:
     """Compares callers of gateways without a path to the servers with those of the others.
 
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -64,6 +64,20 @@
     announces_leaving: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NamedTeam:
+    """What a request that reached a backend server says about its caller.
+
+    :param team: empty if it names none.
+    :param has_key: whether it contains a key.
+    """
+
+    request: str
+    server: int
+    team: str
+    has_key: bool
+
+
 @dataclasses.dataclass(slots=True)
 class AdvertisedLimit:
     """A limit that a backend server advertised in its answers.
@@ -122,6 +136,9 @@
     :ivar path_cuts: cuts of the path between a gateway and all servers.
     :ivar shortages: limits, backoffs, faults, evacuations and departures of servers.
     :ivar relayed_to: gateway that sent a request to servers in place of the one that got it.
+    :ivar teams: by request, the team whose key it has; empty if it has none.
+    :ivar intruders: requests with a key that no team holds, and the status of each answer.
+    :ivar named_teams: teams that requests at backend servers name.
     :ivar error_lines: log lines and events that are errors by themselves.
     :ivar lateness: largest delay of a timer of the soak or of a process that waited for a
         processor, in seconds.
@@ -143,6 +160,9 @@
     path_cuts: list[PathCut] = dataclasses.field(default_factory=list)
     shortages: list[Shortage] = dataclasses.field(default_factory=list)
     relayed_to: dict[str, int] = dataclasses.field(default_factory=dict)
+    teams: dict[str, str] = dataclasses.field(default_factory=dict)
+    intruders: dict[str, int] = dataclasses.field(default_factory=dict)
+    named_teams: list[NamedTeam] = dataclasses.field(default_factory=list)
     error_lines: list[str] = dataclasses.field(default_factory=list)
     descriptors: dict[int, int] = dataclasses.field(default_factory=dict)
     memory_mb: dict[int, float] = dataclasses.field(default_factory=dict)
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -19,6 +19,8 @@
 REQUEST_DEADLINE_S = 3.0
 PROCESSING_S = 0.08
 PROBE_INTERVAL_S = 0.25
+# Interval between requests with a key that no team holds.
+INTRUDER_INTERVAL_S = 0.1
 SETTLE_PERIOD_S = 3.0
 START_TIMEOUT_S = 20.0
 # Time from the end of a process until it is restarted.
@@ -43,6 +45,8 @@
 REGISTRATION_DELAY_S = 6.0
 # Duration of the cuts from all servers that are repeated without other faults.
 CALM_CUT_S = 6.0
+# Teams of the callers in turn. Those with odd numbers purchase, which needs a key.
+TEAMS_OF_CALLERS = ("team-a", "team-a", "", "team-b")
 NEVER = float("inf")
 CUT_MANNERS = {
     schedule.Kind.PATH_HANGING: path_cuts.CutManner.HANGING,
@@ -82,6 +86,7 @@
             await self._start_environment(stack, address)
             tasks = [asyncio.create_task(self._call(n)) for n in range(CALLERS)]
             tasks += [asyncio.create_task(self._probe(g)) for g in self._gateways]
+            tasks.append(asyncio.create_task(self._intrude()))
             tasks.append(asyncio.create_task(self._measure_lateness()))
             await asyncio.sleep(SETTLE_PERIOD_S)
             await self._execute_actions()
@@ -105,6 +110,7 @@
                 f"server-{number}", self._make_run_recorder(number), PROCESSING_S
             )
             server.on_arrival = self._make_arrival_recorder(number)
+            server.on_team = self._make_team_recorder(number)
             self._servers.append(await stack.enter_async_context(server.listen()))
             await self._register(number, "ready")
         await self._confirm_version()
@@ -134,6 +140,12 @@
 
         return record
 
+    def _make_team_recorder(self, number: int):
+        def record(request: str, team: str, has_key: bool) -> None:
+            self.observed.named_teams.append(records.NamedTeam(request, number, team, has_key))
+
+        return record
+
     def _launch(self, gateway: gateways.Gateway) -> None:
         seeds = [other.addresses["peer"] for other in self._gateways[:2]]
         gateway.launch(self._relays[gateway.number].address, seeds)
@@ -154,7 +166,24 @@
             is_buy = number % 2 == 1
             kind = records.RequestKind.BUY if is_buy else records.RequestKind.READ
             path = soak_parts.BUY_PATH if is_buy else soak_parts.READ_PATH
-            await self._send_request(connection, gateway, start, kind, path, 0)
+            team = TEAMS_OF_CALLERS[number % len(TEAMS_OF_CALLERS)]
+            await self._send_request(connection, gateway, start, kind, path, 0, team)
+
+    async def _intrude(self) -> None:
+        """Sends requests with a key that no team holds, each to a random gateway."""
+        while not self._is_finished:
+            await asyncio.sleep(INTRUDER_INTERVAL_S)
+            gateway = self._random.choice(self._gateways)
+            if not gateway.is_running:
+                continue
+            connection = soak_parts.CallerConnection(gateway.addresses["requests"])
+            request = f"intruder-{next(self._numbers)}"
+            self.observed.intruders[request] = -1
+            answer = await connection.send_request(
+                "POST", soak_parts.BUY_PATH, request, REQUEST_DEADLINE_S, soak_parts.UNKNOWN_KEY
+            )
+            self.observed.intruders[request] = answer.status
+            connection.close()
 
     async def _probe(self, gateway: gateways.Gateway) -> None:
         """Requests the routes that the latest versions added from one gateway."""
@@ -170,11 +199,13 @@
                 await self._send_request(connection, gateway, start, kind, path, version)
                 connection.close()
 
-    async def _send_request(self, connection, gateway, start, kind, path, version) -> None:
+    async def _send_request(self, connection, gateway, start, kind, path, version, team="") -> None:
         request = f"{kind.value}-{next(self._numbers)}"
+        self.observed.teams[request] = team
+        key = soak_parts.TEAM_KEYS.get(team, "")
         method = "POST" if kind is records.RequestKind.BUY else "GET"
         sent_at = self.now
-        answer = await connection.send_request(method, path, request, REQUEST_DEADLINE_S)
+        answer = await connection.send_request(method, path, request, REQUEST_DEADLINE_S, key)
         is_right = answer.body == soak_parts.make_body(request)
         self.observed.attempts.append(
             records.Attempt(
@@ -495,6 +526,8 @@
     def _read_logs(self) -> None:
         for gateway in self._gateways:
             for line in gateway.read_lines():
+                if soak_parts.contains_key(str(line)):
+                    self.observed.error_lines.append(f"gateway {gateway.number}: key in a line")
                 match line.get("name"):
                     case "REQUEST_ENDED":
                         request = line["fields"]["request"]
--- a/testing/platform/soak_parts.py
+++ b/testing/platform/soak_parts.py
@@ -16,6 +16,9 @@
 CHUNK_BYTES = 65536
 # Slots of a server: callers occupy most of them, so that a fault leaves too few.
 SLOTS = 2
+# Keys of the teams, and one that no team holds. Purchases need a key, other routes are public.
+TEAM_KEYS = {"team-a": "soakkeyofteama", "team-b": "soakkeyofteamb"}
+UNKNOWN_KEY = "soakkeyofnobody"
 
 make_store = fake_store.FakeStore
 
@@ -37,7 +40,9 @@
     :param recent_versions: versions whose routes it contains.
     """
     document = harness.make_configuration(version)
-    routes, read = document["routes"], document["routes"]["r-read"]
+    document["tenants"] = {name: {"apiKeys": [key]} for name, key in TEAM_KEYS.items()}
+    routes = document["routes"]
+    read = {**routes["r-read"], "public": True}
     limits = document["services"]["reader"]
     document["services"]["writer"] = limits
     routes["r-buy"]["service"] = "writer"
@@ -47,6 +52,11 @@
     await store.put("op", "config", document)
 
 
+def contains_key(text: str) -> bool:
+    """Returns whether a text contains a key that callers send."""
+    return any(key in text for key in (*TEAM_KEYS.values(), UNKNOWN_KEY))
+
+
 async def write_evacuation(store: fake_store.FakeStore, domain: str, is_ordered: bool) -> None:
     """Starts the evacuation of a failure domain, or ends it."""
     key = f"evacuate/{domain}"
@@ -59,6 +69,8 @@
     :ivar on_run: called with the id of each request that it starts to process.
     :ivar on_arrival: called with the id of each request, the backoff that its answer requests, in
         seconds, and whether the answer announces that the server leaves.
+    :ivar on_team: called with the id of each request, the team that it names (empty if none), and
+        whether it contains a key.
     :ivar processing_s: processing time of a request, in seconds.
     :ivar limit: requests per second that it advertises in its answers; None if it advertises none.
     """
@@ -74,6 +86,7 @@
         self.limit: float | None = None
         self.backoff_s: float | None = None
         self.announces_leaving = False
+        self.on_team: collections.abc.Callable[[str, str, bool], None] | None = None
         self.on_arrival: collections.abc.Callable[[str, float | None, bool], None] | None = None
         self._count = 0
 
@@ -83,6 +96,9 @@
             return False
         request = seen.headers.get("caperdyke-request-id", "")
         self._count += 1
+        if self.on_team is not None:
+            has_key = "authorization" in seen.headers or contains_key(str(seen.headers))
+            self.on_team(request, seen.headers.get("caperdyke-tenant", ""), has_key)
         if self.on_arrival is not None:
             self.on_arrival(request, self.backoff_s, self.announces_leaving)
         if self.backoff_s is not None:
@@ -140,10 +156,13 @@
         self._writer: asyncio.StreamWriter | None = None
         self.is_usable = True
 
-    async def send_request(self, method: str, path: str, request: str, deadline_s: float) -> Answer:
+    async def send_request(
+        self, method: str, path: str, request: str, deadline_s: float, key: str = ""
+    ) -> Answer:
         """Sends a request and returns its answer.
 
         :param deadline_s: deadline that the request states; the caller gives up 1 s later.
+        :param key: the caller's key; empty if it sends none.
         """
         is_sent = False
         try:
@@ -151,16 +170,15 @@
                 if self._writer is None:
                     host, _, port = self._address.partition(":")
                     self._reader, self._writer = await asyncio.open_connection(host, int(port))
-                head = h11.Request(
-                    method=method,
-                    target=path,
-                    headers=[
-                        ("Host", harness.HOST),
-                        ("Caperdyke-Request-Id", request),
-                        ("Caperdyke-Request-Deadline", str(int(deadline_s * 1000))),
-                        ("Cookie", f"Caperdyke-Affinity-Key={len(request)}"),
-                    ],
-                )
+                headers = [
+                    ("Host", harness.HOST),
+                    ("Caperdyke-Request-Id", request),
+                    ("Caperdyke-Request-Deadline", str(int(deadline_s * 1000))),
+                    ("Cookie", f"Caperdyke-Affinity-Key={len(request)}"),
+                ]
+                if key:
+                    headers.append(("Authorization", f"Bearer {key}"))
+                head = h11.Request(method=method, target=path, headers=headers)
                 self._writer.write(self._http.send(head) + self._http.send(h11.EndOfMessage()))
                 is_sent = True
                 return await self._read()
--- a/testing/soak/test_checks.py
+++ b/testing/soak/test_checks.py
@@ -63,6 +63,11 @@
     return make_records(*attempts, path_cuts=[records.PathCut(0, 18.0, 30.0)], **changes)
 
 
+def name_team(team: str, has_key: bool = False) -> records.NamedTeam:
+    """Returns what request r1 says about its caller at a server."""
+    return records.NamedTeam("r1", 3, team, has_key)
+
+
 DOWN = records.Disruption(2, 17.0, 25.0, True)
 RUN = records.Run("r1", 3, 20.0)
 BUY = make_attempt(kind=records.RequestKind.BUY)
@@ -119,6 +124,37 @@
     ("cut_after_it_ran", make_records(CUT, runs=[RUN], stops=[STOP]), "a planned stop"),
     ("not_served", make_records(make_attempt(sent_at=61.0, status=503)), "service is back"),
     ("stranded_not_served", make_stranded(served=18, others_served=20), "callers of stranded"),
+    (
+        "other_team",
+        make_records(make_attempt(), teams={"r1": "team-a"}, named_teams=[name_team("team-b")]),
+        "requests are those",
+    ),
+    (
+        "no_team",
+        make_records(make_attempt(), teams={"r1": "team-a"}, named_teams=[name_team("")]),
+        "requests are those",
+    ),
+    (
+        "team_without_a_key",
+        make_records(make_attempt(), teams={"r1": ""}, named_teams=[name_team("team-a")]),
+        "requests are those",
+    ),
+    (
+        "key_at_a_server",
+        make_records(make_attempt(), teams={"r1": ""}, named_teams=[name_team("", True)]),
+        "requests are those",
+    ),
+    (
+        "intruder_at_a_server",
+        make_records(intruders={"r1": 503}, named_teams=[name_team("")]),
+        "requests are those",
+    ),
+    ("intruder_answered", make_records(intruders={"r1": 200}), "requests are those"),
+    (
+        "key_rejected",
+        make_records(make_attempt(status=401), teams={"r1": "team-a"}),
+        "requests are those",
+    ),
     ("unexplained", make_records(make_attempt(status=502), logged_requests=set()), "failures are"),
     ("descriptors", make_records(descriptors={0: 900}), "processes stay bounded"),
     ("failed_task", make_records(error_lines=["task failed"]), "processes stay bounded"),
@@ -131,6 +167,15 @@
     ("disturbed", make_records(LATE_PROBE, disruptions=DISTURBED)),
     ("store_away", make_records(LATE_PROBE, disruptions=[records.Disruption(None, 1, 99)])),
     ("route_dropped", make_records(LATE_PROBE, confirmed={2: 10, 3: 19}, routes_until={2: 2})),
+    (
+        "team_and_intruder",
+        make_records(
+            make_attempt(),
+            teams={"r1": "team-a"},
+            named_teams=[name_team("team-a")],
+            intruders={"r2": 401, "r3": 503, "r4": 0},
+        ),
+    ),
     ("crossing", make_records(make_attempt(status=0, ended_at=20.1), stops=[STOP])),
     ("stranded_served", make_stranded(served=19, others_served=20)),
     ("stranded_and_all_refused", make_stranded(served=0, others_served=0)),
