--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -77,8 +77,8 @@
         tried_servers: set[ids.BackendId] = set()
         failed: sender.ServerAnswer | None = None
         while True:
-            if node.routes is not request.table:
-                admitted = admissions.admit_again(request, node.routes)
+            if node.routes is not request.table or not node.may_check_keys():
+                admitted = admissions.admit_again(request, node, trace)
                 if isinstance(admitted, local_reply.LocalReply):
                     return failed or refusals.make_no_longer_allowed_reply(admitted, attempt_state)
                 request = dataclasses.replace(
--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -13,6 +13,7 @@
     announcer,
     context,
     dispatcher,
+    greeter,
     path_monitor,
     peer_app,
     request_app,
@@ -52,6 +53,7 @@
         self.store_sync.on_servers_read = self.announcer.announce_to_domain
         self.store_sync.on_configuration_changed = self.announcer.announce_change
         node.bounds.on_urgent_change = self.announcer.announce_server_state
+        self._greeter = greeter.Greeter(node, self.announcer)
         self._dispatcher = dispatcher.Dispatcher(node)
         self._dispatcher.quotas.connect(self.announcer)
         self.requests = request_app.RequestApp(node, self._dispatcher)
@@ -104,6 +106,7 @@
             "enrolment": self.announcer.enrol,
             "path": self._path_monitor.run,
             "quotas": self._dispatcher.quotas.run,
+            "greetings": self._greeter.run,
         }
         for name, run_task in loops.items():
             self._tasks.append(asyncio.create_task(_run_forever(name, run_task)))
@@ -113,6 +116,7 @@
         log_at = node.now() + CONFIGURATION_LOG_SECONDS
         while True:
             self.store_sync.update_evacuations()
+            self.store_sync.confirm_configuration()
             if node.now() >= log_at and node.routes is not None:
                 log_at = node.now() + CONFIGURATION_LOG_SECONDS
                 origin = node.provenance.describe(node.now())
--- a/src/caperdyke/transport/gateway/relaying.py
+++ b/src/caperdyke/transport/gateway/relaying.py
@@ -59,8 +59,8 @@
         tried: set[ids.InstanceId] = set()
         refused: sender.ServerAnswer | None = None
         while request.relayed is None and node.now() < request.deadline:
-            if node.routes is not request.table:
-                admitted = admissions.admit_again(request, node.routes)
+            if node.routes is not request.table or not node.may_check_keys():
+                admitted = admissions.admit_again(request, node, trace)
                 if isinstance(admitted, local_reply.LocalReply):
                     return refusals.make_no_longer_allowed_reply(admitted, attempt_state)
                 route = admitted.route
@@ -72,7 +72,9 @@
                 continue
             if exceeded is not None:
                 return self._refusals.make_over_quota_reply(request, attempt_state, exceeded)
-            peer = self._relay.choose(route, tried)
+            peer = self._relay.choose(
+                route, tried, request_tokens.find_team_name(request) is not None
+            )
             if peer is None:
                 break
             if attempt_state.sent and not self._try_acquire_retry(
@@ -93,6 +95,8 @@
                     refused = result.answer
                     if not result.has_no_capacity:
                         break
+                case sender.Failure(kind=sender.FailureKind.NOT_SENT):
+                    tried.discard(peer.record.instance)
                 case sender.Failure(may_have_run=True):
                     attempt_state.record_reached()
                     attempt_state.record_may_have_run()
--- a/src/caperdyke/transport/gateway/reload.py
+++ b/src/caperdyke/transport/gateway/reload.py
@@ -25,7 +25,8 @@
         self._loaded_file_state = self._read_file_state()
 
     def reload(self) -> None:
-        """Applies changed bounds, quota tolerances, failure domains, seeds and placing.
+        """Applies changed bounds, quota tolerances, failure domains, seeds, rules of revocation and
+        placing.
 
         Addresses and names stay as they are until a restart. A file that cannot be read leaves all
         settings unchanged.
@@ -42,6 +43,7 @@
             bounds=new.bounds,
             domains=new.domains,
             seeds=new.seeds,
+            teams=new.teams,
             cross_domain_seconds_per_megabyte=new.cross_domain_seconds_per_megabyte,
             quota_tolerance=new.quota_tolerance,
         )
