Start safe requests that are sent ahead on a connection at once

Callers that pipeline look-ups got them late: uvicorn starts the next request of a connection only after the previous response. Each request now gets a stand-in for the transport, and its response is held back until all earlier ones have been sent. Requests with a body, with another method or on a route that forbids repeating still start only after that.

--- a/src/caperdyke/protocol/gateway_files.py
+++ b/src/caperdyke/protocol/gateway_files.py
@@ -40,6 +40,12 @@
         backoff_seconds_max=document.read_decimal(
             "placing", "rest_max_s", 0.0, 1e6, gateway_settings.BACKOFF_SECONDS_MAX
         ),
+        pipelined_max=document.read_number(
+            "callers", "pipelined_max", 1, 1000, gateway_settings.PIPELINED_MAX
+        ),
+        pipelined_bytes=document.read_number(
+            "callers", "pipelined_bytes", 65536, 2**30, gateway_settings.PIPELINED_BYTES
+        ),
     )
     document.check_all_read()
     return result
--- a/src/caperdyke/state/gateway_settings.py
+++ b/src/caperdyke/state/gateway_settings.py
@@ -8,6 +8,10 @@
 CROSS_DOMAIN_SECONDS_PER_MEGABYTE = 20.0
 # Longest backoff of a backend server that is honoured, in seconds.
 BACKOFF_SECONDS_MAX = 3600.0
+# Most requests of a caller's connection that are in progress at once; 1 serves them in turn.
+PIPELINED_MAX = 16
+# Most bytes of responses of a caller's connection that wait for earlier ones.
+PIPELINED_BYTES = 4 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +47,10 @@
         for each megabyte that is not sent between failure domains.
     :param backoff_seconds_max: longest time for which a backend server that refused a request gets
         no further ones at its request, in seconds.
+    :param pipelined_max: most requests of a caller's connection that are in progress at once; 1
+        serves them in turn.
+    :param pipelined_bytes: most bytes of responses of a caller's connection that are buffered until
+        earlier ones have been sent.
     :param seeds: peer addresses of possible other instances.
     """
 
@@ -61,3 +69,5 @@
     logs: settings.LogSettings
     cross_domain_seconds_per_megabyte: float = CROSS_DOMAIN_SECONDS_PER_MEGABYTE
     backoff_seconds_max: float = BACKOFF_SECONDS_MAX
+    pipelined_max: int = PIPELINED_MAX
+    pipelined_bytes: int = PIPELINED_BYTES
--- /dev/null
+++ b/src/caperdyke/transport/gateway/caller_policy.py
@@ -0,0 +1,36 @@
+"""What this instance decides about requests that callers send ahead on a connection."""
+
+from caperdyke.transport.gateway import context, request_app
+
+
+class CallerPolicy:
+    """Rules for callers' connections, from the settings and the configuration in force."""
+
+    def __init__(self, node: context.GatewayContext) -> None:
+        self._node = node
+
+    @property
+    def requests_max(self) -> int:
+        """Most requests of a connection in progress at once."""
+        return self._node.settings.pipelined_max
+
+    @property
+    def bytes_max(self) -> int:
+        """Most bytes of buffered responses of a connection."""
+        return self._node.settings.pipelined_bytes
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether this instance has begun to stop."""
+        return self._node.is_stopping
+
+    def is_repeatable(self, scope: dict) -> bool:
+        """Returns whether a request may run more than once; one without a route never runs."""
+        table = self._node.routes
+        if table is None:
+            return False
+        host = next((value for name, value in scope["headers"] if name == b"host"), b"")
+        route = table.find_route(
+            request_app.strip_port(host.decode("latin-1")), scope["raw_path"].decode("latin-1")
+        )
+        return route is None or route.kind.is_repeatable
--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import functools
 
 import starlette.applications
 import starlette.responses
@@ -11,6 +12,7 @@
 from caperdyke.transport import events, metrics
 from caperdyke.transport.gateway import (
     announcer,
+    caller_policy,
     context,
     dispatcher,
     path_monitor,
@@ -79,9 +81,9 @@
             **self._make_apps(self.node),
         }
         for address, app in apps.items():
-            has_requests = address in (settings.caller_address, settings.peer_address)
-            protocol = caller_protocol.CallerProtocol if has_requests else "httptools"
-            server = http_server.make_server(app, address, protocol, settings.bounds.stop_seconds)
+            server = http_server.make_server(
+                app, address, self._find_protocol(address), settings.bounds.stop_seconds
+            )
             self._servers.append((server, asyncio.create_task(server.serve())))
         self._start_tasks()
         while not all(server.started for server, _ in self._servers):
@@ -93,6 +95,14 @@
         await stop.wait()
         await self._stop()
 
+    def _find_protocol(self, address: ids.Address) -> http_server.Protocol:
+        settings = self.node.settings
+        if address == settings.caller_address:
+            policy = caller_policy.CallerPolicy(self.node)
+            return functools.partial(caller_protocol.CallerProtocol, policy=policy)
+        # Instances relay one request at a time on a connection.
+        return caller_protocol.CallerProtocol if address == settings.peer_address else "httptools"
+
     def _start_tasks(self) -> None:
         loops = {
             "configuration": self.store_sync.watch.follow,
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -61,7 +61,8 @@
         if scope["type"] != "http":
             return
         node = self._node
-        received_at = node.now()
+        # A request that was sent ahead may have waited for its turn on the connection.
+        received_at = node.now() - caller_protocol.measure_age(scope)
         caller_headers = node.headers.parse_caller_headers(scope["headers"])
         trace = local_reply.RequestTrace(
             caller_headers.request_id, received_at, caller_headers.object_key
@@ -158,7 +159,7 @@
             return local_reply.LocalReply(400, local_reply.LocalReplyReason.MALFORMED), None
         admitted = admissions.admit(
             table,
-            _strip_port(hosts[0]),
+            strip_port(hosts[0]),
             scope["raw_path"].decode("latin-1"),
             caller_headers.credential,
             relayed.team if relayed is not None else None,
@@ -208,7 +209,7 @@
         return sender.CallerRequest(
             caller_headers,
             scope["method"],
-            _strip_port(host.decode("latin-1")),
+            strip_port(host.decode("latin-1")),
             scope["raw_path"].decode("latin-1"),
             scope[caller_protocol.TARGET_KEY],
             relay_headers.strip(_drop_hop_by_hop_headers(scope["headers"])),
@@ -347,6 +348,7 @@
     return [item for item in headers if item[0] not in dropped]
 
 
-def _strip_port(host: str) -> str:
+def strip_port(host: str) -> str:
+    """Returns the name in a Host header."""
     name, _, port = host.rpartition(":")
     return name if name and port.isdecimal() else host
--- a/src/caperdyke/transport/http/http_server.py
+++ b/src/caperdyke/transport/http/http_server.py
@@ -1,5 +1,7 @@
 """Runs an HTTP application on uvicorn in a program with signal handlers of its own."""
 
+import asyncio
+import collections.abc
 import contextlib
 
 import uvicorn
@@ -7,6 +9,8 @@
 # Default bound on the wait for responses in progress when the server stops.
 GRACEFUL_STOP_TIMEOUT_S = 5.0
 
+Protocol = str | collections.abc.Callable[..., asyncio.Protocol]
+
 
 class Server(uvicorn.Server):
     """A uvicorn server that installs no signal handlers."""
@@ -20,12 +24,12 @@
 def make_server(
     app,
     address: str,
-    protocol: str | type = "httptools",
+    protocol: Protocol = "httptools",
     stop_seconds: float = GRACEFUL_STOP_TIMEOUT_S,
 ) -> Server:
     """Returns a server for an application at ``host:port``.
 
-    :param protocol: HTTP protocol class, or uvicorn's name of one.
+    :param protocol: makes the protocol of a connection, or is uvicorn's name of one.
     :param stop_seconds: longest wait for responses in progress during a graceful stop.
     """
     host, _, port = address.rpartition(":")
--- a/testing/servers.py
+++ b/testing/servers.py
@@ -22,12 +22,12 @@
 
 
 @contextlib.asynccontextmanager
-async def serve_app(app):
+async def serve_app(app, protocol: http_server.Protocol = "httptools"):
     """Serves an ASGI application and yields its address."""
     listening = socket.socket()
     listening.bind(("127.0.0.1", 0))
     address = f"127.0.0.1:{listening.getsockname()[1]}"
-    server = http_server.make_server(app, address)
+    server = http_server.make_server(app, address, protocol)
     serving = asyncio.create_task(server.serve([listening]))
     while not server.started:
         await asyncio.sleep(0)
