Send reads ahead in the soak, and describe pipelining

A quarter of the soak's callers send three reads ahead on their connection, at the same rate as the others; a planned stop is also judged by requests that ran behind an announced close.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from bench.soak import records
+from testing.platform import soak_parts
 
 # Time from the store's acknowledgement within which a version is in force.
 APPLY_DEADLINE_S = 2.5
@@ -250,7 +251,13 @@
             continue
         for item in observed.attempts:
             is_concerned = (item.gateway, item.start) == (gateway, start)
-            if not is_concerned or not began_at <= item.sent_at <= ended_at or item.status < 0:
+            if not is_concerned or not began_at <= item.sent_at <= ended_at:
+                continue
+            if item.status == soak_parts.BEHIND_CLOSE_STATUS:
+                judged += 1
+                if item.request in ran:
+                    problems.append(f"{item.request}: ran behind an answer that closed")
+            if item.status < 0:
                 continue
             judged += 1
             waited = item.ended_at - item.sent_at
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -25,7 +25,7 @@
     :param start: number of the start of the gateway process that got it.
     :param version: configuration version whose route a probe requests; 0 for other kinds.
     :param status: status of the answer, 0 if the connection ended without a complete answer, -1 if
-        nothing could be sent.
+        nothing could be sent, -2 if an earlier answer announced that the connection closes.
     :param is_right: whether the body belongs to the request.
     """
 
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -16,6 +16,10 @@
 SERVERS = 8
 CALLERS = 16
 CALLER_PAUSE_S = 0.05
+# One caller in so many sends reads ahead on its connection, and the number that it sends ahead. Its
+# pause is longer, so that it sends as many requests in a second as the others.
+AHEAD_CALLER_STEP = 4
+AHEAD_REQUESTS = 3
 REQUEST_DEADLINE_S = 3.0
 PROCESSING_S = 0.08
 PROBE_INTERVAL_S = 0.25
@@ -143,8 +147,10 @@
     async def _call(self, number: int) -> None:
         """Sends requests over one connection at a time, each to a random gateway."""
         connection, gateway, start = None, None, 0
+        count = AHEAD_REQUESTS if number % AHEAD_CALLER_STEP == 0 else 1
+        pause_s = count * CALLER_PAUSE_S + (count - 1) * PROCESSING_S
         while not self._is_finished:
-            await asyncio.sleep(CALLER_PAUSE_S * self._random.uniform(0.5, 1.5))
+            await asyncio.sleep(pause_s * self._random.uniform(0.5, 1.5))
             if connection is None or not connection.is_usable:
                 gateway = self._random.choice(self._gateways)
                 if not gateway.is_running:
@@ -154,7 +160,7 @@
             is_buy = number % 2 == 1
             kind = records.RequestKind.BUY if is_buy else records.RequestKind.READ
             path = soak_parts.BUY_PATH if is_buy else soak_parts.READ_PATH
-            await self._send_request(connection, gateway, start, kind, path, 0)
+            await self._send_requests(connection, gateway, start, kind, path, 0, count)
 
     async def _probe(self, gateway: gateways.Gateway) -> None:
         """Requests the routes that the latest versions added from one gateway."""
@@ -167,28 +173,29 @@
                 connection = soak_parts.CallerConnection(gateway.addresses["requests"])
                 path = soak_parts.make_probe_path(version)
                 kind = records.RequestKind.PROBE
-                await self._send_request(connection, gateway, start, kind, path, version)
+                await self._send_requests(connection, gateway, start, kind, path, version, 1)
                 connection.close()
 
-    async def _send_request(self, connection, gateway, start, kind, path, version) -> None:
-        request = f"{kind.value}-{next(self._numbers)}"
+    async def _send_requests(self, connection, gateway, start, kind, path, version, count) -> None:
+        """Sends requests ahead on a connection and records their answers."""
+        requests = [f"{kind.value}-{next(self._numbers)}" for _ in range(count)]
         method = "POST" if kind is records.RequestKind.BUY else "GET"
         sent_at = self.now
-        answer = await connection.send_request(method, path, request, REQUEST_DEADLINE_S)
-        is_right = answer.body == soak_parts.make_body(request)
-        self.observed.attempts.append(
-            records.Attempt(
-                request,
-                kind,
-                gateway.number,
-                start,
-                version,
-                sent_at,
-                self.now,
-                answer.status,
-                is_right,
+        answers = await connection.send_ahead(method, path, requests, REQUEST_DEADLINE_S)
+        for request, answer in zip(requests, answers, strict=True):
+            self.observed.attempts.append(
+                records.Attempt(
+                    request,
+                    kind,
+                    gateway.number,
+                    start,
+                    version,
+                    sent_at,
+                    self.now,
+                    answer.status,
+                    answer.body == soak_parts.make_body(request),
+                )
             )
-        )
 
     # Operators.
 
--- a/testing/platform/soak_parts.py
+++ b/testing/platform/soak_parts.py
@@ -119,11 +119,18 @@
     return f"answer to {request}".encode()
 
 
+# Statuses of requests without a complete answer: the connection ended, nothing was sent, or an
+# earlier answer announced that the connection closes.
+CUT_STATUS = 0
+UNSENT_STATUS = -1
+BEHIND_CLOSE_STATUS = -2
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
     """The answer that a caller received.
 
-    :param status: 0 if the connection ended without a complete answer, -1 if nothing was sent.
+    :param status: ``CUT_STATUS``, ``UNSENT_STATUS`` or ``BEHIND_CLOSE_STATUS`` if it has none.
     """
 
     status: int
@@ -135,9 +142,10 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
-        self._http = h11.Connection(h11.CLIENT)
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
+        # Bytes that were received behind the latest answer.
+        self._surplus = b""
         self.is_usable = True
 
     async def send_request(self, method: str, path: str, request: str, deadline_s: float) -> Answer:
@@ -145,37 +153,46 @@
 
         :param deadline_s: deadline that the request states; the caller gives up 1 s later.
         """
-        is_sent = False
+        return (await self.send_ahead(method, path, [request], deadline_s))[0]
+
+    async def send_ahead(
+        self, method: str, path: str, requests: list[str], deadline_s: float
+    ) -> list[Answer]:
+        """Sends requests in one piece and returns their answers.
+
+        :param deadline_s: deadline that each request states; the caller gives up 1 s later.
+        """
+        answers: list[Answer] = []
+        missing_status = UNSENT_STATUS
         try:
             async with asyncio.timeout(deadline_s + 1.0):
                 if self._writer is None:
                     host, _, port = self._address.partition(":")
                     self._reader, self._writer = await asyncio.open_connection(host, int(port))
-                head = h11.Request(
-                    method=method,
-                    target=path,
-                    headers=[
-                        ("Host", harness.HOST),
-                        ("Caperdyke-Request-Id", request),
-                        ("Caperdyke-Request-Deadline", str(int(deadline_s * 1000))),
-                        ("Cookie", f"Caperdyke-Affinity-Key={len(request)}"),
-                    ],
-                )
-                self._writer.write(self._http.send(head) + self._http.send(h11.EndOfMessage()))
-                is_sent = True
-                return await self._read()
+                exchanges = [h11.Connection(h11.CLIENT) for _ in requests]
+                for exchange, request in zip(exchanges, requests, strict=True):
+                    self._writer.write(_encode(exchange, method, path, request, deadline_s))
+                missing_status = CUT_STATUS
+                for exchange in exchanges:
+                    answers.append(await self._read(exchange))
+                    if not self.is_usable:
+                        is_cut = answers[-1].status == CUT_STATUS
+                        missing_status = CUT_STATUS if is_cut else BEHIND_CLOSE_STATUS
+                        break
         except (OSError, h11.ProtocolError):
             # TimeoutError is an OSError, too: the caller closes the connection.
             self.close()
-            return Answer(0 if is_sent else -1)
+        return answers + [Answer(missing_status)] * (len(requests) - len(answers))
 
-    async def _read(self) -> Answer:
-        status, parts = 0, []
+    async def _read(self, exchange: h11.Connection) -> Answer:
+        status, parts = CUT_STATUS, []
+        if self._surplus:
+            exchange.receive_data(self._surplus)
         while True:
-            event = self._http.next_event()
+            event = exchange.next_event()
             match event:
                 case h11.NEED_DATA:
-                    self._http.receive_data(await self._reader.read(CHUNK_BYTES))
+                    exchange.receive_data(await self._reader.read(CHUNK_BYTES))
                 case h11.Response():
                     status = event.status_code
                 case h11.Data():
@@ -184,10 +201,9 @@
                     break
                 case h11.ConnectionClosed():
                     self.close()
-                    return Answer(0)
-        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
-            self._http.start_next_cycle()
-        else:
+                    return Answer(CUT_STATUS)
+        self._surplus = exchange.trailing_data[0]
+        if not (exchange.our_state is h11.DONE and exchange.their_state is h11.DONE):
             self.close()
         return Answer(status, b"".join(parts))
 
@@ -199,6 +215,22 @@
                 self._writer.transport.abort()
 
 
+def _encode(
+    exchange: h11.Connection, method: str, path: str, request: str, deadline_s: float
+) -> bytes:
+    head = h11.Request(
+        method=method,
+        target=path,
+        headers=[
+            ("Host", harness.HOST),
+            ("Caperdyke-Request-Id", request),
+            ("Caperdyke-Request-Deadline", str(int(deadline_s * 1000))),
+            ("Cookie", f"Caperdyke-Affinity-Key={len(request)}"),
+        ],
+    )
+    return exchange.send(head) + exchange.send(h11.EndOfMessage())
+
+
 async def ask_ready(address: str) -> bool:
     """Returns whether a gateway reports that it is ready."""
     connection = CallerConnection(address)
--- a/testing/platform/test_gateway_settings.py
+++ b/testing/platform/test_gateway_settings.py
@@ -88,6 +88,27 @@
         error = self.assertRaises(errors.SettingsError, gateway_files.read_gateway, path)
         self.assertEqual(key, error.key)
 
+    @parameterized.expand(
+        [
+            ("defaults", "", (16, 4 * 1024 * 1024)),
+            ("given", "pipelined_max = 1\npipelined_bytes = 65536\n", (1, 65536)),
+        ]
+    )
+    def test_pipelining(self, _name, lines, expected) -> None:
+        text = fill_template().replace("[callers]\n", "[callers]\n" + lines)
+        settings = gateway_files.read_gateway(write_settings(text))
+        self.assertEqual(expected, (settings.pipelined_max, settings.pipelined_bytes))
+
+    @parameterized.expand(
+        [("pipelined_max", "0"), ("pipelined_max", "many"), ("pipelined_bytes", "65535")]
+    )
+    def test_wrong_limit_of_pipelining_is_named(self, key, value) -> None:
+        text = fill_template().replace("[callers]\n", f"[callers]\n{key} = {value}\n")
+        error = self.assertRaises(
+            errors.SettingsError, gateway_files.read_gateway, write_settings(text)
+        )
+        self.assertEqual(key, error.key)
+
 
 class ReloadTest(harness.AsyncTestCase):
     """Changes of the settings file while the gateway runs."""
--- a/testing/soak/test_checks.py
+++ b/testing/soak/test_checks.py
@@ -4,8 +4,10 @@
 from parameterized import parameterized
 
 from bench.soak import checks, records
+from testing.platform import soak_parts
 
 PROBE = records.RequestKind.PROBE
+BEHIND_CLOSE = soak_parts.BEHIND_CLOSE_STATUS
 
 
 def make_attempt(**changes) -> records.Attempt:
@@ -117,6 +119,11 @@
         "a leaving",
     ),
     ("cut_after_it_ran", make_records(CUT, runs=[RUN], stops=[STOP]), "a planned stop"),
+    (
+        "ran_behind_a_close",
+        make_records(make_attempt(status=BEHIND_CLOSE), runs=[RUN], stops=[STOP]),
+        "a planned stop",
+    ),
     ("not_served", make_records(make_attempt(sent_at=61.0, status=503)), "service is back"),
     ("stranded_not_served", make_stranded(served=18, others_served=20), "callers of stranded"),
     ("unexplained", make_records(make_attempt(status=502), logged_requests=set()), "failures are"),
@@ -132,6 +139,7 @@
     ("store_away", make_records(LATE_PROBE, disruptions=[records.Disruption(None, 1, 99)])),
     ("route_dropped", make_records(LATE_PROBE, confirmed={2: 10, 3: 19}, routes_until={2: 2})),
     ("crossing", make_records(make_attempt(status=0, ended_at=20.1), stops=[STOP])),
+    ("behind_a_close", make_records(make_attempt(status=BEHIND_CLOSE), stops=[STOP])),
     ("stranded_served", make_stranded(served=19, others_served=20)),
     ("stranded_and_all_refused", make_stranded(served=0, others_served=0)),
     ("stranded_not_noticed_yet", make_stranded(served=0, others_served=20, at=19.4)),
