--- a/src/caperdyke/protocol/gateway_files.py
+++ b/src/caperdyke/protocol/gateway_files.py
@@ -55,6 +55,12 @@
             )
         ),
         teams=_read_teams(document),
+        pipelined_max=document.read_number(
+            "callers", "pipelined_max", 1, 1000, gateway_settings.PIPELINED_MAX
+        ),
+        pipelined_bytes=document.read_number(
+            "callers", "pipelined_bytes", 65536, 2**30, gateway_settings.PIPELINED_BYTES
+        ),
     )
     document.check_all_read()
     return result
--- a/src/caperdyke/state/gateway_settings.py
+++ b/src/caperdyke/state/gateway_settings.py
@@ -9,6 +9,10 @@
 CROSS_DOMAIN_SECONDS_PER_MEGABYTE = 20.0
 # Longest backoff of a backend server that is honoured, in seconds.
 BACKOFF_SECONDS_MAX = 3600.0
+# Most requests of a caller's connection that are in progress at once; 1 serves them in turn.
+PIPELINED_MAX = 16
+# Most bytes of responses of a caller's connection that wait for earlier ones.
+PIPELINED_BYTES = 4 * 1024 * 1024
 # Age of the configuration, in seconds, above which it no longer decides about keys where strict
 # revocation is set.
 REVOKE_SECONDS = 5.0
@@ -91,6 +95,10 @@
     :param quota_tolerance: by how much teams may exceed their quotas.
     :param load_model: how the requests at servers that report no pace are estimated; those that
         report it are always estimated by ``LoadModel.BLENDED``.
+    :param pipelined_max: most requests of a caller's connection that are in progress at once; 1
+        serves them in turn.
+    :param pipelined_bytes: most bytes of responses of a caller's connection that are buffered until
+        earlier ones have been sent.
     :param seeds: peer addresses of possible other instances.
     """
 
@@ -115,3 +123,5 @@
     quota_tolerance: QuotaTolerance = QuotaTolerance()
     load_model: LoadModel = LoadModel.REPORTED
     teams: TeamSettings = TeamSettings()
+    pipelined_max: int = PIPELINED_MAX
+    pipelined_bytes: int = PIPELINED_BYTES
--- a/src/caperdyke/transport/gateway/reload.py
+++ b/src/caperdyke/transport/gateway/reload.py
@@ -25,8 +25,8 @@
         self._loaded_file_state = self._read_file_state()
 
     def reload(self) -> None:
-        """Applies changed bounds, quota tolerances, failure domains, seeds, rules of revocation and
-        placing.
+        """Applies changed bounds, quota tolerances, failure domains, seeds, rules of revocation,
+        limits of pipelining and placing.
 
         Addresses and names stay as they are until a restart. A file that cannot be read leaves all
         settings unchanged.
@@ -46,6 +46,8 @@
             teams=new.teams,
             cross_domain_seconds_per_megabyte=new.cross_domain_seconds_per_megabyte,
             quota_tolerance=new.quota_tolerance,
+            pipelined_max=new.pipelined_max,
+            pipelined_bytes=new.pipelined_bytes,
         )
         is_restart_needed = dataclasses.replace(merged, logs=new.logs) != new
         self._node.apply_settings(merged)
