--- a/src/caperdyke/coordination/placement/selection.py
+++ b/src/caperdyke/coordination/placement/selection.py
@@ -62,6 +62,8 @@
     :param objective_at: time at which the latency objective of the route expires.
     :param cross_domain_penalty: cost of an answer that leaves the failure domain, in seconds.
     :param tried: servers that are not selected since the request was sent to them before.
+    :param reserved_ratio: part of the slots that the request leaves free for others.
+    :param may_be_queued: whether the request may be sent to a server without a free slot.
     """
 
     service: ids.ServiceName
@@ -70,6 +72,8 @@
     objective_at: float
     cross_domain_penalty: float
     tried: frozenset[ids.BackendId] = frozenset()
+    reserved_ratio: float = 0.0
+    may_be_queued: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,6 +117,7 @@
     :param open_servers: number of servers that were considered.
     :param utilization: outstanding requests per slot of these servers, at most 1.
     :param is_advertised: whether ``retry_after`` is a time that the servers advertised themselves.
+    :param spread_s: time after ``retry_after`` over which the retries of callers are spread.
     """
 
     retry_after: float
@@ -120,6 +125,7 @@
     open_servers: int = 0
     utilization: float = 0.0
     is_advertised: bool = False
+    spread_s: float = 0.0
 
 
 Selection = Placement | NoCapacity
@@ -302,11 +308,25 @@
         return False
     if not placement.is_warm and (placement.is_queued or utilization >= COLD_UTILIZATION):
         return False
+    if needs.reserved_ratio and not _leaves_reserve(needs, view, utilization):
+        return False
     if not placement.is_queued:
         return True
+    if not needs.may_be_queued:
+        return False
     return utilization < FULL_UTILIZATION or now + placement.expected_s <= needs.objective_at
 
 
+def _leaves_reserve(needs: Requirements, view: server_view.ServerView, utilization: float) -> bool:
+    """Returns whether the part of the slots that a request leaves free stays free.
+
+    It counts for each server and for the service: a server with one slot can't keep a part of it.
+    """
+    usable_ratio = 1 - needs.reserved_ratio
+    usable_slots = max(1.0, usable_ratio * view.server.slots)
+    return utilization <= usable_ratio and view.outstanding + 1 <= usable_slots
+
+
 def _estimate_warm_probability(
     now: float, needs: Requirements, candidate: Candidate, rank: int
 ) -> float:
