Let requests wait at the instance for capacity, and apply ranks and shares

Callers saw 503 although a slot came free a few milliseconds later, and each comes back only once. The dispatcher knew no way but to send or to reject.

Change: with waiting_max in [placing] above 0 (default 0, as before), a request without capacity waits in a queue for each service, is tried when a response of the service ends, and is rejected once its objective can't be met. Ranks and fair shares act where the configuration in force has different ranks on a service, or several teams. Rejected callers return when capacity for their rank is expected, spread by the others that were rejected.

Ruled out: placing all waiting requests in one go when a response arrives. They would all see the same free slot; so each wakes the next after its own request counts as sent.

--- a/src/caperdyke/protocol/gateway_files.py
+++ b/src/caperdyke/protocol/gateway_files.py
@@ -40,6 +40,7 @@
         backoff_seconds_max=document.read_decimal(
             "placing", "rest_max_s", 0.0, 1e6, gateway_settings.BACKOFF_SECONDS_MAX
         ),
+        waiting_max=document.read_number("placing", "waiting_max", 0, 10_000, 0),
     )
     document.check_all_read()
     return result
--- a/src/caperdyke/state/gateway_settings.py
+++ b/src/caperdyke/state/gateway_settings.py
@@ -43,6 +43,8 @@
         for each megabyte that is not sent between failure domains.
     :param backoff_seconds_max: longest time for which a backend server that refused a request gets
         no further ones at its request, in seconds.
+    :param waiting_max: requests for each service that may wait at this instance for capacity; 0 if
+        they are rejected instead.
     :param seeds: peer addresses of possible other instances.
     """
 
@@ -61,3 +63,4 @@
     logs: settings.LogSettings
     cross_domain_seconds_per_megabyte: float = CROSS_DOMAIN_SECONDS_PER_MEGABYTE
     backoff_seconds_max: float = BACKOFF_SECONDS_MAX
+    waiting_max: int = 0
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import math
 import random
 
@@ -15,6 +16,8 @@
     relay,
     relaying,
     sender,
+    service_capacities,
+    waiting_requests,
 )
 
 SERVER_ERROR_STATUS = 500
@@ -35,6 +38,7 @@
         self._serve_by_relay = relaying.Relaying(
             node, self.relay, final_replies, self._try_acquire_retry
         ).serve
+        self.waiting = waiting_requests.WaitingRequests(node)
         self._copies: set[asyncio.Task] = set()
 
     async def serve(
@@ -72,6 +76,12 @@
             if not node.path.can_use_kept(node.now()) and failed is None:
                 return await self._serve_by_relay(request, route, service, attempt_state, trace)
             selected = self._select_server(request, route, service, tried_servers, trace)
+            if isinstance(selected, selection.NoCapacity) and failed is None:
+                selected = await self._wait_for_capacity(
+                    request, route, service, tried_servers, trace, selected
+                )
+                if selected is None:
+                    continue
             if isinstance(selected, selection.NoCapacity):
                 if node.path.is_lost and failed is None:
                     return await self._serve_by_relay(request, route, service, attempt_state, trace)
@@ -81,7 +91,9 @@
                 return failed or self._make_refused_reply(request, route, service, attempt_state)
             tried_servers.add(selected.view.server.backend)
             sent_at = node.now()
-            result = await self._sender.send(request, selected)
+            claim = service_capacities.make_claim(request, route)
+            sending = self._sender.send(request, selected)
+            result = await self.waiting.capacities.track(service, claim, sending)
             self._record_result(request, route, selected, sent_at, result)
             trace.sends.append(self._describe(selected, sent_at, result))
             match result:
@@ -176,6 +188,26 @@
             await result.remaining_body.aclose()
         self._record_result(copy, route, placement, sent_at, result)
 
+    async def _wait_for_capacity(
+        self,
+        request: sender.CallerRequest,
+        route: routes.Route,
+        service: ids.ServiceName,
+        tried_servers: set[ids.BackendId],
+        trace: local_reply.RequestTrace,
+        no_capacity: selection.NoCapacity,
+    ) -> selection.Selection | None:
+        """Returns a server that has capacity after a wait, or why there is none.
+
+        :returns: None if the request must be considered anew.
+        """
+        if self._node.path.is_lost:
+            return no_capacity
+        select = functools.partial(
+            self._select_server, request, route, service, tried_servers, trace
+        )
+        return await self.waiting.wait(request, route, service, trace, no_capacity, select)
+
     def _make_requirements(
         self,
         request: sender.CallerRequest,
@@ -187,6 +219,11 @@
         node = self._node
         objective = route.objective_ms / 1000
         size = node.times.find(route.name, objective).answer_bytes
+        claim = service_capacities.make_claim(request, route)
+        restriction = self.waiting.capacities.restrict(service, claim)
+        may_be_queued = restriction.may_be_queued and self.waiting.may_be_queued(
+            service, route, claim, request.deadline, trace.received_at
+        )
         return selection.Requirements(
             service,
             request.caller_headers.object_key if route.has_affinity else ids.ObjectKey(""),
@@ -196,6 +233,8 @@
                 size, node.settings.cross_domain_seconds_per_megabyte
             ),
             tried_servers,
+            restriction.reserved_ratio,
+            may_be_queued,
         )
 
     def _select_server(
--- a/src/caperdyke/transport/gateway/local_reply.py
+++ b/src/caperdyke/transport/gateway/local_reply.py
@@ -29,6 +29,8 @@
     """Decisions about one request, for its log line.
 
     :ivar relayed_by: instance that relayed the request here; empty if the caller sent it here.
+    :ivar waited_s: seconds for which the request waited here for capacity.
+    :ivar competition: who had the capacity that a rejected request lacked; empty for others.
     :ivar sends: description of each send, or of why a request was not sent.
     """
 
@@ -41,6 +43,8 @@
     host: str = ""
     team: str = ""
     relayed_by: str = ""
+    waited_s: float = 0.0
+    competition: dict[str, object] = dataclasses.field(default_factory=dict)
     sends: list[str] = dataclasses.field(default_factory=list)
 
 
--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -144,6 +144,7 @@
         node.fleet.is_ready = False
         node.is_stopping = True
         self.announcer.announce_leaving()
+        self._dispatcher.waiting.stop(deadline)
         withdrawal = asyncio.create_task(self.announcer.withdraw(node.settings.instance))
         await self._wait_until(
             lambda: False, min(deadline, stop_started_at + LOOKUP_EXPIRY_SECONDS)
--- a/src/caperdyke/transport/gateway/refusals.py
+++ b/src/caperdyke/transport/gateway/refusals.py
@@ -66,6 +66,8 @@
             is_from_servers, retry_after = no_capacity.is_advertised, no_capacity.retry_after
         # Jitter, so that callers that were refused together do not retry together.
         jittered = retry_after * self._rng.uniform(1.0, 1.5)
+        if no_capacity is not None:
+            jittered += no_capacity.spread_s * self._rng.random()
         if is_from_servers:
             # A retry before the servers accept requests again would certainly be refused.
             return local_reply.LocalReply(503, reason, jittered)
--- a/src/caperdyke/transport/gateway/reload.py
+++ b/src/caperdyke/transport/gateway/reload.py
@@ -25,7 +25,8 @@
         self._loaded_file_state = self._read_file_state()
 
     def reload(self) -> None:
-        """Applies changed bounds, failure domains, seeds and the cost of leaving a failure domain.
+        """Applies changed bounds, failure domains, seeds, the cost of leaving a failure domain,
+        and the size of the waiting queue.
 
         Addresses and names stay as they are until a restart. A file that cannot be read leaves all
         settings unchanged.
@@ -43,6 +44,7 @@
             domains=new.domains,
             seeds=new.seeds,
             cross_domain_seconds_per_megabyte=new.cross_domain_seconds_per_megabyte,
+            waiting_max=new.waiting_max,
         )
         is_restart_needed = dataclasses.replace(merged, logs=new.logs) != new
         self._node.apply_settings(merged)
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -302,6 +302,10 @@
         extra_fields = {"relayed_by": trace.relayed_by} if trace.relayed_by else {}
         if trace.team:
             extra_fields["team"] = trace.team
+        if trace.waited_s:
+            extra_fields["waited_ms"] = round(trace.waited_s * 1000)
+        if trace.competition and status >= ERROR_STATUS_MIN:
+            extra_fields["competition"] = trace.competition
         if status >= ERROR_STATUS_MIN:
             extra_fields["knowledge"] = node.provenance.describe(node.now())
             extra_fields["path"] = node.describe_path(trace.service)
