Mend waiting at the instance, and test it

Found by the first test that waits; nothing is deployed with it. The log line of a rejected request no longer lists its own rank as short because of this very request.

--- a/src/caperdyke/coordination/placement/team_shares.py
+++ b/src/caperdyke/coordination/placement/team_shares.py
@@ -18,7 +18,7 @@
 # Average of requests in progress below which a team without requests is removed.
 USAGE_MIN = 0.01
 # How long a computed fair share is used; it keeps the cost of a request low with many teams.
-LEVEL_VALID_S = 0.02
+LEVEL_VALID_S = 0.05
 # Teams that are named in a log line, those with the most requests.
 DESCRIBED_TEAMS_MAX = 5
 
--- a/src/caperdyke/coordination/placement/waiting_queue.py
+++ b/src/caperdyke/coordination/placement/waiting_queue.py
@@ -100,6 +100,9 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
+    def __contains__(self, request: WaitingRequest) -> bool:
+        return request in self._waiting
+
     def offer(self, request: WaitingRequest, size_max: int) -> WaitingRequest | None:
         """Adds a request; returns the one that is rejected if the queue is full.
 
--- a/src/caperdyke/transport/gateway/service_capacities.py
+++ b/src/caperdyke/transport/gateway/service_capacities.py
@@ -88,11 +88,11 @@
         if no_capacity.is_empty or not self.is_competing(service):
             return no_capacity
         now, capacity = self._node.now(), self.find(service)
-        capacity.record_shortage(now, claim)
         trace.competition = capacity.describe(now, claim) | {
             "waiting_ahead": ahead,
             "restriction": self.restrict(service, claim).cause,
         }
+        capacity.record_shortage(now, claim)
         if no_capacity.is_advertised:
             return no_capacity
         delay = capacity.plan_return(now, no_capacity.retry_after, claim, ahead)
--- a/testing/placement/competing_load.py
+++ b/testing/placement/competing_load.py
@@ -53,6 +53,8 @@
     """Instances and servers of one service.
 
     :param waiting_max: size of the waiting queue of an instance; 0 for none.
+    :param is_competing: whether ranks and teams count.
+    :param is_queued_at_servers: whether requests may wait at servers.
     :param announces_load: whether instances learn the load of others but by responses.
     """
 
@@ -62,6 +64,7 @@
     waiting_max: int = 64
     is_competing: bool = True
     announces_load: bool = True
+    is_queued_at_servers: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -233,10 +236,9 @@
         objective_at = caller.received_at + kind.objective
         deadline = caller.first_at + kind.timeout
         restriction = admission.NO_RESTRICTION
-        may_be_queued = True
         if self._fleet.is_competing:
             restriction = instance.capacity.restrict(now, claim, True, True)
-            may_be_queued = restriction.may_be_queued
+        may_be_queued = self._fleet.is_queued_at_servers and restriction.may_be_queued
         if self._fleet.waiting_max:
             is_hopeless = now + self._estimate(instance, caller) > objective_at
             yields = instance.capacity.shares.must_yield(now, claim)
