--- a/testing/placement/test_competing_load.py
+++ b/testing/placement/test_competing_load.py
@@ -55,6 +55,7 @@
                     ("waiting", {"waiting_max": WAITING_MAX}),
                     ("no waiting", {"waiting_max": 0}),
                     ("old load information", {"announces_load": False}),
+                    ("as many instances as slots", {"instances": 40}),
                     ("one slot each", {"servers": 20, "slots": 1, "instances": 4}),
                 ]
             )
