--- a/src/caperdyke/coordination/placement/selection.py
+++ b/src/caperdyke/coordination/placement/selection.py
@@ -58,6 +58,8 @@
     :param tried: servers that are not selected since the request was sent to them before.
     :param is_repeatable: whether the request may run more than once.
     :param timeout_s: timeout of the route in seconds; the deadline may be earlier.
+    :param reserved_ratio: part of the slots that the request leaves free for others.
+    :param may_be_queued: whether the request may be sent to a server without a free slot.
     """
 
     service: ids.ServiceName
@@ -68,6 +70,8 @@
     tried: frozenset[ids.BackendId] = frozenset()
     is_repeatable: bool = True
     timeout_s: float = math.inf
+    reserved_ratio: float = 0.0
+    may_be_queued: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,6 +118,7 @@
     :param open_servers: number of servers that were considered.
     :param utilization: outstanding requests per slot of these servers, at most 1.
     :param is_advertised: whether ``retry_after`` is a time that the servers advertised themselves.
+    :param spread_s: time after ``retry_after`` over which the retries of callers are spread.
     """
 
     retry_after: float
@@ -121,6 +126,7 @@
     open_servers: int = 0
     utilization: float = 0.0
     is_advertised: bool = False
+    spread_s: float = 0.0
 
 
 Selection = Placement | NoCapacity
@@ -265,11 +271,27 @@
         return False
     if not expected.is_warm and (expected.is_queued or utilization >= COLD_UTILIZATION):
         return False
+    if needs.reserved_ratio and not _leaves_reserve(now, needs, view, utilization):
+        return False
     if not expected.is_queued:
         return True
+    if not needs.may_be_queued:
+        return False
     return utilization < FULL_UTILIZATION or now + expected.answer_s <= needs.objective_at
 
 
+def _leaves_reserve(
+    now: float, needs: Requirements, view: server_view.ServerView, utilization: float
+) -> bool:
+    """Returns whether the part of the slots that a request leaves free stays free.
+
+    It counts for each server and for the service: a server with one slot can't keep a part of it.
+    """
+    usable_ratio = 1 - needs.reserved_ratio
+    usable_slots = max(1.0, usable_ratio * view.server.slots)
+    return utilization <= usable_ratio and view.estimate_outstanding(now) + 1 <= usable_slots
+
+
 def _compute_second_home_cost(
     now: float,
     needs: Requirements,
--- a/src/caperdyke/transport/gateway/reload.py
+++ b/src/caperdyke/transport/gateway/reload.py
@@ -26,7 +26,7 @@
 
     def reload(self) -> None:
         """Applies changed bounds, quota tolerances, failure domains, seeds, rules of revocation,
-        limits of pipelining and placing.
+        limits of pipelining and waiting, and the cost of leaving a failure domain.
 
         Addresses and names stay as they are until a restart. A file that cannot be read leaves all
         settings unchanged.
@@ -48,6 +48,7 @@
             quota_tolerance=new.quota_tolerance,
             pipelined_max=new.pipelined_max,
             pipelined_bytes=new.pipelined_bytes,
+            waiting_max=new.waiting_max,
         )
         is_restart_needed = dataclasses.replace(merged, logs=new.logs) != new
         self._node.apply_settings(merged)
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -313,6 +313,10 @@
         if node.routes is not None and node.routes.teams is not None and not trace.relayed_by:
             # Requests are counted where the caller sent them.
             node.metrics.count_team_request(trace.team, trace.cause or outcome)
+        if trace.waited_s:
+            extra_fields["waited_ms"] = round(trace.waited_s * 1000)
+        if trace.competition and status >= ERROR_STATUS_MIN:
+            extra_fields["competition"] = trace.competition
         if status >= ERROR_STATUS_MIN:
             extra_fields["knowledge"] = node.provenance.describe(node.now())
             extra_fields["path"] = node.describe_path(trace.service)
