--- a/src/caperdyke/coordination/placement/selection.py
+++ b/src/caperdyke/coordination/placement/selection.py
@@ -58,6 +58,8 @@
     :param tried: servers that are not selected since the request was sent to them before.
     :param is_repeatable: whether the request may run more than once.
     :param timeout_s: timeout of the route in seconds; the deadline may be earlier.
+    :param last_server: server that answered last for the object; None if unknown.
+    :param stay_margin_s: by how much another server must be cheaper, in seconds.
     :param reserved_ratio: part of the slots that the request leaves free for others.
     :param may_be_queued: whether the request may be sent to a server without a free slot.
     """
@@ -70,6 +72,8 @@
     tried: frozenset[ids.BackendId] = frozenset()
     is_repeatable: bool = True
     timeout_s: float = math.inf
+    last_server: ids.BackendId | None = None
+    stay_margin_s: float = 0.0
     reserved_ratio: float = 0.0
     may_be_queued: bool = True
 
@@ -191,6 +195,8 @@
             cost += NON_HOME_COST_RATIO * max(0.0, times.cold - times.warm)
         if not candidate.is_near:
             cost += cross_domain_cost
+        if needs.last_server is not None and view.server.backend != needs.last_server:
+            cost += needs.stay_margin_s
         options.append(server_options.Option(view, expected, cost, candidate.is_regional_home))
     completing = options
     if options and not needs.is_repeatable:
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -9,6 +9,7 @@
 import time
 
 from caperdyke.coordination.placement import (
+    last_servers,
     load_estimate,
     processing_times,
     region_overflow,
@@ -101,6 +102,7 @@
         self.is_stopping = False
         self._services: dict[ids.ServiceName, list[server_registry.RegisteredServer]] = {}
         self._rankings = server_rankings.ServerRankings()
+        self.last_servers = last_servers.LastServers()
         self.region_overflow = region_overflow.RegionOverflow(settings.overflow_ratio_max)
 
     def apply_settings(self, changed: gateway_settings.GatewaySettings) -> None:
@@ -291,6 +293,14 @@
             )
         return found
 
+    def find_last_server(
+        self, service: ids.ServiceName, key: ids.ObjectKey
+    ) -> ids.BackendId | None:
+        """Returns the server that last answered for an object, if requests are to stay there."""
+        if not self.settings.stay_margin_seconds:
+            return None
+        return self.last_servers.find(self.now(), service, key)
+
     def record_region(self, server: backend.BackendServer, is_regional_home: bool) -> None:
         """Counts a request that was placed, for the part that may leave the region."""
         region = self.settings.domains.get(server.domain)
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -272,6 +272,8 @@
             tried_servers,
             route.kind.is_repeatable,
             route.timeout_ms / 1000,
+            node.find_last_server(service, request.caller_headers.object_key),
+            node.settings.stay_margin_seconds,
             restriction.reserved_ratio,
             may_be_queued,
         )
@@ -340,6 +342,9 @@
                     now,
                 )
             view.record_answer(now, request.caller_headers.object_key, ratio)
+            node.last_servers.record_answer(
+                now, view.server.service, request.caller_headers.object_key, view.server.backend
+            )
             return
         if node.path.is_lost:
             # The failure is due to the path of this instance, not to the server.
