--- a/testing/test_relay_headers.py
+++ b/testing/test_relay_headers.py
@@ -1,5 +1,7 @@
 """Headers of relayed requests and of their answers."""
 
+import dataclasses
+
 import testtools
 from parameterized import parameterized
 
@@ -17,6 +19,30 @@
         headers = relay_headers.encode_request(REQUEST)
         self.assertEqual(REQUEST, relay_headers.decode_request(headers))
 
+    @parameterized.expand(
+        [
+            ("none", None, None),
+            ("plain", "huka270", b"huka270"),
+            ("space", "a b", b"a%20b"),
+            ("line_break", "a\r\nRelay-Counted: 1", b"a%0D%0ARelay-Counted%3A%201"),
+            ("percent", "a%20b", b"a%2520b"),
+            ("other_letters", "Z\u00fcrich", b"Z%C3%BCrich"),
+            ("surrogate", "\ud800", b"%ED%A0%80"),
+            ("empty", "", b""),
+        ]
+    )
+    def test_any_team_name_arrives_as_it_is(self, _name, team, expected) -> None:
+        """Guards against names that add headers, or that no header value can contain."""
+        request = dataclasses.replace(REQUEST, team=team)
+        headers = relay_headers.encode_request(request)
+        self.assertEqual(expected, dict(headers).get(relay_headers.TEAM))
+        self.assertEqual(request, relay_headers.decode_request(headers))
+
+    @parameterized.expand([("not_ascii", b"\xff"), ("not_unicode", b"%FF")])
+    def test_invalid_team_name_is_rejected(self, _name, value) -> None:
+        headers = [*relay_headers.encode_request(REQUEST), (relay_headers.TEAM, value)]
+        self.assertRaises(errors.ProtocolError, relay_headers.decode_request, headers)
+
     @parameterized.expand([(outcome.value, outcome) for outcome in relay_headers.RelayOutcome])
     def test_answer_round_trip(self, _name, outcome) -> None:
         answer = relay_headers.RelayedAnswer(outcome, 7)
