--- a/src/caperdyke/coordination/quotas/holders.py
+++ b/src/caperdyke/coordination/quotas/holders.py
@@ -17,6 +17,7 @@
 # Part of a region's instances from which a holder uses its whole part. The other side of a
 # partition then has no more than a quarter and uses nothing; in between, each uses its part.
 FULL_PART_RATIO = 0.75
+_NO_REGION = ids.RegionName("")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,7 +86,7 @@
         self._record_live_until(now, report)
         self._report, self._regions, self._seen_at = report, regions, now
         for name, domain in (report.silent | report.live).items():
-            region = regions.get(domain, ids.RegionName(""))
+            region = regions.get(domain, _NO_REGION)
             known = self._known.get(name)
             if known is None:
                 self._known[name] = _KnownInstance(region, now)
--- a/testing/platform/test_gateway_quotas.py
+++ b/testing/platform/test_gateway_quotas.py
@@ -54,3 +54,30 @@
                     self.assertEqual(503, status)
 
         self.run_async(scenario)
+
+    def test_changed_limit_is_in_force_with_its_configuration(self) -> None:
+        """Guards against limits of an earlier configuration, also for requests that wait."""
+
+        async def scenario() -> None:
+            async with harness.start_gateway(configuration=make_configuration()) as env:
+                statuses = [(await env.send_request(team_key="k-limited"))[0] for _ in range(40)]
+                self.assertIn(429, statuses)
+                await env.store.put("op", "config", make_configuration(2, rate=0))
+                await env.wait_until(lambda: env.gateway.node.routes.version == 2)
+                statuses = [(await env.send_request(team_key="k-limited"))[0] for _ in range(40)]
+                self.assertEqual({200}, set(statuses))
+
+        self.run_async(scenario)
+
+    def test_refusing_servers_use_up_no_quota(self) -> None:
+        """Guards against tokens lost with requests that servers report as not run."""
+
+        async def scenario() -> None:
+            async with harness.start_gateway(["s1"], configuration=make_configuration()) as env:
+                server = env.servers[0]
+                server.faults = ["shed"] * 60
+                for _ in range(60):
+                    status, _, _ = await env.send_request(team_key="k-limited", wait_ms=300)
+                    self.assertEqual(503, status)
+
+        self.run_async(scenario)
--- a/testing/quotas/quota_fleet.py
+++ b/testing/quotas/quota_fleet.py
@@ -72,6 +72,7 @@
     def start(self) -> None:
         """Starts the process, without any state of an earlier start."""
         self._starts += 1
+        self.tick = -1
         self.message_handlers = {}
         self.node = types.SimpleNamespace(
             now=self._fleet.now,
@@ -112,6 +113,8 @@
     def resume(self) -> None:
         """Lets a frozen process go on, with the datagrams that arrived meanwhile."""
         self.is_frozen, self.settled_at = False, self._fleet.now() + SETTLE_SECONDS
+        # The datagrams are handled before its view of the fleet is updated.
+        self.tick = self._fleet.tick
         delayed, self.delayed = self.delayed, []
         for data in delayed:
             self.receive(data)
@@ -126,9 +129,20 @@
         if self.is_frozen:
             self.delayed.append(data)
             return
+        self.update_view()
         kind, items = instance_messages.decode_message(data)
         self.message_handlers[kind](items, ids.Address(""))
 
+    def update_view(self) -> None:
+        """Updates the view of the fleet unless that was done since the last tick.
+
+        Updates of instances that do nothing are left out; with 750 they would take most of the
+        time of a test.
+        """
+        if self.tick != self._fleet.tick:
+            self.tick = self._fleet.tick
+            self.quotas.update()
+
     def build_fleet_view(self, now: float) -> shared_bounds.FleetView:
         """Returns the live instances, as ``fleet.Fleet`` does."""
         live = self._fleet.find_live(now, self)
@@ -162,6 +176,7 @@
         self.extra_delay = 0.0
         self.records: list = []
         self.datagrams = 0
+        self.tick = 0
         self._live_cache: dict = {}
         self.instances: list[Instance] = []
         self.instances = [Instance(self, number) for number in range(count)]
@@ -173,7 +188,7 @@
         self.delays: list[float] = []
         self._tasks: set[asyncio.Task] = set()
         self.refresh()
-        self.tick()
+        self.update_views()
 
     def now(self) -> float:
         """Returns the simulated time."""
@@ -219,19 +234,21 @@
     def find_holders(self) -> list[Instance]:
         """Returns the holders of the team as the first live instance sees them."""
         observer = next(item for item in self.instances if item.is_alive and not item.is_frozen)
+        observer.update_view()
         directory = observer.quotas._exchange.directory
         return [self.by_name[name] for name in directory.list_holders(self.team.name).values()]
 
     async def rest(self, seconds: float) -> None:
         """Lets time pass without requests; views are updated at its end."""
         await asyncio.sleep(seconds)
-        self.tick()
+        self.update_views()
 
-    def tick(self) -> None:
+    def update_views(self) -> None:
         """Updates each instance's view of the fleet."""
+        self.tick += 1
         for item in self.instances:
             if item.is_alive and not item.is_frozen:
-                item.quotas.update()
+                item.update_view()
 
     def send(self, sender: Instance, address: ids.Address, data: bytes) -> None:
         """Delivers a datagram after its delay, unless it is lost."""
@@ -255,7 +272,7 @@
         :param step: called every ``TICK_SECONDS`` with the time since the start.
         """
         self.refresh()
-        self.tick()
+        self.update_views()
         started = self.now()
         next_tick = started + TICK_SECONDS
         next_arrival = started + self._draw_interval(rate)
@@ -267,7 +284,7 @@
                 if step is not None:
                     step(self.now() - started)
                     self.refresh()
-                self.tick()
+                self.tick += 1
             while self.now() >= next_arrival:
                 next_arrival += self._draw_interval(rate)
                 self._send_request(self.random.choice(self.callers))
@@ -288,6 +305,7 @@
 
     async def _request(self, instance: Instance) -> None:
         at = self.now()
+        instance.update_view()
         self.arrivals.append(at)
         result = await instance.quotas.acquire(
             instance.node.routes.teams.find_by_name(self.team.name),
