Find the holders with the configuration that introduces teams

The first requests after a configuration with limits was adopted got 429 for up to 0.2 s, until the next update of the fleet. A datagram that arrived just after a change also kept requests of a team whose limit was removed waiting for their time-out: the exchange had applied the change and the waiting requests had not.

--- a/src/caperdyke/transport/gateway/team_quotas.py
+++ b/src/caperdyke/transport/gateway/team_quotas.py
@@ -1,7 +1,6 @@
 """Supplies requests of teams with tokens of the team's quota."""
 
 import asyncio
-import collections
 import dataclasses
 import math
 
@@ -10,10 +9,15 @@
     fleet_reports,
     stock,
     token_bucket,
-    token_requests,
 )
 from caperdyke.state import ids, teams
-from caperdyke.transport.gateway import announcer, context, over_quota_log, token_exchange
+from caperdyke.transport.gateway import (
+    announcer,
+    context,
+    over_quota_log,
+    token_exchange,
+    token_waiters,
+)
 
 # Interval between updates of the fleet and the roles of its holders.
 UPDATE_SECONDS = 0.2
@@ -42,33 +46,15 @@
     retry_after_s: float
 
 
-class _TeamState:
-    """Requests of one team that wait for tokens.
-
-    :ivar timer: runs while a holder is expected to reply.
-    """
-
-    def __init__(self, team: ids.TeamName) -> None:
-        self.requests = token_requests.TokenRequests(team)
-        self.waiting: collections.deque[asyncio.Future] = collections.deque()
-        self.timer: asyncio.TimerHandle | None = None
-
-    def count_waiting(self) -> int:
-        """Returns how many requests wait, and drops those that have given up."""
-        while self.waiting and self.waiting[0].done():
-            self.waiting.popleft()
-        return sum(not future.done() for future in self.waiting)
-
-
 class TeamQuotas:
     """Takes and returns tokens of teams; all waiting requests of a team share a token request."""
 
     def __init__(self, node: context.GatewayContext) -> None:
         self._node = node
-        self._exchange = token_exchange.TokenExchange(node, self._apply_grant)
+        self._exchange = token_exchange.TokenExchange(node, self._apply_grant, self._apply_table)
         self._fallback = fallback.FallbackShares()
         self._view = node.fleet.build_fleet_view(node.now())
-        self._states: dict[ids.TeamName, _TeamState] = {}
+        self._states: dict[ids.TeamName, token_waiters.TokenWaiters] = {}
         self._log = over_quota_log.OverQuotaLog(node.metrics)
 
     def connect(self, messages: announcer.Announcer) -> None:
@@ -83,14 +69,17 @@
 
     def update(self) -> None:
         """Applies changes of the fleet, the settings and the configuration."""
-        node, now = self._node, self._node.now()
-        self._apply_table(now)
+        now = self._node.now()
+        if not self._apply_table(now):
+            self._apply_fleet(now)
+        self._log.write(now)
+
+    def _apply_fleet(self, now: float) -> None:
         if not self._exchange.has_teams:
             return
-        view = node.fleet.build_fleet_view(now)
+        view = self._node.fleet.build_fleet_view(now)
         self._exchange.update(now, view)
         self._view = fleet_reports.make_fallback_view(view, self._exchange.directory)
-        self._log.write(now)
 
     async def acquire(
         self, team: teams.Team, deadline: float, objective_at: float
@@ -133,7 +122,7 @@
         self._apply_table(now)
         state = self._states.get(team.name)
         if state is None:
-            state = self._states[team.name] = _TeamState(team.name)
+            state = self._states[team.name] = token_waiters.TokenWaiters(team.name)
         state.requests.record_demand(now)
         token = state.requests.take(now)
         if state.requests.needs_more(now, team):
@@ -148,28 +137,27 @@
             self._fallback.put_back(token.team)
         elif state is not None:
             state.requests.put_back(self._node.now(), token)
-            self._serve_waiting(state)
+            state.serve(self._node.now())
 
     def count_in_stock(self, team: teams.Team) -> int:
         """Returns the tokens in stock at this instance."""
         state = self._states.get(team.name)
         return state.requests.count_stock(self._node.now()) if state is not None else 0
 
-    def _has_room(self, team: teams.Team, state: _TeamState) -> bool:
+    def _has_room(self, team: teams.Team, state: token_waiters.TokenWaiters) -> bool:
         waiting_max = state.requests.compute_waiting_max(team)
-        return len(state.waiting) < waiting_max or state.count_waiting() < waiting_max
+        return len(state) < waiting_max or state.count() < waiting_max
 
     async def _wait(
         self,
         now: float,
         team: teams.Team,
-        state: _TeamState,
+        state: token_waiters.TokenWaiters,
         deadline: float,
         objective_at: float,
     ) -> stock.Token | None:
         """Waits until a token arrives, the team is rejected, or the request gives up."""
-        future = asyncio.get_running_loop().create_future()
-        state.waiting.append(future)
+        future = state.add()
         if state.requests.ask is None:
             state.requests.start(now)
             self._proceed(team, state)
@@ -191,23 +179,28 @@
         finally:
             future.cancel()
 
-    def _apply_table(self, now: float) -> None:
-        """Applies a changed configuration; requests that wait are decided again by it."""
+    def _apply_table(self, now: float) -> bool:
+        """Applies a changed configuration; requests that wait are decided again by it.
+
+        :returns: whether it has changed.
+        """
         if not self._exchange.apply_table(now):
-            return
+            return False
+        # The first request after the change finds the holders.
+        self._apply_fleet(now)
         for name, state in list(self._states.items()):
             if not self._exchange.is_limited(name):
                 del self._states[name]
                 self._fallback.remove(name)
-                self._stop_timer(state)
-                for future in state.waiting:
-                    _finish(future, None)
+                state.stop_timer()
+                state.finish_all()
+        return True
 
-    def _proceed(self, team: teams.Team, state: _TeamState) -> None:
+    def _proceed(self, team: teams.Team, state: token_waiters.TokenWaiters) -> None:
         """Asks the next holder, or ends the round of requests if there is none left."""
-        self._stop_timer(state)
-        self._serve_waiting(state)
-        now, waiting = self._node.now(), state.count_waiting()
+        state.stop_timer()
+        state.serve(self._node.now())
+        now, waiting = self._node.now(), state.count()
         ranked = self._exchange.list_holders(team)
         ask = state.requests.choose(now, team, waiting, ranked, self._exchange.make_number())
         if ask is None:
@@ -218,7 +211,7 @@
         state.timer = loop.call_later(ask.expires_at - now, self._time_out, team, state)
         self._exchange.send(now, team, ask)
 
-    def _time_out(self, team: teams.Team, state: _TeamState) -> None:
+    def _time_out(self, team: teams.Team, state: token_waiters.TokenWaiters) -> None:
         state.requests.record_timeout(self._node.now())
         self._proceed(team, state)
 
@@ -240,13 +233,13 @@
         if is_current:
             self._proceed(team, state)
         else:
-            self._serve_waiting(state)
+            state.serve(self._node.now())
 
     def _end_round(
         self,
         now: float,
         team: teams.Team,
-        state: _TeamState,
+        state: token_waiters.TokenWaiters,
         ranked: list[tuple[ids.InstanceId, float]],
     ) -> None:
         """Rejects the requests that wait, or sends some from the own share if no holder replies."""
@@ -254,28 +247,8 @@
         tolerance = self._node.settings.quota_tolerance
         if next_token_at < math.inf:
             state.requests.reject_until(min(next_token_at, now + REJECTION_MAX_SECONDS))
-        while state.waiting:
-            future = state.waiting.popleft()
-            is_shared = next_token_at == math.inf and not future.done()
-            if is_shared and self._fallback.try_send(now, team, tolerance, self._view):
-                _finish(future, stock.Token(team.name, now + token_bucket.TOKEN_LIFETIME_S))
-            else:
-                _finish(future, None)
-
-    def _serve_waiting(self, state: _TeamState) -> None:
-        now = self._node.now()
-        while state.count_waiting():
-            token = state.requests.take(now)
-            if token is None:
-                return
-            _finish(state.waiting.popleft(), token)
-
-    def _stop_timer(self, state: _TeamState) -> None:
-        if state.timer is not None:
-            state.timer.cancel()
-            state.timer = None
-
-
-def _finish(future: asyncio.Future, token: stock.Token | None) -> None:
-    if not future.done():
-        future.set_result(token)
+        while next_token_at == math.inf and state.count():
+            if not self._fallback.try_send(now, team, tolerance, self._view):
+                break
+            state.finish_first(stock.Token(team.name, now + token_bucket.TOKEN_LIFETIME_S))
+        state.finish_all()
--- a/src/caperdyke/transport/gateway/token_exchange.py
+++ b/src/caperdyke/transport/gateway/token_exchange.py
@@ -33,11 +33,19 @@
 
     :param on_grant: called with the team, the holder, the number of the request and the grant,
         which is None if the asked instance holds no tokens of the team.
+    :param apply_table: called with the time before a datagram is handled, to apply a changed
+        configuration.
     """
 
-    def __init__(self, node: context.GatewayContext, on_grant: OnGrant) -> None:
+    def __init__(
+        self,
+        node: context.GatewayContext,
+        on_grant: OnGrant,
+        apply_table: collections.abc.Callable[[float], object],
+    ) -> None:
         self._node = node
         self._on_grant = on_grant
+        self._apply_table = apply_table
         own = node.fleet.own
         self._own_hash = name_hashes.hash_name(own.instance)
         self.directory = holders.HolderDirectory(own.instance)
@@ -133,7 +141,7 @@
             events.log(events.Event.FRAME_REJECTED, peer=address, error=str(error))
             return
         now = self._node.now()
-        self.apply_table(now)
+        self._apply_table(now)
         sender = self._peers_by_hash.get(request.sender)
         if sender is None:
             # Tokens that nobody receives would be lost; it asks again when it is known here.
@@ -159,7 +167,7 @@
         except errors.ProtocolError as error:
             events.log(events.Event.FRAME_REJECTED, peer=address, error=str(error))
             return
-        self.apply_table(self._node.now())
+        self._apply_table(self._node.now())
         holder = self._peers_by_hash.get(message.sender)
         if holder is None:
             return
