Keep the roles of holders when another instance goes

Callers would have seen: each stop or death of an instance emptied the buckets of all holders of its region, which then granted nothing for 1.5 s.

Cause: the start of a role was computed from the last time at which the region lost any instance. It is now kept for a team until the role moves.

--- a/src/caperdyke/coordination/quotas/holders.py
+++ b/src/caperdyke/coordination/quotas/holders.py
@@ -66,6 +66,8 @@
         self._candidates: dict[ids.RegionName, frozenset[ids.InstanceId]] = {}
         self._live_ratios: dict[ids.RegionName, float] = {}
         self._shrunk_at: dict[ids.RegionName, float] = {}
+        # Times at which this instance took over the roles that it has.
+        self._role_starts: dict[ids.TeamName, float] = {}
         # Holder of each team in each region, until a candidate comes before it or it goes.
         self._holders: dict[ids.RegionName, dict[ids.TeamName, ids.InstanceId]] = {}
 
@@ -155,6 +157,8 @@
                 del holders[team]
             elif added:
                 holders[team] = max((holder, *added), key=lambda name: _compute_score(team, name))
+            if holder == self._own and holders.get(team) != holder:
+                self._role_starts.pop(team, None)
 
     def count_regions(self) -> int:
         """Returns the number of regions with instances: the parts of each limit."""
@@ -189,8 +193,12 @@
             return math.inf
         if self.find_in_region(team, known.region) != self._own:
             return math.inf
-        shrunk_at = self._shrunk_at.get(known.region, -math.inf)
-        return max(self._active_since, shrunk_at) + TAKEOVER_S
+        start = self._role_starts.get(team)
+        if start is None:
+            # It may have been another instance's until the region last lost one.
+            start = max(self._active_since, self._shrunk_at.get(known.region, -math.inf))
+            self._role_starts[team] = start
+        return start + TAKEOVER_S
 
     def compute_own_ratio(self) -> float:
         """Returns the part of each limit that this instance holds where it is the holder."""
--- a/testing/quotas/test_quota_holders.py
+++ b/testing/quotas/test_quota_holders.py
@@ -103,3 +103,20 @@
         live = {name: at for name, at in self.domains.items() if name != holder}
         directory.update(1.0, holders.FleetReport(True, live, {}, frozenset({holder})), REGIONS)
         self.assertNotEqual(holder, directory.find_in_region(TEAM, region))
+
+    @parameterized.expand([("leaves", True), ("dies", False)])
+    def test_roles_of_others_go_on_when_an_instance_goes(self, _name, is_planned) -> None:
+        """Guards against buckets that are emptied by each stop of another instance."""
+        region = ids.RegionName("region-0")
+        holder = self.make_directory(self.observer).find_in_region(TEAM, region)
+        other = next(
+            name for name, domain in self.domains.items() if domain == "hall-0" and name != holder
+        )
+        directory = self.make_directory(holder)
+        start = directory.find_role_start(TEAM)
+        live = {name: at for name, at in self.domains.items() if name != other}
+        silent = {} if is_planned else {other: self.domains[other]}
+        report = holders.FleetReport(True, live, silent, frozenset({other} if is_planned else ()))
+        for now in (5.0, 50.0):
+            directory.update(now, report, REGIONS)
+            self.assertEqual(start, directory.find_role_start(TEAM))
--- a/testing/quotas/test_quota_losses.py
+++ b/testing/quotas/test_quota_losses.py
@@ -76,6 +76,28 @@
 
         quota_fleet.simulate(run)
 
+    @parameterized.expand([(count,) for count in (68, 103)])
+    def test_instances_that_stop_one_after_another(self, count) -> None:
+        """Guards against stops that empty the buckets of other holders."""
+        team = teams.Team(ids.TeamName("team-1"), None, 100.0, 100.0)
+
+        async def run() -> None:
+            fleet = quota_fleet.QuotaFleet(count, team)
+            await fleet.rest(FILL_SECONDS)
+            holders = fleet.find_holders()
+            leaving = [item for item in fleet.instances if item not in holders]
+
+            def step(_at: float) -> None:
+                item = leaving.pop()
+                item.is_leaving = True
+                fleet.callers.remove(item)
+
+            await fleet.run(12.0, team.rate_per_second * WITHIN_QUOTA, step)
+            await fleet.finish()
+            self.check(fleet, 0.03)
+
+        quota_fleet.simulate(run)
+
     @parameterized.expand([(count,) for count in COUNTS])
     def test_team_over_its_quota_gets_its_quota(self, count) -> None:
         """Guards against tokens that expire or are not added while all instances ask."""
