--- a/src/caperdyke/transport/gateway/token_exchange.py
+++ b/src/caperdyke/transport/gateway/token_exchange.py
@@ -4,6 +4,7 @@
 import itertools
 
 from caperdyke import errors
+from caperdyke.coordination.placement import shared_bounds
 from caperdyke.coordination.quotas import (
     fleet_reports,
     grantor,
@@ -11,6 +12,7 @@
     token_bucket,
     token_requests,
 )
+from caperdyke.coordination.registry import fleet
 from caperdyke.protocol import quota_messages
 from caperdyke.state import ids, name_hashes, routes, teams
 from caperdyke.transport import events
@@ -31,11 +33,19 @@
 
     :param on_grant: called with the team, the holder, the number of the request and the grant,
         which is None if the asked instance holds no tokens of the team.
+    :param apply_table: called with the time before a datagram is handled, to apply a changed
+        configuration.
     """
 
-    def __init__(self, node: context.GatewayContext, on_grant: OnGrant) -> None:
+    def __init__(
+        self,
+        node: context.GatewayContext,
+        on_grant: OnGrant,
+        apply_table: collections.abc.Callable[[float], object],
+    ) -> None:
         self._node = node
         self._on_grant = on_grant
+        self._apply_table = apply_table
         own = node.fleet.own
         self._own_hash = name_hashes.hash_name(own.instance)
         self.directory = holders.HolderDirectory(own.instance)
@@ -44,7 +54,7 @@
         self._limited: dict[ids.TeamName, teams.Team] = {}
         self._teams_by_hash: dict[int, teams.Team] = {}
         self._peers_by_hash: dict[int, ids.InstanceId] = {}
-        self._peers: dict[ids.InstanceId, tuple[ids.Address, ids.DomainName]] = {}
+        self._peers: dict[ids.InstanceId, fleet.PeerInstance] = {}
         self._numbers = itertools.count(own.incarnation * NUMBERS_PER_MILLISECOND)
         self._messages: announcer.Announcer | None = None
 
@@ -79,18 +89,16 @@
         self.grantor.apply_teams(now, limited)
         return True
 
-    def update(self, now: float) -> None:
+    def update(self, now: float, view: shared_bounds.FleetView) -> None:
         """Applies changes of the fleet and of the settings."""
         node = self._node
-        self._peers = {
-            peer.record.instance: (peer.record.peer_address, peer.record.domain)
-            for peer in node.fleet.list_others()
-        }
-        self._peers_by_hash = {name_hashes.hash_name(name): name for name in self._peers}
+        peers = {peer.record.instance: peer for peer in node.fleet.list_others()}
+        if peers.keys() != self._peers.keys():
+            self._peers_by_hash = {name_hashes.hash_name(name): name for name in peers}
+        self._peers = peers
         self.grantor.tolerance = node.settings.quota_tolerance
-        self.directory.update(
-            now, fleet_reports.make_report(now, node.fleet), node.settings.domains
-        )
+        report = fleet_reports.make_report(now, node.fleet, view)
+        self.directory.update(now, report, node.settings.domains)
         self.grantor.update(now)
 
     def list_holders(self, team: teams.Team) -> list[tuple[ids.InstanceId, float]]:
@@ -100,7 +108,7 @@
             if name == settings.instance:
                 round_trip = 0.0
             elif name in self._peers:
-                domain = self._peers[name][1]
+                domain = self._peers[name].record.domain
                 round_trip = self._node.round_trips.get(domain, ROUND_TRIP_DEFAULT_SECONDS)
             else:
                 continue
@@ -122,7 +130,7 @@
         request = quota_messages.TokenRequest(
             self._own_hash, ask.demand.number, {name_hashes.hash_name(team.name): ask.demand}
         )
-        address = self._peers[ask.holder][0]
+        address = self._peers[ask.holder].record.peer_address
         self._messages.send_message(address, quota_messages.encode_request(request))
 
     def handle_request(self, items: list, address: ids.Address) -> None:
@@ -133,7 +141,7 @@
             events.log(events.Event.FRAME_REJECTED, peer=address, error=str(error))
             return
         now = self._node.now()
-        self.apply_table(now)
+        self._apply_table(now)
         sender = self._peers_by_hash.get(request.sender)
         if sender is None:
             # Tokens that nobody receives would be lost; it asks again when it is known here.
@@ -149,7 +157,7 @@
                 grants[team_hash] = grant
         if grants:
             reply = quota_messages.TokenGrant(self._own_hash, request.number, grants)
-            address = self._peers[sender][0]
+            address = self._peers[sender].record.peer_address
             self._messages.send_message(address, quota_messages.encode_grant(reply))
 
     def handle_grant(self, items: list, address: ids.Address) -> None:
@@ -159,7 +167,7 @@
         except errors.ProtocolError as error:
             events.log(events.Event.FRAME_REJECTED, peer=address, error=str(error))
             return
-        self.apply_table(self._node.now())
+        self._apply_table(self._node.now())
         holder = self._peers_by_hash.get(message.sender)
         if holder is None:
             return
