Estimate load and cold runs from what an instance of a large fleet sees

The usual load of a service is the mean of its servers now, loses its weight within seconds without reports, and is replaced by the announced load of the whole service then. Before enough answers, a warm run is taken to last the objective and a cold one 2.4 times as long as a warm one, the ratio of the initial estimates. Runs on homes no longer count as cold ones for this. Among servers whose loads are not known well enough, equally warm ones are chosen at random.

--- a/src/caperdyke/coordination/placement/answer_times.py
+++ b/src/caperdyke/coordination/placement/answer_times.py
@@ -26,6 +26,10 @@
     :param due_at: time from which on the request is overdue, with allowance for a cold run.
     :param p_warm: probability that the object is warm on the server.
     :param is_queued: whether the request is expected to wait for a slot.
+    :param excess_s: time by which the queue exceeds the free slots; negative if some are free.
+    :param uncertainty_s: by how much ``excess_s`` may differ because the load is not known.
+    :param is_load_recent: whether the server reported its load within the time that a request
+        takes.
     """
 
     wait_s: float
@@ -34,6 +38,9 @@
     due_at: float
     p_warm: float
     is_queued: bool
+    excess_s: float
+    uncertainty_s: float
+    is_load_recent: bool
 
     @property
     def answer_s(self) -> float:
@@ -72,12 +79,23 @@
         processing_s = max(processing_s, now - oldest_sent_at - times.cold)
     slots = view.server.slots
     outstanding = view.estimate_outstanding(now)
-    wait_s = max(0, outstanding + 1 - slots) / slots * factor * times.mean
+    excess = outstanding + 1 - slots
+    wait_s = max(0, excess) / slots * factor * times.mean
     worst_case_s = wait_s + factor * times.cold + round_trip
     due_at = now + max(UNRESPONSIVE_MIN_S, UNRESPONSIVE_FACTOR * worst_case_s)
     # An estimate between reports may be a fraction, so it is rounded.
     is_queued = outstanding + 0.5 > slots
-    return AnswerTimes(wait_s, processing_s, round_trip, due_at, p_warm, is_queued)
+    return AnswerTimes(
+        wait_s,
+        processing_s,
+        round_trip,
+        due_at,
+        p_warm,
+        is_queued,
+        excess / slots * factor * times.mean,
+        view.estimate_load_uncertainty(now) / slots * factor * times.mean,
+        now - view.load_reported_at <= times.mean,
+    )
 
 
 def estimate_warm_probability(
--- a/src/caperdyke/coordination/placement/completion.py
+++ b/src/caperdyke/coordination/placement/completion.py
@@ -20,6 +20,10 @@
 # Answers of a route from which on its estimates may reject requests, and how long they may do so
 # after the last answer. Otherwise nothing would correct an estimate that rejects every request.
 ANSWERS_MIN = 8
+# Answers of certainly cold runs from which on their time is used, and the ratio of a cold to a warm
+# run that is assumed before; the one of the initial estimates of a route.
+COLD_ANSWERS_MIN = 3
+COLD_RATIO = processing_times.COLD_INITIAL_RATIO / processing_times.WARM_INITIAL_RATIO
 ESTIMATES_S = 30.0
 # How long the slowdown of a server, and the load that it reported, may reject requests.
 SLOWDOWN_S = 5.0
@@ -32,12 +36,36 @@
 
     :param left_s: seconds until the deadline.
     :param timeout_s: timeout of the route in seconds; the deadline of a caller may be earlier.
+    :param has_key: whether the request concerns an object, which may be warm or cold.
     """
 
     left_s: float
     timeout_s: float
+    has_key: bool
     times: processing_times.ProcessingTime
 
+    def estimate_warm(self) -> float:
+        """Returns the time of a warm run; the latency objective before the first warm answer.
+
+        Pattern: an instance gets a few requests of the route in a minute, so that most are placed
+        by initial estimates. These must not make a cold or slow server seem to complete them.
+        """
+        times = self.times
+        if not self.has_key and times.recent_ratios:
+            return times.mean
+        return (
+            times.warm if times.warm_answers else times.warm / processing_times.WARM_INITIAL_RATIO
+        )
+
+    def estimate_cold(self) -> float:
+        """Returns the time of a cold run."""
+        times = self.times
+        if not self.has_key:
+            return self.estimate_warm()
+        if times.certainly_cold_answers >= COLD_ANSWERS_MIN:
+            return max(times.certainly_cold, self.estimate_warm())
+        return max(times.cold, COLD_RATIO * self.estimate_warm())
+
     def may_reject(self, now: float) -> bool:
         """Returns whether the estimates are good enough to reject a request.
 
@@ -46,7 +74,7 @@
         """
         has_answers = len(self.times.recent_ratios) >= ANSWERS_MIN
         is_recent = now < self.times.measured_at + ESTIMATES_S
-        return has_answers and is_recent and self.times.warm <= self.timeout_s
+        return has_answers and is_recent and self.estimate_warm() <= self.timeout_s
 
 
 def keep_completing(
@@ -101,7 +129,16 @@
 
     The latest answers of the route tell how far a run may exceed the average one.
     """
-    return _compute_chance(now, conditions, view, expected, view.slowdown, expected.wait_s)
+    waits_s = [expected.wait_s]
+    if expected.uncertainty_s > 0:
+        # The load is above or below the estimate by the uncertainty in one of four cases each.
+        margin_s = expected.uncertainty_s
+        waits_s = [max(0.0, expected.excess_s + number * margin_s) for number in (-1, 0, 0, 1)]
+    chances = [
+        _compute_chance(now, conditions, view, expected, view.slowdown, wait_s)
+        for wait_s in waits_s
+    ]
+    return sum(chances) / len(chances)
 
 
 def may_complete(
@@ -127,10 +164,12 @@
 ) -> float:
     left_s = conditions.left_s * (1 - MARGIN_RATIO) - wait_s - expected.round_trip
 
+    warm_s, cold_s = conditions.estimate_warm(), conditions.estimate_cold()
+    spread = conditions.times.spread
+
     def compute_at_pace(pace: float) -> float:
-        times, factor = conditions.times, slowdown * pace
-        p_warm = _compute_share(left_s, factor * times.warm, times.spread)
-        p_cold = _compute_share(left_s, factor * times.cold, times.spread)
+        p_warm = _compute_share(left_s, slowdown * pace * warm_s, spread)
+        p_cold = _compute_share(left_s, slowdown * pace * cold_s, spread)
         return expected.p_warm * p_warm + (1 - expected.p_warm) * p_cold
 
     weight = view.pace.compute_weight(now)
--- a/src/caperdyke/coordination/placement/load_estimate.py
+++ b/src/caperdyke/coordination/placement/load_estimate.py
@@ -3,63 +3,135 @@
 import collections
 import dataclasses
 import math
+import statistics
 
 from caperdyke.coordination.placement import server_pace
-from caperdyke.state import header_fields, ids
+from caperdyke.state import backend, header_fields, ids
 
 # Age in which the weight of a report falls to 1/e; the requests that it counted take about as long.
 REPORT_WEIGHT_S = 0.25
-# Weight of the newest report in the usual load of a service.
-USUAL_WEIGHT = 0.05
+# Age in which the weight of a report in the usual load of a service, or of a server, falls to 1/e.
+# An instance that believes all servers to be full gets no reports that would correct it.
+USUAL_S = 5.0
+# Reports that count at most, so that this takes a few seconds after many reports, too.
+REPORTS_MAX = 10.0
+# Weight of the newest report in the usual load of a server.
+USUAL_WEIGHT = 0.2
+# Reports that count as much as what instances announce of the service as a whole, and reports of a
+# server that count as much as the usual load of its service.
+ANNOUNCED_REPORTS = 4
+SERVICE_REPORTS = 4
+# How long a server counts towards the usual load of its service after its last report, and the
+# interval at which servers without a report are removed.
+SERVER_REPORT_S = 30.0
+REMOVAL_INTERVAL_S = 1.0
 # Latest paces that servers of a service reported; they are the paces of a server without a report.
 USUAL_PACES_MAX = 16
 
 
+@dataclasses.dataclass(slots=True)
+class _UsualLoad:
+    """Moving average of the requests of other instances per slot, from reports.
+
+    :param reports: number of reports, of which those of the last seconds count.
+    :param reported_at: time of the last report.
+    """
+
+    others_per_slot: float = 0.0
+    reports: float = 0.0
+    reported_at: float = -math.inf
+
+    def count_reports(self, now: float) -> float:
+        """Returns the number of reports, weighted by their age."""
+        return self.reports * math.exp(-max(0.0, now - self.reported_at) / USUAL_S)
+
+    def record(self, now: float, others_per_slot: float) -> None:
+        """Adds a report."""
+        self.reports = min(REPORTS_MAX, self.count_reports(now) + 1)
+        self.reported_at = now
+        weight = max(USUAL_WEIGHT, 1 / self.reports)
+        self.others_per_slot += weight * (others_per_slot - self.others_per_slot)
+
+
 @dataclasses.dataclass(slots=True)
 class ServiceLoad:
     """What the servers of one service usually report.
 
     Pattern: at 68 instances, one gets a report of a given server every few seconds, and the load
     that instances announce to each other is as old. A server that was idle then is not idle now,
-    so an old report is replaced by the load that the servers usually have.
+    so an old report is replaced by the load that the servers usually have. All servers count alike:
+    most reports come from the busiest ones, and a mean of all reports would exceed the usual load.
+    As far as there are few reports, the load that instances announce of the service as a whole
+    counts; unlike that of a single server, it does not change much within seconds.
 
     :param is_requested: whether the settings ask for the estimate, even where servers report no
         pace.
-    :param others_per_slot: moving average of the requests of other instances per slot;
-        ``deviation_per_slot`` of their distance from it.
-    :param reports: number of reports.
+    :param announced_per_slot: requests of other instances per slot of all servers, as announced.
+    :param deviation_per_slot: moving average of the distance of a report from the usual load.
     :param paces: latest paces that any server reported.
     :param pace_reported_at: time of the last of these.
     """
 
     is_requested: bool = False
-    others_per_slot: float = 0.0
+    announced_per_slot: float = 0.0
     deviation_per_slot: float = 0.0
-    reports: int = 0
     paces: collections.deque[float] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=USUAL_PACES_MAX)
     )
     pace_reported_at: float = -math.inf
-
-    def record(self, now: float, load: header_fields.ServerLoad, others: int, slots: int) -> None:
+    _mean_per_slot: float = 0.0
+    _reports: _UsualLoad = dataclasses.field(default_factory=_UsualLoad)
+    _servers: dict[ids.BackendId, _UsualLoad] = dataclasses.field(default_factory=dict)
+    _removed_at: float = -math.inf
+
+    def record(
+        self, now: float, server: backend.BackendServer, load: header_fields.ServerLoad, others: int
+    ) -> None:
         """Records a report of any server of the service.
 
         :param others: requests of other instances among those reported.
-        :param slots: slots of the server.
         """
-        self.reports += 1
-        weight = max(USUAL_WEIGHT, 1 / self.reports)
-        difference = others / slots - self.others_per_slot
-        self.others_per_slot += weight * difference
-        self.deviation_per_slot += weight * (abs(difference) - self.deviation_per_slot)
+        others_per_slot = others / server.slots
+        deviation = abs(others - self.estimate_others(now, server)) / server.slots
+        self._reports.record(now, others_per_slot)
+        self.deviation_per_slot += (deviation - self.deviation_per_slot) / self._reports.reports
+        is_new = server.backend not in self._servers
+        usual = self._servers.setdefault(server.backend, _UsualLoad())
+        previous = usual.others_per_slot
+        usual.record(now, others_per_slot)
+        if is_new or now >= self._removed_at + REMOVAL_INTERVAL_S:
+            self._recompute(now)
+        else:
+            change = usual.others_per_slot - previous
+            self._mean_per_slot += change / len(self._servers)
         if load.pace is not None:
             self.paces.append(load.pace)
             self.pace_reported_at = now
 
+    def estimate_others(self, now: float, server: backend.BackendServer) -> float:
+        """Returns the requests of other instances that are usual at a server."""
+        reports = self._reports.count_reports(now)
+        per_slot = self.announced_per_slot
+        per_slot += (self._mean_per_slot - per_slot) * reports / (reports + ANNOUNCED_REPORTS)
+        usual = self._servers.get(server.backend)
+        if usual is not None:
+            reports = usual.count_reports(now)
+            per_slot += (usual.others_per_slot - per_slot) * reports / (reports + SERVICE_REPORTS)
+        return per_slot * server.slots
+
     def reports_pace(self, now: float) -> bool:
         """Returns whether any server of the service reports its pace."""
         return now < self.pace_reported_at + server_pace.PACE_REPORTING_S
 
+    def _recompute(self, now: float) -> None:
+        self._removed_at = now
+        for name, usual in list(self._servers.items()):
+            if now >= usual.reported_at + SERVER_REPORT_S:
+                del self._servers[name]
+        self._mean_per_slot = statistics.fmean(
+            usual.others_per_slot for usual in self._servers.values()
+        )
+
 
 class ServiceLoads:
     """Usual loads by service.
@@ -77,6 +149,14 @@
         for load in self._loads.values():
             load.is_requested = is_requested
 
+    def apply_announced(self, announced: dict[ids.ServiceName, tuple[int, int]]) -> None:
+        """Applies the load that other instances announced.
+
+        :param announced: requests of other instances at all servers of a service, and their slots.
+        """
+        for service, (others, slots) in announced.items():
+            self.find(service).announced_per_slot = others / max(1, slots)
+
     def find(self, service: ids.ServiceName) -> ServiceLoad:
         """Returns the usual load of a service."""
         load = self._loads.get(service)
--- a/src/caperdyke/coordination/placement/processing_times.py
+++ b/src/caperdyke/coordination/placement/processing_times.py
@@ -30,6 +30,9 @@
     :param warm_answers: number of answers in ``warm``.
     :param cold_answers: number of answers in ``cold``.
     :param answer_bytes: size of an answer's body; 0 before the first one.
+    :param certainly_cold: time of runs that were certain to be cold, as the object was on none of
+        its homes; 0 before the first one.
+    :param certainly_cold_answers: number of answers in ``certainly_cold``.
     :param recent_ratios: times of the latest answers as multiples of the estimates.
     :param measured_at: time of the latest answer.
     """
@@ -40,6 +43,8 @@
     warm_answers: int = 0
     cold_answers: int = 0
     answer_bytes: float = 0.0
+    certainly_cold: float = 0.0
+    certainly_cold_answers: int = 0
     recent_ratios: collections.deque[float] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=SPREAD_ANSWERS_MAX)
     )
@@ -97,6 +102,15 @@
             return elapsed_s
         return min(elapsed_s, OUTLIER_RATIO_MAX * (self.warm if is_known_warm else self.cold))
 
+    def record_certainly_cold(self, elapsed_s: float) -> None:
+        """Updates the time of runs that were certain to be cold.
+
+        ``cold`` contains runs on homes, too, which are warm more often than not.
+        """
+        weight = _compute_weight(self.certainly_cold_answers)
+        self.certainly_cold += weight * (elapsed_s - self.certainly_cold)
+        self.certainly_cold_answers += 1
+
     def record_ratio(self, now: float, is_known_warm: bool, elapsed_s: float) -> None:
         """Adds the time of an answer to the spread.
 
@@ -148,6 +162,7 @@
         elapsed_s: float,
         pace: float | None = None,
         now: float = -math.inf,
+        is_certainly_cold: bool = False,
     ) -> float:
         """Updates the estimates with an answer to a request that did not wait for a slot.
 
@@ -156,6 +171,7 @@
         :param elapsed_s: seconds from sending the request to the complete answer.
         :param pace: pace of the server during the run, which is factored out of all estimates; None
             if the server reports none.
+        :param is_certainly_cold: whether the object was expected to be cold on the server.
         :returns: time of the answer as a multiple of the expected time.
         """
         times = self.find(route, objective)
@@ -165,6 +181,8 @@
             elapsed_s /= pace
             times.update(is_known_warm, times.limit_outlier(is_known_warm, elapsed_s))
         times.record_ratio(now, is_known_warm, elapsed_s)
+        if is_certainly_cold:
+            times.record_certainly_cold(elapsed_s)
         return times.compare(elapsed_s)
 
 
--- a/src/caperdyke/coordination/placement/selection.py
+++ b/src/caperdyke/coordination/placement/selection.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 import math
+import random
 
 from caperdyke.coordination.placement import (
     answer_times,
@@ -125,6 +126,7 @@
     needs: Requirements,
     candidates: list[Candidate],
     times: processing_times.ProcessingTime,
+    rng: random.Random | None = None,
 ) -> Selection:
     """Returns the server with the lowest cost: the expected latency and what others lose by it.
 
@@ -137,13 +139,15 @@
     Servers that requested a backoff from other instances are used only if no other has capacity.
 
     :param candidates: servers in the order of their rank for the object.
+    :param rng: chooses between servers whose loads are not known well enough to tell which costs
+        less, see ``server_options.choose``; None to choose the better ranked one.
     """
     if any(item.is_deprioritized for item in candidates):
         preferred = [item for item in candidates if not item.is_deprioritized]
-        selected = _select_among(now, needs, preferred, times)
+        selected = _select_among(now, needs, preferred, times, rng)
         if isinstance(selected, Placement):
             return selected
-    return _select_among(now, needs, candidates, times)
+    return _select_among(now, needs, candidates, times, rng)
 
 
 def _select_among(
@@ -151,6 +155,7 @@
     needs: Requirements,
     candidates: list[Candidate],
     times: processing_times.ProcessingTime,
+    rng: random.Random | None,
 ) -> Selection:
     eligible = [item for item in candidates if is_eligible(now, item, needs)]
     if not eligible:
@@ -178,10 +183,14 @@
         options.append(server_options.Option(view, expected, cost))
     completing = options
     if options and not needs.is_repeatable:
-        conditions = completion.Conditions(needs.deadline - now, needs.timeout_s, times)
+        conditions = completion.Conditions(needs.deadline - now, needs.timeout_s, has_homes, times)
         completing = completion.keep_completing(now, conditions, needs.objective_at, options)
     if completing:
-        best = server_options.find_cheapest(completing)
+        best = (
+            server_options.find_cheapest(completing)
+            if rng is None
+            else server_options.choose(completing, rng)
+        )
         return make_placement(best.view, best.times)
     if options:
         shortest_wait = min(shortest_wait, completion.find_shortest_wait(options))
--- a/src/caperdyke/coordination/placement/server_view.py
+++ b/src/caperdyke/coordination/placement/server_view.py
@@ -117,12 +117,9 @@
 
     def is_load_blended(self, now: float) -> bool:
         """Returns whether the load between reports is estimated from the usual load."""
-        usual = self.service_load
-        if not usual.reports:
-            return False
-        if usual.is_requested or self.pace.is_reported(now):
+        if self.service_load.is_requested or self.pace.is_reported(now):
             return True
-        return self.reported_others is None and usual.reports_pace(now)
+        return self.reported_others is None and self.service_load.reports_pace(now)
 
     def estimate_outstanding(self, now: float) -> float:
         """Returns the estimated number of requests of all instances at the server.
@@ -132,7 +129,7 @@
         """
         if not self.is_load_blended(now):
             return self.outstanding
-        usual = self.service_load.others_per_slot * self.server.slots
+        usual = self.service_load.estimate_others(now, self.server)
         weight = self._compute_report_weight(now)
         return self.in_flight + usual + weight * ((self.reported_others or 0) - usual)
 
@@ -152,7 +149,7 @@
         self.record_reported_load(now, load.running + load.waiting)
         if load.pace is not None:
             self.pace.record(now, load.pace)
-        self.service_load.record(now, load, self.others, self.server.slots)
+        self.service_load.record(now, self.server, load, self.others)
 
     def record_reported_load(self, now: float, load: int) -> None:
         """Records the load that the server reported.
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -285,11 +285,11 @@
         node = self._node
         times = node.times.find(route.name, route.objective_ms / 1000)
         candidates = node.list_candidates(requirements.service, requirements.key, route)
-        selected = selection.select_server(node.now(), requirements, candidates, times)
+        selected = selection.select_server(node.now(), requirements, candidates, times, self._rng)
         if isinstance(selected, selection.Placement) or len(candidates) < selection.CANDIDATES_MAX:
             return selected
         candidates = node.list_candidates(requirements.service, requirements.key, route, math.inf)
-        return selection.select_server(node.now(), requirements, candidates, times)
+        return selection.select_server(node.now(), requirements, candidates, times, self._rng)
 
     def _record_result(
         self,
@@ -320,6 +320,7 @@
                     duration,
                     view.pace.find_run_pace(sent_at, now),
                     now,
+                    not placement.is_warm,
                 )
             view.record_answer(now, request.caller_headers.object_key, ratio)
             return
--- a/testing/placement/builders.py
+++ b/testing/placement/builders.py
@@ -52,7 +52,8 @@
 
 def make_measured_times(warm: float, cold: float) -> processing_times.ProcessingTime:
     """Returns the estimates of a route after enough recent answers, with some spread."""
-    times = processing_times.ProcessingTime(warm=warm, cold=cold, mean=warm)
+    answers = processing_times.SPREAD_ANSWERS_MAX
+    times = processing_times.ProcessingTime(warm, cold, warm, answers, answers)
     for number in range(processing_times.SPREAD_ANSWERS_MAX):
         times.record_ratio(0.0, True, warm * (0.85 + 0.3 * number / 63))
     return times
--- a/testing/placement/simulation.py
+++ b/testing/placement/simulation.py
@@ -14,13 +14,14 @@
 
 from caperdyke.coordination.placement import (
     homes,
+    load_estimate,
     processing_times,
     selection,
     server_view,
     shared_bounds,
 )
-from caperdyke.state import backend, ids
-from testing.placement import builders
+from caperdyke.state import backend, header_fields, ids
+from testing.placement import builders, uneven_servers
 
 # Intervals at which a gateway receives the load of the others in its region, and of all others, in
 # a fleet of ten gateways.
@@ -33,6 +34,8 @@
 # A caller retries at the latest after this part of the time until its deadline.
 RETRY_RATIO = 0.3
 ROUTE = ids.RouteName("read")
+# Requests that must not run twice, and are lost if they exceed their timeout.
+BOOKING_ROUTE = ids.RouteName("booking")
 
 
 class Policy(enum.Enum):
@@ -62,6 +65,8 @@
     :param skew: exponent of the popularity of objects; 0 if all are equally popular.
     :param cross_region_rtt_s: round-trip time to a server in another region.
     :param servers_max: servers that one request may be sent to.
+    :param paces: how the pace of each server changes, and the heavy tail of its runs.
+    :param bookings: requests that must not run twice; None if there are none.
     """
 
     per_second: float
@@ -88,6 +93,8 @@
     skew: float = 0.0
     cross_region_rtt_s: float = 0.0
     servers_max: int = 1
+    paces: uneven_servers.Paces | None = None
+    bookings: uneven_servers.Bookings | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -102,6 +109,12 @@
     :param far: requests that were processed in another region.
     :param burst_max: most arrivals at one server within ``BURST_WINDOW_S``.
     :param busiest: runs of the busiest server, as a multiple of the mean.
+    :param herded: arrivals at a server that had got 1.5 times its slots within ``BURST_WINDOW_S``
+        while another one in the region had a free slot.
+    :param bookings: bookings of callers; ``bookings_placed`` those sent to a server.
+    :param bookings_lost: bookings that were placed and did not complete within their timeout.
+    :param bookings_misplaced: those of them for which another server had a free slot, the warm
+        object, and a pace at which it would have completed them.
     """
 
     requests: int = 0
@@ -115,6 +128,11 @@
     far: int = 0
     burst_max: int = 0
     busiest: float = 0.0
+    herded: int = 0
+    bookings: int = 0
+    bookings_placed: int = 0
+    bookings_lost: int = 0
+    bookings_misplaced: int = 0
 
     @property
     def score(self) -> float:
@@ -125,6 +143,7 @@
 @dataclasses.dataclass(slots=True)
 class _Server:
     located: homes.LocatedServer
+    pace: uneven_servers.PaceCourse
     is_up: bool = True
     factor: float = 1.0
     running: int = 0
@@ -146,6 +165,7 @@
     key: ids.ObjectKey
     first_at: float
     received_at: float
+    is_booking: bool = False
 
     @property
     def is_retry(self) -> bool:
@@ -160,8 +180,10 @@
     pending: server_view.PendingRequest
     is_queued: bool
     is_known_warm: bool
+    is_expected_warm: bool = True
     tried: frozenset[ids.BackendId] = frozenset()
     is_cold: bool = False
+    has_better: bool = False
 
 
 class _Gateway:
@@ -173,8 +195,10 @@
         self.sent = shared_bounds.SendHistory()
         self.region = ids.RegionName(region)
         self.servers = {server.located.server.backend: server for server in servers}
+        self.service_loads = load_estimate.ServiceLoads()
+        service_load = self.service_loads.find(builders.SERVICE)
         self.views = {
-            name: server_view.ServerView(server.located.server)
+            name: server_view.ServerView(server.located.server, service_load=service_load)
             for name, server in self.servers.items()
         }
         self.times = processing_times.ProcessingTimes()
@@ -201,12 +225,15 @@
         self._load = load
         self._policy = policy
         self._random = random.Random(seed)
+        # Separate, so that loads with even servers are drawn as without these features.
+        self._uneven_random = random.Random(seed + 1_000_000)
         self._servers = [
             _Server(
                 homes.LocatedServer(
                     builders.make_server(f"{region}-{n}", f"{region}-1", load.slots),
                     ids.RegionName(region),
-                )
+                ),
+                uneven_servers.PaceCourse(load.paces, self._uneven_random),
             )
             for region, count in load.servers
             for n in range(count)
@@ -266,7 +293,11 @@
         key = ids.ObjectKey(
             str(number) if load.has_shared_objects else f"{gateway.region}-{number}"
         )
-        self._submit(now, (gateway, _Caller(key, now, now)))
+        is_booking = False
+        if load.bookings is not None and now >= load.bookings.start_s:
+            is_booking = self._uneven_random.random() < load.bookings.share
+            self.outcome.bookings += is_booking
+        self._submit(now, (gateway, _Caller(key, now, now, is_booking)))
 
     def _submit(self, now: float, source: tuple[_Gateway, _Caller]) -> None:
         gateway, caller = source
@@ -278,12 +309,12 @@
         if caller.is_retry:
             self.outcome.refused += 1
             return
-        remaining_s = caller.first_at + self._load.deadline - now
+        remaining_s = caller.first_at + self._find_deadline(caller) - now
         retry_at = now + min(
             retry_after * self._random.uniform(1.0, 1.5), remaining_s * RETRY_RATIO
         )
         self._push(
-            retry_at, self._submit, (gateway, _Caller(caller.key, caller.first_at, retry_at))
+            retry_at, self._submit, (gateway, dataclasses.replace(caller, received_at=retry_at))
         )
 
     def _dispatch(self, now: float, gateway: _Gateway, caller: _Caller) -> float | None:
@@ -291,14 +322,15 @@
         tried: frozenset[ids.BackendId] = frozenset()
         retry_after = None
         while len(tried) < self._load.servers_max:
-            view, is_queued, retry_after = self._select(now, gateway, caller, tried)
-            if view is None:
+            placement, retry_after = self._select(now, gateway, caller, tried)
+            if placement is None:
                 return retry_after
+            view = placement.view
             server = gateway.servers[view.server.backend]
-            self._record_arrival(now, server)
+            self._record_arrival(now, server, gateway)
             is_full = len(server.waiting) >= QUEUE_PER_SLOT * self._load.slots
             if server.is_up and not is_full:
-                self._send(now, gateway, server, caller, is_queued)
+                self._send(now, gateway, server, caller, placement)
                 return None
             self.outcome.rejected += 1
             tried |= {view.server.backend}
@@ -310,25 +342,57 @@
             retry_after = selection.RETRY_AFTER_MIN_S
         return retry_after
 
-    def _record_arrival(self, now: float, server: _Server) -> None:
+    def _find_deadline(self, caller: _Caller) -> float:
+        return self._load.bookings.timeout_s if caller.is_booking else self._load.deadline
+
+    def _record_arrival(self, now: float, server: _Server, gateway: _Gateway) -> None:
         server.arrivals.append(now)
         while server.arrivals[0] <= now - BURST_WINDOW_S:
             server.arrivals.popleft()
         self.outcome.burst_max = max(self.outcome.burst_max, len(server.arrivals))
+        if len(server.arrivals) >= 1.5 * self._load.slots:
+            self.outcome.herded += any(
+                other.running < self._load.slots
+                for other in self._servers
+                if other is not server and other.located.region == gateway.region
+            )
 
     def _send(
-        self, now: float, gateway: _Gateway, server: _Server, caller: _Caller, is_queued: bool
+        self,
+        now: float,
+        gateway: _Gateway,
+        server: _Server,
+        caller: _Caller,
+        placement: selection.Placement,
     ) -> None:
         view = gateway.views[server.located.server.backend]
         pending = view.record_send(now)
         gateway.sent.record_send(now, view.server.backend)
         is_warm = view.is_warm(now, caller.key)
-        request = _Request(gateway, server, caller, pending, is_queued, is_warm)
+        request = _Request(
+            gateway, server, caller, pending, placement.is_queued, is_warm, placement.is_warm
+        )
+        if caller.is_booking:
+            self.outcome.bookings_placed += 1
+            request.has_better = any(
+                self._would_complete(now, other, caller)
+                for other in self._servers
+                if other is not server
+            )
         if server.running < self._load.slots:
             self._run(now, request)
         else:
             server.waiting.append(request)
 
+    def _would_complete(self, now: float, server: _Server, caller: _Caller) -> bool:
+        """Returns whether a server with a free slot would complete a booking of average work."""
+        if server.running >= self._load.slots or caller.key not in server.warm:
+            return False
+        ends_at = server.pace.find_end(now, self._load.bookings.warm)
+        return ends_at + self._load.cross_region_rtt_s <= caller.first_at + self._find_deadline(
+            caller
+        )
+
     def _select(
         self,
         now: float,
@@ -345,10 +409,11 @@
         match self._policy:
             case Policy.LEAST_OUTSTANDING:
                 best = min(open_views, key=lambda v: v.outstanding, default=None)
-                return best, False, retry_after
+                return _place(best), retry_after
             case Policy.RANDOM_TWO:
                 pair = self._random.choices(open_views, k=2) if open_views else []
-                return min(pair, key=lambda v: v.outstanding, default=None), False, retry_after
+                best = min(pair, key=lambda v: v.outstanding, default=None)
+                return _place(best), retry_after
         candidates = [
             selection.Candidate(
                 gateway.views[located.server.backend],
@@ -372,21 +437,33 @@
 
     def _select_among(self, now: float, gateway: _Gateway, caller: _Caller, candidates, tried):
         retry_after = selection.RETRY_AFTER_MIN_S
-        load = self._load
+        route, objective = self._find_route(caller)
         requirements = selection.Requirements(
             builders.SERVICE,
             caller.key,
-            caller.first_at + load.deadline,
-            caller.received_at + load.objective,
+            caller.first_at + self._find_deadline(caller),
+            caller.received_at + objective,
             selection.CROSS_DOMAIN_PENALTY_S,
             tried,
+            not caller.is_booking,
+            self._find_deadline(caller),
         )
         selected = selection.select_server(
-            now, requirements, candidates, gateway.times.find(ROUTE, load.objective)
+            now,
+            requirements,
+            candidates,
+            gateway.times.find(route, objective),
+            self._uneven_random,
         )
         if isinstance(selected, selection.NoCapacity):
-            return None, False, selected.retry_after
-        return selected.view, selected.is_queued, retry_after
+            return None, selected.retry_after
+        return selected, retry_after
+
+    def _find_route(self, caller: _Caller) -> tuple[ids.RouteName, float]:
+        """Returns the route of a request and its latency objective in seconds."""
+        if caller.is_booking:
+            return BOOKING_ROUTE, self._load.bookings.objective_s
+        return ROUTE, self._load.objective
 
     def _may_send(self, now: float, gateway: _Gateway, server: backend.BackendServer) -> bool:
         load = self._load
@@ -417,30 +494,61 @@
         server.warm.move_to_end(key)
         if len(server.warm) > load.warm_objects_max:
             server.warm.popitem(last=False)
-        work = (load.warm if is_warm else load.cold) * self._random.uniform(0.85, 1.15)
-        work *= server.factor
-        self._push(now + work, self._finish, request)
+        warm_s, cold_s = load.warm, load.cold
+        if request.caller.is_booking:
+            warm_s, cold_s = load.bookings.warm, load.bookings.cold
+        work = (warm_s if is_warm else cold_s) * self._random.uniform(0.85, 1.15)
+        work *= server.factor * server.pace.draw_tail()
+        self._push(server.pace.find_end(now, work), self._finish, request)
 
     def _finish(self, now: float, request: _Request) -> None:
         server, gateway, load = request.server, request.gateway, self._load
         server.running -= 1
         view = gateway.views[server.located.server.backend]
         view.record_end(request.pending)
-        view.record_reported_load(now, server.running + len(server.waiting))
+        report = header_fields.ServerLoad(
+            server.running, len(server.waiting), load.slots, server.pace.find(now)
+        )
+        delay_s = load.paces.report_delay_s if load.paces is not None else 0.0
+        if delay_s:
+            self._push(now + delay_s, self._report, (view, report))
+        else:
+            view.record_load_report(now, report)
+        view.record_activity(now)
         is_far = server.located.region != gateway.region
         elapsed_s = now - request.caller.first_at + (load.cross_region_rtt_s if is_far else 0.0)
-        self.outcome.in_time += elapsed_s <= load.objective
-        is_late = load.objective < elapsed_s <= load.deadline
+        route, objective = self._find_route(request.caller)
+        deadline = self._find_deadline(request.caller)
+        self.outcome.in_time += elapsed_s <= objective
+        is_late = objective < elapsed_s <= deadline
+        if request.caller.is_booking and elapsed_s > deadline:
+            self.outcome.bookings_lost += 1
+            self.outcome.bookings_misplaced += request.has_better
         self.outcome.late += is_late
         self.outcome.late_cold += is_late and request.is_cold
         ratio = None
         if not request.is_queued:
-            processing_s = now - request.pending.sent_at
-            ratio = gateway.times.record(ROUTE, load.objective, request.is_known_warm, processing_s)
+            sent_at = request.pending.sent_at
+            run_pace = view.pace.find_run_pace(sent_at, now)
+            ratio = gateway.times.record(
+                route,
+                objective,
+                request.is_known_warm,
+                now - sent_at,
+                run_pace,
+                now,
+                not request.is_expected_warm,
+            )
         view.record_answer(now, request.caller.key, ratio)
         if server.waiting:
             self._run(now, server.waiting.popleft())
 
+    def _report(
+        self, now: float, report: tuple[server_view.ServerView, header_fields.ServerLoad]
+    ) -> None:
+        view, load = report
+        view.record_load_report(now, load)
+
     def _announce_loads(self, now: float, is_near: bool) -> None:
         loads: dict[ids.RegionName, collections.Counter] = collections.defaultdict(
             collections.Counter
@@ -451,6 +559,7 @@
                     loads[gateway.region][name] += view.in_flight
         total = sum(loads.values(), collections.Counter())
         for gateway in self._gateways:
+            others = 0
             for name, view in gateway.views.items():
                 near = loads[gateway.region][name]
                 if is_near:
@@ -459,6 +568,9 @@
                     gateway.far_load[name] = total[name] - near
                 remote_load = gateway.near_load.get(name, 0) + gateway.far_load.get(name, 0)
                 view.record_remote_load(now, remote_load)
+                others += remote_load
+            slots = self._load.slots * len(self._servers)
+            gateway.service_loads.apply_announced({builders.SERVICE: (others, slots)})
 
     def _set_third_up(self, _now: float, is_up: bool) -> None:
         for server in self._servers[::3]:
@@ -468,3 +580,8 @@
     def _slow_sixth_down(self, _now: float, factor: float) -> None:
         for server in self._servers[::6]:
             server.factor = factor
+
+
+def _place(view: server_view.ServerView | None) -> selection.Placement | None:
+    """Returns the placement of a baseline, which expects nothing of the server."""
+    return None if view is None else selection.Placement(view, 0.0, math.inf, True, False)
--- a/testing/placement/test_completion.py
+++ b/testing/placement/test_completion.py
@@ -4,7 +4,7 @@
 from parameterized import parameterized
 
 from caperdyke.coordination.placement import completion, processing_times, selection, server_pace
-from caperdyke.state import header_fields
+from caperdyke.state import header_fields, ids
 from testing.placement import builders
 
 # A route whose warm runs take 610 ms on average, with a timeout of 1,200 ms.
@@ -111,6 +111,41 @@
         candidates[1] = selection.Candidate(candidates[1].view, False, 0.03)
         self.assertEqual("far", find_name(select(candidates, objective_at=0.7, far_seconds=0.15)))
 
+    def test_initial_estimates_prefer_the_home(self) -> None:
+        """Pattern: an instance gets a few bookings in a minute; its estimates are those of a start.
+
+        Guards against a cold server that seems to complete the request by such an estimate.
+        """
+        times = processing_times.ProcessingTimes().find(ids.RouteName("booking"), 0.8)
+        candidates = [
+            make_candidate("home", 4),
+            make_candidate("second", 4),
+            make_candidate("cold", warm=""),
+        ]
+        self.assertEqual("home", find_name(select(candidates, times)))
+
+    def test_runs_on_homes_do_not_lower_the_time_of_a_cold_run(self) -> None:
+        """Pattern: this instance knows of no home that is warm, and all of them are."""
+        times = processing_times.ProcessingTimes()
+        route = ids.RouteName("booking")
+        for _ in range(20):
+            times.record(route, 0.8, False, 0.61, 1.0, 0.0)
+        times.record(route, 0.8, True, 0.61, 1.0, 0.0)
+        conditions = completion.Conditions(1.2, 1.2, True, times.find(route, 0.8))
+        self.assertTrue(conditions.estimate_cold() > 1.2, conditions.estimate_cold())
+        for _ in range(completion.COLD_ANSWERS_MIN):
+            times.record(route, 0.8, False, 0.7, 1.0, 0.0, is_certainly_cold=True)
+        self.assertAlmostEqual(0.7, conditions.estimate_cold())
+
+    def test_request_without_an_object_is_neither_warm_nor_cold(self) -> None:
+        """Guards against requests without an object that are rejected as if all were cold."""
+        times = processing_times.ProcessingTimes()
+        route = ids.RouteName("booking")
+        for _ in range(20):
+            times.record(route, 0.8, False, 0.61, 1.0, 0.0)
+        candidates = [make_candidate("any", warm="")]
+        self.assertEqual("any", find_name(select(candidates, times.find(route, 0.8), key="")))
+
 
 class UncertainEstimatesTest(testtools.TestCase):
     """Estimates that must not reject every request; the best chance is taken then.
@@ -124,7 +159,7 @@
         self.assertEqual("home", find_name(select([make_candidate("home")], times)))
 
     def test_few_answers_reject_nothing(self) -> None:
-        times = processing_times.ProcessingTime(warm=0.61, cold=1.83, mean=0.61)
+        times = processing_times.ProcessingTime(0.61, 1.83, 0.61, warm_answers=7)
         for _ in range(completion.ANSWERS_MIN - 1):
             times.record_ratio(0.0, True, 0.61)
         self.assertEqual("a", find_name(select([make_candidate("a", pace=2.5)], times)))
