Test the size of the waiting queue and the policy after a change

Guards against a queue that is used where no setting asks for it, and against ranks of an earlier configuration.

--- a/testing/platform/test_gateway_settings.py
+++ b/testing/platform/test_gateway_settings.py
@@ -110,6 +110,26 @@
 
         self.run_async(scenario)
 
+    def test_size_of_the_waiting_queue(self) -> None:
+        """Requests wait only where a deployment asks for it, and it may be switched on any time."""
+
+        async def scenario() -> None:
+            async with harness.start_gateway() as env:
+                path = write_settings(fill_template())
+                reloader = reload.Reloader(env.gateway.node, path)
+                sizes = []
+                for text in (
+                    "",
+                    "\n[placing]\nwaiting_max = 64\n",
+                    "\n[placing]\nwaiting_max = -1",
+                ):
+                    pathlib.Path(path).write_text(fill_template() + text)
+                    reloader.reload()
+                    sizes.append(env.gateway.node.settings.waiting_max)
+                self.assertEqual([0, 64, 64], sizes)
+
+        self.run_async(scenario)
+
     def test_change_without_a_signal(self) -> None:
         self.patch(reload, "WATCH_SECONDS", 0.01)
 
--- a/testing/platform/test_waiting_requests.py
+++ b/testing/platform/test_waiting_requests.py
@@ -224,6 +224,22 @@
 
         self.run_async(scenario)
 
+    def test_policy_follows_the_configuration_in_force(self) -> None:
+        """Guards against ranks that still count, or don't yet count, after a change."""
+
+        async def scenario() -> None:
+            self.prepare(waiting_max=0)
+            capacities, service = self.waiting.capacities, fleet_harness.SERVICE
+            self.assertFalse(capacities.is_competing(service))
+            table = self.node.routes
+            other = dataclasses.replace(table.routes[0], prefix="/buy/", priority=2)
+            self.node.routes = dataclasses.replace(table, routes=(*table.routes, other))
+            self.assertTrue(capacities.is_competing(service))
+            self.node.routes = table
+            self.assertFalse(capacities.is_competing(service))
+
+        self.run_async(scenario)
+
     def test_stop_ends_all_waits(self) -> None:
         """Guards against requests that are cut off when the instance ends."""
 
