Let the tokens of a new holder accrue while it takes over the role

A bucket accrues from the start of the takeover now; the holder before it grants nothing in this time, and the bound of the fleet tests holds.

Run: testing/quotas, all passed.

--- a/src/caperdyke/coordination/quotas/grantor.py
+++ b/src/caperdyke/coordination/quotas/grantor.py
@@ -61,7 +61,9 @@
             return None
         bucket = self._buckets.get(team)
         if bucket is None:
-            started_at = max(self._directory.find_role_start(team), self._changed_at[team])
+            # Tokens accrue while the instance takes over the role: the holder before it grants none.
+            started_at = self._directory.find_role_start(team) - holders.TAKEOVER_S
+            started_at = max(started_at, self._changed_at[team])
             bucket = token_bucket.TokenBucket(started_at, self._compute_part(team))
             self._buckets[team] = bucket
         return bucket.grant(now, sender, demand)
