Reduce the cost of the pipeline for callers that wait for each answer

The size of a message and the event that wakes blocked responses are needed only where a response waits behind another one.

--- a/src/caperdyke/transport/http/pipeline.py
+++ b/src/caperdyke/transport/http/pipeline.py
@@ -184,13 +184,14 @@
             # Only the last response in progress announces that the connection closes.
             headers = pipelining.drop_close(message.get("headers", ()))
             message = {**message, "headers": headers}
-        size = pipelining.measure(message)
-        if self._lacks_room(exchange, size):
-            await self._wait_for_room(exchange, size)
+        if not self._writer.is_first(exchange.response):
+            await self._wait_for_room(exchange, pipelining.measure(message))
         await send(message)
 
     async def _wait_for_room(self, exchange: exchanges.Exchange, size: int) -> None:
         """Waits until a part of a response may be buffered, or the response is the first."""
+        if not self._lacks_room(exchange, size):
+            return
         while self._lacks_room(exchange, size):
             self._blocked += 1
             self._update_reading()
@@ -209,8 +210,9 @@
         )
 
     def _wake_blocked(self) -> None:
-        self._room.set()
-        self._room = asyncio.Event()
+        if self._blocked:
+            self._room.set()
+            self._room = asyncio.Event()
 
     def _finish(self, exchange: exchanges.Exchange) -> None:
         """Marks a response as complete, or as ended without its end."""
--- a/src/caperdyke/transport/http/stand_ins.py
+++ b/src/caperdyke/transport/http/stand_ins.py
@@ -45,7 +45,7 @@
             self._watch.stop()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(eq=False, slots=True)
 class ResponseTransport:
     """Stands in for the transport of a connection towards one request.
 
@@ -71,7 +71,7 @@
         return self.response.is_finished or self.connection.is_closing()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(eq=False, slots=True)
 class ResponseFlow:
     """Stands in for the flow control of a connection towards one request.
 
