Exchange servers at random only where their loads are estimated

Costs of servers that report three figures may differ by rounding alone, and the difference of a millionth second that is ignored elsewhere let the random choice exchange them: with no uncertainty at all, another server than before could be chosen. An uncertainty above zero is required now.

--- a/src/caperdyke/coordination/placement/completion.py
+++ b/src/caperdyke/coordination/placement/completion.py
@@ -22,11 +22,11 @@
 # Answers of a route from which on its estimates may reject requests, and how long they may do so
 # after the last answer. Otherwise nothing would correct an estimate that rejects every request.
 ANSWERS_MIN = 8
+ESTIMATES_S = 30.0
 # Answers of certainly cold runs from which on their time is used, and the ratio of a cold to a warm
 # run that is assumed before; the one of the initial estimates of a route.
 COLD_ANSWERS_MIN = 3
 COLD_RATIO = processing_times.COLD_INITIAL_RATIO / processing_times.WARM_INITIAL_RATIO
-ESTIMATES_S = 30.0
 # How long the slowdown of a server, and the load that it reported, may reject requests.
 SLOWDOWN_S = 5.0
 LOAD_S = 1.0
--- a/src/caperdyke/coordination/placement/server_options.py
+++ b/src/caperdyke/coordination/placement/server_options.py
@@ -56,4 +56,4 @@
         return False
     is_equally_warm = best.times.is_warm and best.times.p_warm == other.times.p_warm
     uncertainty_s = min(best.times.uncertainty_s, other.times.uncertainty_s)
-    return is_equally_warm and other.cost - best.cost < uncertainty_s
+    return is_equally_warm and uncertainty_s > 0 and other.cost - best.cost < uncertainty_s
