Reserve slots for more urgent ranks after rejections only

Callers saw slots idle in an overload: each wait of an urgent request, also of 10 ms, made the less urgent leave a quarter of the slots free for 0.5 s. A waiting request gets the next slot anyway, so now a wait only keeps less urgent ones from waiting at servers.

Run: testing/placement/test_competing_load.py, test_waiting_queue.py, test_admission.py, testing/platform/test_waiting_requests.py, test_gateway_waiting.py, testing/test_layers.py.

--- a/src/caperdyke/coordination/placement/admission.py
+++ b/src/caperdyke/coordination/placement/admission.py
@@ -72,11 +72,20 @@
 
     def __init__(self) -> None:
         self._pressed_at: dict[int, float] = {}
+        self._waited_at: dict[int, float] = {}
 
     def record(self, now: float, rank: int) -> None:
-        """Records that a request of a rank was rejected or has to wait."""
+        """Records that a request of a rank was rejected."""
         self._pressed_at[rank] = now
 
+    def record_wait(self, now: float, rank: int) -> None:
+        """Records that a request of a rank has to wait at this instance."""
+        self._waited_at[rank] = now
+
+    def has_more_urgent_wait(self, now: float, rank: int) -> bool:
+        """Returns whether a more urgent request had to wait; it will be tried first."""
+        return any(now < at + PRESSURE_S for r, at in self._waited_at.items() if r < rank)
+
     def list_pressed(self, now: float) -> list[int]:
         """Returns the ranks that lack capacity, the most urgent first."""
         return sorted(rank for rank, at in self._pressed_at.items() if now < at + PRESSURE_S)
@@ -140,10 +149,15 @@
         self._mean_response_s += EWMA_WEIGHT * (response_s - self._mean_response_s)
 
     def record_shortage(self, now: float, claim: team_shares.Claim) -> None:
-        """Records that a request was rejected or has to wait."""
+        """Records that a request was rejected."""
         self.pressure.record(now, claim.rank)
         self.shares.record_shortage(now, claim)
 
+    def record_wait(self, now: float, claim: team_shares.Claim) -> None:
+        """Records that a request has to wait."""
+        self.pressure.record_wait(now, claim.rank)
+        self.shares.record_shortage(now, claim)
+
     def restrict(
         self, now: float, claim: team_shares.Claim, is_ranked: bool, has_teams: bool
     ) -> Restriction:
@@ -153,6 +167,8 @@
             return Restriction(reserve, False, f"leaves {reserve:.2f} of the slots to other ranks")
         if has_teams and self.shares.must_yield(now, claim):
             return Restriction(TEAM_RESERVE, False, "the team is above its fair share")
+        if is_ranked and self.pressure.has_more_urgent_wait(now, claim.rank):
+            return Restriction(0.0, False, "a more urgent request waits")
         return NO_RESTRICTION
 
     def find_response_interval(self) -> float | None:
--- a/src/caperdyke/transport/gateway/waiting_requests.py
+++ b/src/caperdyke/transport/gateway/waiting_requests.py
@@ -150,7 +150,7 @@
         capacity = self.capacities.find(service)
         cause = "the request was cancelled"
         retry_at = max(waiting_since + RETRY_MIN_SECONDS, decision.retry_at)
-        capacity.record_shortage(waiting_since, entry.claim)
+        capacity.record_wait(waiting_since, entry.claim)
         try:
             while entry in queue:
                 is_woken = await self._sleep(entry, min(retry_at, decision.until))
@@ -160,7 +160,7 @@
                 if entry not in queue:
                     break
                 now = node.now()
-                capacity.record_shortage(now, entry.claim)
+                capacity.record_wait(now, entry.claim)
                 is_tried = is_woken or now >= min(retry_at, decision.until)
                 if is_tried:
                     entry.must_yield = self.capacities.must_yield(service, entry.claim)
--- a/testing/placement/competing_load.py
+++ b/testing/placement/competing_load.py
@@ -164,7 +164,7 @@
         if isinstance(selected, selection.Placement):
             self._send(now, instance, caller, selected)
             return
-        instance.capacity.record_shortage(now, _claim(caller))
+        instance.capacity.record_wait(now, _claim(caller))
         if not self._fleet.waiting_max:
             self._reject(now, instance, caller, selected)
             return
@@ -209,7 +209,7 @@
             del instance.callers[entry]
             self._send(now, instance, caller, selected)
             return True
-        instance.capacity.record_shortage(now, _claim(caller))
+        instance.capacity.record_wait(now, _claim(caller))
         decision = self._decide(now, instance, caller, False)
         if isinstance(decision, waiting_queue.Reject):
             instance.queue.remove(entry)
--- a/testing/placement/test_admission.py
+++ b/testing/placement/test_admission.py
@@ -88,6 +88,15 @@
         self.assertEqual(reserve, restriction.reserved_ratio)
         self.assertEqual(reserve == 0, restriction.may_be_queued)
 
+    def test_wait_of_an_urgent_request_reserves_no_slot(self) -> None:
+        """Guards against idle slots: the waiting request gets the next one anyway."""
+        capacity = admission.ServiceCapacity()
+        capacity.record_wait(10.0, URGENT)
+        restriction = capacity.restrict(10.1, LESS, True, False)
+        self.assertEqual((0.0, False), (restriction.reserved_ratio, restriction.may_be_queued))
+        self.assertIs(admission.NO_RESTRICTION, capacity.restrict(10.1, URGENT, True, False))
+        self.assertIs(admission.NO_RESTRICTION, capacity.restrict(10.5, LESS, True, False))
+
     def test_service_of_one_rank_is_not_restricted(self) -> None:
         """Guards against a change for configurations without different ranks."""
         capacity = admission.ServiceCapacity()
