--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -35,7 +35,8 @@
         self._sender = sender.Sender(node)
         self.relay = relay.Relay(node)
         self.quotas = team_quotas.TeamQuotas(node)
-        final_replies = refusals.Refusals(node, random.Random())
+        self._rng = random.Random()
+        final_replies = refusals.Refusals(node, self._rng)
         self._make_over_quota_reply = final_replies.make_over_quota_reply
         self._make_final_reply = final_replies.make_final_reply
         self._make_refused_reply = final_replies.make_refused_reply
