--- a/testing/quotas/test_quota_losses.py
+++ b/testing/quotas/test_quota_losses.py
@@ -31,7 +31,6 @@
             (f"{count}_{rate}_{burst}", count, rate, burst)
             for count in COUNTS
             for rate, burst in ((391.0, 391.0), (391.0, 39.0), (50.0, 50.0), (5.0, 5.0), (1.0, 1.0))
-            if count < 750 or rate == burst != 50.0
         ]
     )
     def test_calm(self, _name, count, rate, burst) -> None:
