Share capacity between teams only where the settings ask for it

Cause: an instance of a large fleet has one or two requests of a team in progress, which says nothing about the team's part of the fleet; its largest team is restricted all the time.

Change: '[placing] team_shares', off by default. Quotas bound a team that sends several times its usual.

--- a/src/caperdyke/transport/gateway/reload.py
+++ b/src/caperdyke/transport/gateway/reload.py
@@ -49,6 +49,10 @@
             pipelined_max=new.pipelined_max,
             pipelined_bytes=new.pipelined_bytes,
             waiting_max=new.waiting_max,
+            has_team_shares=new.has_team_shares,
+            overflow_ratio_max=new.overflow_ratio_max,
+            stay_margin_seconds=new.stay_margin_seconds,
+            has_steady_weights=new.has_steady_weights,
         )
         is_restart_needed = dataclasses.replace(merged, logs=new.logs) != new
         self._node.apply_settings(merged)
--- a/src/caperdyke/transport/gateway/service_capacities.py
+++ b/src/caperdyke/transport/gateway/service_capacities.py
@@ -102,6 +102,8 @@
         table = self._node.routes
         if table is not self._table and table is not None:
             self._table, self._policy = table, admission.derive_policy(table)
+        if not self._node.settings.has_team_shares:
+            return dataclasses.replace(self._policy, has_teams=False)
         return self._policy
 
 
