Apply ranks and waiting only where the settings ask for them

Cause: an instance sees few requests of a service, so a rejection here says little about the fleet, and a request that may not queue at a server is refused although the queue there is short.

The parts stay for settings with few instances; what they need in a large fleet is a figure of the service's load that all instances share.

Run: settings, waiting: passed.

--- a/src/caperdyke/protocol/gateway_files.py
+++ b/src/caperdyke/protocol/gateway_files.py
@@ -61,6 +61,7 @@
         pipelined_bytes=document.read_number(
             "callers", "pipelined_bytes", 65536, 2**30, gateway_settings.PIPELINED_BYTES
         ),
+        has_ranks=document.read_choice("placing", "ranks", ("off", "on"), "off") == "on",
         has_team_shares=document.read_choice("placing", "team_shares", ("off", "on"), "off")
         == "on",
         waiting_max=document.read_number("placing", "waiting_max", 0, 10_000, 0),
--- a/src/caperdyke/state/gateway_settings.py
+++ b/src/caperdyke/state/gateway_settings.py
@@ -99,6 +99,8 @@
         serves them in turn.
     :param pipelined_bytes: most bytes of responses of a caller's connection that are buffered until
         earlier ones have been sent.
+    :param has_ranks: whether less urgent requests leave a part of the slots to more urgent ones
+        while these are rejected.
     :param has_team_shares: whether teams of one rank share a service that is short of capacity; an
         instance must have several requests of most teams in progress to tell their shares.
     :param waiting_max: requests for each service that may wait at this instance for capacity; 0 if
@@ -131,3 +133,4 @@
     pipelined_bytes: int = PIPELINED_BYTES
     waiting_max: int = 0
     has_team_shares: bool = False
+    has_ranks: bool = False
--- a/src/caperdyke/transport/gateway/reload.py
+++ b/src/caperdyke/transport/gateway/reload.py
@@ -49,6 +49,7 @@
             pipelined_max=new.pipelined_max,
             pipelined_bytes=new.pipelined_bytes,
             waiting_max=new.waiting_max,
+            has_ranks=new.has_ranks,
             has_team_shares=new.has_team_shares,
             overflow_ratio_max=new.overflow_ratio_max,
             stay_margin_seconds=new.stay_margin_seconds,
--- a/src/caperdyke/transport/gateway/service_capacities.py
+++ b/src/caperdyke/transport/gateway/service_capacities.py
@@ -102,9 +102,11 @@
         table = self._node.routes
         if table is not self._table and table is not None:
             self._table, self._policy = table, admission.derive_policy(table)
-        if not self._node.settings.has_team_shares:
-            return dataclasses.replace(self._policy, has_teams=False)
-        return self._policy
+        settings = self._node.settings
+        return admission.CompetitionPolicy(
+            self._policy.ranked_services if settings.has_ranks else frozenset(),
+            self._policy.has_teams and settings.has_team_shares,
+        )
 
 
 def make_claim(request: sender.CallerRequest, route: routes.Route) -> team_shares.Claim:
--- a/testing/platform/test_gateway_waiting.py
+++ b/testing/platform/test_gateway_waiting.py
@@ -107,6 +107,8 @@
             async with harness.start_gateway(["s1"], make_ranked_configuration()) as env:
                 self.patch(events, "log", record_line)
                 self.patch(admission, "PRESSURE_S", PRESSURE_SECONDS)
+                node = env.gateway.node
+                node.apply_settings(harness.replace_settings(node.settings, has_ranks=True))
                 await warm_up(env)
                 tasks = await fill(env, SENT_MAX)
                 self.assertEqual(503, (await env.send_request())[0])
