--- a/testing/platform/test_waiting_requests.py
+++ b/testing/platform/test_waiting_requests.py
@@ -229,6 +229,7 @@
 
         async def scenario() -> None:
             self.prepare(waiting_max=0)
+            self.node.settings = harness.replace_settings(self.node.settings, has_ranks=True)
             capacities, service = self.waiting.capacities, fleet_harness.SERVICE
             self.assertFalse(capacities.is_competing(service))
             table = self.node.routes
