Check again when a request is sent that its server is in service

Callers saw nothing of it; backend servers got requests up to half a second after the instance knew that they were leaving.

Cause: registration and evacuation were checked when a server was selected. Opening a connection takes up to 0.5 s (CONNECT_TIMEOUT_SECONDS), and only the configuration, shared bounds and the leaving header were checked again after it. A server whose registration said "draining" or was removed meanwhile, whose failure domain was evacuated, or which another service had taken over, got the request all the same.

Change: find_next_send_time, which both the selection and the send ask, returns infinity for a server out of service; the send also compares the registration with the one that was selected.

Before: test_leaving_while_connecting fails in 3 of 3 cases (draining, removed, evacuated: one request reaches the server). After: passes.

--- a/src/caperdyke/coordination/registry/server_registry.py
+++ b/src/caperdyke/coordination/registry/server_registry.py
@@ -122,7 +122,7 @@
         if self._unconfirmed and now >= self._lapse_grace_until:
             for entry, changed in list(self._unconfirmed.values()):
                 self.merge(now, entry, changed)
-        return [server for server in self._servers.values() if self._is_usable(now, server)]
+        return [server for server in self._servers.values() if self.is_usable(now, server)]
 
     def find(self, name: ids.BackendId) -> RegisteredServer | None:
         """Returns a server, or None."""
@@ -165,7 +165,8 @@
         is_of_later_era = changed.era > current.removed.era
         return is_removed and is_same_start and is_of_later_era and now < self._lapse_grace_until
 
-    def _is_usable(self, now: float, server: RegisteredServer) -> bool:
+    def is_usable(self, now: float, server: RegisteredServer) -> bool:
+        """Returns whether a server may get new requests according to its registration."""
         if now >= server.usable_until:
             return False
         entry = server.registration
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -153,8 +153,7 @@
         usable = [
             registered
             for registered in self.servers.list_usable(now)
-            if registered.registration.server.domain not in self.evacuated
-            and not self.header_handler.is_leaving(registered)
+            if not self._is_out_of_service(registered)
         ]
         services = server_registry.list_services(usable)
         self.path.apply_servers(
@@ -172,6 +171,15 @@
             self.bounds.remove_server(name)
             self.pool.drop(name)
 
+    def is_in_service(self, now: float, registered: server_registry.RegisteredServer) -> bool:
+        """Returns whether a server may get requests, apart from bounds on their number."""
+        return self.servers.is_usable(now, registered) and not self._is_out_of_service(registered)
+
+    def _is_out_of_service(self, registered: server_registry.RegisteredServer) -> bool:
+        """Returns whether a server is evacuated, or has announced that it is leaving."""
+        is_evacuated = registered.registration.server.domain in self.evacuated
+        return is_evacuated or self.header_handler.is_leaving(registered)
+
     def find_registrations_age_ms(self) -> int:
         """Returns the age of the registrations in milliseconds; -1 before the first read."""
         if self.registrations_at is None:
@@ -353,9 +361,9 @@
     ) -> float:
         """Returns the earliest time at which this instance may send one more request to a server.
 
-        :returns: infinity if the server is leaving or this instance has no quota of a bound.
+        :returns: infinity if the server is out of service or this instance has no quota of a bound.
         """
-        if self.header_handler.is_leaving(registered):
+        if not self.is_in_service(now, registered):
             return math.inf
         is_cold = self.is_cold(now, registered)
         if not is_cold and self.bounds.is_empty:
@@ -363,15 +371,20 @@
         cold = self._make_cold_bound(registered) if is_cold else None
         return self.bounds.find_next_send_time(now, registered.registration.server, cold)
 
-    def try_record_send(self, name: ids.BackendId) -> bool:
-        """Counts a request as sent; returns False if the bounds of the server do not allow it now.
+    def try_record_send(self, server: backend.BackendServer) -> bool:
+        """Counts a request as sent; returns False if the server must not get it now.
 
-        Pattern: a server advertises a limit while requests assigned to it wait for a connection.
+        Pattern: a server leaves, moves or advertises a limit while requests assigned to it wait for
+        a connection.
+
+        :param server: the server as it was registered when it was selected.
         """
-        now, registered = self.now(), self.servers.find(name)
-        if registered is not None and self.find_next_send_time(now, registered) > now:
+        now, registered = self.now(), self.servers.find(server.backend)
+        if registered is None or registered.registration.server != server:
+            return False
+        if self.find_next_send_time(now, registered) > now:
             return False
-        self.bounds.record_send(now, name)
+        self.bounds.record_send(now, server.backend)
         return True
 
     def adjust_retry_after(
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -196,8 +196,8 @@
             return "no time left"
         if self._node.routes is not request.table:
             return "the configuration changed"
-        if not self._node.try_record_send(server.backend):
-            return "the server's part for this instance is used up"
+        if not self._node.try_record_send(server):
+            return "the server left service, or this instance's quota of it is used up"
         return None
 
     async def _exchange_on_connection(
