Ignore late writes of earlier registrations within an era too

A backend server whose registration said "draining" could come back into use, and callers' requests went to it until its next registration was read.

Cause: the store may perform a write that got no answer seconds later. Within an era the position alone counted, and a late "ready" has a newer position than the "draining" that the server wrote after it.

Change: of one start, a registration with a lower sequence is ignored in any era. A lower start time is still accepted within an era, since a restart after the clock was set back looks the same.

Before: test_late_write_of_an_earlier_registration_is_ignored fails in both cases (registered, removed). After: passes.

--- a/src/caperdyke/coordination/registry/server_registry.py
+++ b/src/caperdyke/coordination/registry/server_registry.py
@@ -38,10 +38,11 @@
 
     Pattern: servers are added, drain and leave during the day, and a store that was unreachable
     reports servers as removed whose registrations only lapsed. A store restored from an older copy
-    returns servers as ready that have drained or left since, until they have written again. In a
-    later era, a registration with an older start time or sequence number than the present one is
-    ignored, and one of a removed server is accepted only after the time in which its removal would
-    be written again.
+    returns servers as ready that have drained or left since, until they have written again. A write
+    that a server gave up may be performed seconds later, after its next one. A registration with a
+    lower sequence number than the present one of the same start is therefore ignored. In a later
+    era so is one of an older start, and one of a removed server is accepted only after the time in
+    which its removal would be written again.
     """
 
     def __init__(self) -> None:
@@ -178,11 +179,14 @@
 def _is_outdated(
     current: RegisteredServer, entry: registration.Registration, changed: store_rows.Position
 ) -> bool:
-    """Returns whether a registration of a later era is older than the present one."""
+    """Returns whether a registration is older than the present one, by the server's own order."""
     previous = current.registration
-    if changed.era == current.changed.era or not entry.started_ms or not previous.started_ms:
+    if not entry.started_ms or not previous.started_ms:
         return False
-    return (entry.started_ms, entry.sequence) < (previous.started_ms, previous.sequence)
+    if entry.started_ms == previous.started_ms:
+        return entry.sequence < previous.sequence
+    # Within an era, a restart whose clock was set back cannot be told from a late write.
+    return changed.era != current.changed.era and entry.started_ms < previous.started_ms
 
 
 def list_services(servers: list[RegisteredServer]) -> dict[ids.ServiceName, list[RegisteredServer]]:
--- a/testing/registry/test_server_registry.py
+++ b/testing/registry/test_server_registry.py
@@ -46,6 +46,21 @@
         self.registry.merge(1.0, make_entry(READY), make_position(9))
         self.assertFalse(self.is_usable())
 
+    @parameterized.expand([("registered", False), ("removed", True)])
+    def test_late_write_of_an_earlier_registration_is_ignored(self, _name, is_removed) -> None:
+        """Guards against a draining server that a delayed write puts back into use."""
+        self.registry.merge(1.0, make_entry(DRAINING, sequence=5), make_position(11))
+        if is_removed:
+            self.registry.remove(1.5, NAME, make_position(12))
+        self.registry.merge(2.0, make_entry(READY, sequence=4), make_position(13))
+        self.assertFalse(self.is_usable(2.0))
+
+    @parameterized.expand([("clock_ahead", 9), ("clock_set_back", 1)])
+    def test_restart_under_the_same_name_counts_from_the_beginning(self, _name, started) -> None:
+        self.registry.merge(1.0, make_entry(DRAINING, 5, sequence=9), make_position(11))
+        self.registry.merge(2.0, make_entry(READY, started, sequence=1), make_position(12))
+        self.assertTrue(self.is_usable(2.0))
+
     def test_removed_server_is_not_usable_at_once(self) -> None:
         self.registry.remove(1.0, NAME, make_position(11))
         self.assertFalse(self.is_usable())
