Do not count a read of changes that shows an older state

Registrations could grow older than the interval between two reads without anybody noticing.

Cause: a whole table at or before the known position was no answer, but changes up to an earlier position counted as a successful read without changes. The instance announced that it had just read, and the others of its failure domain postponed their own reads.

Before: test_changes_of_an_older_state_are_no_answer fails (True for the old state). After: passes.

--- a/src/caperdyke/transport/gateway/table_sync.py
+++ b/src/caperdyke/transport/gateway/table_sync.py
@@ -108,8 +108,11 @@
         finally:
             self.calls.remove(started_at)
             self._on_call_ended(CallReport(self.table, wait_ms, started_at, outcome, detail))
-        is_applied = self.apply_changes(changes, is_recovery=self.away_since is not None)
-        if not is_applied and self.position == previous:
+        is_stale = _is_stale(changes, previous)
+        is_applied = not is_stale and self.apply_changes(
+            changes, is_recovery=self.away_since is not None
+        )
+        if is_stale or (not is_applied and self.position == previous):
             # No other call advanced the replica meanwhile, so the store returned a state from
             # before a change that it had already reported.
             events.log(
@@ -195,3 +198,13 @@
             events.log(events.Event.HISTORY_LOST, table=self.table.value, position=str(position))
             return await self._store.read_table(self.table)
         return changes
+
+
+def _is_stale(changes: store_rows.StoreChanges, previous: store_rows.Position | None) -> bool:
+    """Returns whether the store listed changes up to a state that it had gone beyond already.
+
+    :param previous: position of the replica when the call started.
+    """
+    if previous is None or changes.is_whole or changes.position.era != previous.era:
+        return False
+    return changes.position < previous
