Reject requests under which three backend servers ended

H1: instances repeat the request on further servers. H2: nobody recognizes the request when its caller sends it again, so it costs two servers (maxAttempts) each time. H3: the servers end by themselves. The ended servers had running requests in common: the same path; none ended without it, which rules out H3. Instances repeat a request at most once, so H1 alone gives two servers, not 59.

Cause (H2): a broken send was judged as a fault of the server or of the connection only. That many servers ended under one and the same request was known to no instance: the class of evidence with a common cause that is kept per object, as in docs/incidents/stranded-instances.md.

Change: after a broken connection an instance finds out whether the server ended (it refuses the next connection), records the server's start under the digest of the request, and tells the others by datagrams (kind 103, which older builds pass over). Records are sets that merge in any order. A suspected request goes to one server, the same at all instances; from the third server on it is rejected at once, with 503 where this attempt has not run, and 502 where it may have. An answer excuses it. crashes_max = 0 lifts all; events 6701 and 6702, gauge blocked_requests. docs/design/deadly-requests.md has the sum of times.

--- a/src/caperdyke/coordination/registry/server_registry.py
+++ b/src/caperdyke/coordination/registry/server_registry.py
@@ -3,7 +3,7 @@
 import dataclasses
 import math
 
-from caperdyke.state import ids, registration, store_rows
+from caperdyke.state import ids, name_hashes, registration, store_rows
 
 # Registrations that lapsed while the store was unreachable are written again within about 2 s of
 # its recovery, as the platform states; the other 0.5 s cover the read that returns them.
@@ -32,6 +32,12 @@
     removed: store_rows.Position = store_rows.FIRST_POSITION
     usable_until: float = math.inf
 
+    @property
+    def start_hash(self) -> int:
+        """Hash of this start of the server."""
+        entry = self.registration
+        return name_hashes.hash_start(entry.server.backend, entry.started_ms)
+
 
 class ServerRegistry:
     """Registrations by backend server.
--- a/src/caperdyke/protocol/gateway_files.py
+++ b/src/caperdyke/protocol/gateway_files.py
@@ -65,6 +65,9 @@
         has_team_shares=document.read_choice("placing", "team_shares", ("off", "on"), "off")
         == "on",
         waiting_max=document.read_number("placing", "waiting_max", 0, 10_000, 0),
+        crashes_max=document.read_number(
+            "placing", "crashes_max", 0, 1000, gateway_settings.CRASHES_MAX
+        ),
         heartbeat_seconds=document.read_decimal(
             "store", "heartbeat_ms", 10.0, 1e6, gateway_settings.HEARTBEAT_SECONDS * 1000
         )
--- a/src/caperdyke/state/gateway_settings.py
+++ b/src/caperdyke/state/gateway_settings.py
@@ -16,6 +16,8 @@
 # Age of the configuration, in seconds, above which it no longer decides about keys where strict
 # revocation is set.
 REVOKE_SECONDS = 5.0
+# Backend servers that may end under a request before it is rejected.
+CRASHES_MAX = 3
 # Interval at which backend servers write their registrations, where the platform names none.
 HEARTBEAT_SECONDS = 1.5
 
@@ -107,6 +109,8 @@
         instance must have several requests of most teams in progress to tell their shares.
     :param waiting_max: requests for each service that may wait at this instance for capacity; 0 if
         they are rejected instead.
+    :param crashes_max: backend servers that may end under a request before it is rejected; 0 to
+        reject none.
     :param heartbeat_seconds: interval at which a backend server writes its registration.
     :param seeds: peer addresses of possible other instances.
     """
@@ -138,3 +142,4 @@
     has_team_shares: bool = False
     has_ranks: bool = False
     heartbeat_seconds: float = HEARTBEAT_SECONDS
+    crashes_max: int = CRASHES_MAX
--- a/src/caperdyke/state/ids.py
+++ b/src/caperdyke/state/ids.py
@@ -23,3 +23,5 @@
 Incarnation = typing.NewType("Incarnation", int)
 # Seconds since 1970 on the wall clock.
 Timestamp = typing.NewType("Timestamp", float)
+# Identifies a request of a caller by its content, without containing any of it.
+RequestDigest = typing.NewType("RequestDigest", bytes)
--- a/src/caperdyke/transport/events.py
+++ b/src/caperdyke/transport/events.py
@@ -96,6 +96,16 @@
         "team {team} is over its quota of {rate} requests/s and a burst of {burst}: "
         "{rejected} rejected",
     )
+    SERVER_ENDED = (
+        6701,
+        "WARNING",
+        "backend server {backend} ended under request {digest}, {count} under it so far",
+    )
+    REQUEST_BLOCKED = (
+        6702,
+        "ERROR",
+        "request {digest} is rejected: {count} backend servers ended under it: {servers}",
+    )
     SERVER_CHANGED = (6202, "INFO", "backend server {backend} of {service}: {change}")
     EVACUATION_CHANGED = (6203, "INFO", "evacuated failure domains: {domains}")
     PATH_LOST = (
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -9,6 +9,7 @@
 import time
 
 from caperdyke.coordination.placement import (
+    crashing_requests,
     last_servers,
     load_estimate,
     processing_times,
@@ -45,6 +46,8 @@
 
     :ivar registrations_at: time of the last answer about registrations, from the store or another
         instance; None before the first one.
+    :ivar on_crash_news: called when this instance learned that a server ended under a request, or
+        that a request is excused.
     :ivar find_registrations_confirmed_at: returns the time as of which the registrations are known.
     """
 
@@ -94,6 +97,8 @@
         self.retries = shared_retry_budget.SharedRetryBudget(
             bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window, now()
         )
+        self.crashing_requests = crashing_requests.CrashingRequests(settings.crashes_max)
+        self.on_crash_news: collections.abc.Callable[[ids.RequestDigest], None] = lambda _: None
         self.round_trips: dict[ids.DomainName, float] = {}
         self.initial_sync = initial_sync.InitialSync()
         self.initial_sync_finished = asyncio.Event()
@@ -119,6 +124,7 @@
         self.service_loads.apply_setting(changed.load_model is gateway_settings.LoadModel.BLENDED)
         bounds = changed.bounds
         self.retries.apply_limits(bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window)
+        self.crashing_requests.apply_limit(changed.crashes_max)
         self._rankings.clear()
 
     def may_check_keys(self) -> bool:
@@ -206,6 +212,13 @@
         statuses = collections.Counter(view.find_status(now).value for view in views if view)
         return dict(statuses) | self.path.describe(now)
 
+    def find_server_by_start(self, start_hash: int) -> str:
+        """Returns the name of the server with a start of this hash, or the hash if unknown."""
+        for registered in self.servers.list_all():
+            if registered.start_hash == start_hash:
+                return registered.registration.server.backend
+        return f"start {start_hash:08x}"
+
     def find_view(self, name: ids.BackendId) -> server_view.ServerView | None:
         """Returns the observations of a server, or None if the server is not registered."""
         registered = self.servers.find(name)
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -11,6 +11,7 @@
 from caperdyke.transport.gateway import (
     admissions,
     context,
+    crash_detector,
     local_reply,
     refusals,
     relay,
@@ -38,12 +39,14 @@
         self._rng = random.Random()
         final_replies = refusals.Refusals(node, self._rng)
         self._make_over_quota_reply = final_replies.make_over_quota_reply
+        self._make_blocked_reply = final_replies.make_blocked_reply
         self._make_final_reply = final_replies.make_final_reply
         self._make_refused_reply = final_replies.make_refused_reply
         self._serve_by_relay = relaying.Relaying(
             node, self.relay, final_replies, self._try_acquire_retry
         ).serve
         self.waiting = waiting_requests.WaitingRequests(node)
+        self._crashes = crash_detector.CrashDetector(node)
         self._copies: set[asyncio.Task] = set()
 
     async def serve(
@@ -70,6 +73,9 @@
         node, relayed = self._node, request.relayed
         if not node.path.can_use_kept(node.now()):
             attempt_state = attempts.Attempts(route.attempts_max, route.kind.is_repeatable)
+            if self._crashes.is_blocked(request):
+                block_end = self._crashes.find_block_end(request)
+                return self._make_blocked_reply(request, attempt_state, block_end)
             return await self._serve_by_relay(request, route, None, attempt_state, trace, tokens)
         service = trace.service = node.splits.choose(route)
         if relayed is None or not relayed.is_counted:
@@ -91,6 +97,9 @@
                 )
                 route = admitted.route
                 service = self._find_changed_service(route, service, trace)
+            if self._crashes.is_blocked(request):
+                block_end = self._crashes.find_block_end(request)
+                return failed or self._make_blocked_reply(request, attempt_state, block_end)
             if not node.path.can_use_kept(node.now()) and failed is None:
                 return await self._serve_by_relay(
                     request, route, service, attempt_state, trace, tokens
@@ -128,6 +137,7 @@
             trace.sends.append(self._describe(selected, sent_at, result))
             match result:
                 case sender.ServerAnswer() if result.status < SERVER_ERROR_STATUS:
+                    self._crashes.record_answered(request)
                     self._warm_near_home(request, route, service, selected, attempt_state, trace)
                     return result
                 case sender.ServerAnswer():
@@ -144,6 +154,8 @@
                     tried_servers.discard(selected.view.server.backend)
                 case sender.Failure():
                     _record_failure(attempt_state, result)
+                    if result.kind is sender.FailureKind.BROKEN:
+                        await self._crashes.record_broken(request, selected)
             if not attempt_state.allows_retry() or node.now() >= request.deadline:
                 return failed or self._make_refused_reply(request, route, service, attempt_state)
 
@@ -290,22 +302,28 @@
         requirements = self._make_requirements(
             request, route, service, frozenset(tried_servers), trace
         )
-        selected = self._select_among_candidates(requirements, route)
+        selected = self._select_among_candidates(request, requirements, route)
         is_large = route.kind is routes.RouteKind.DOWNLOAD
         is_full = isinstance(selected, selection.NoCapacity) and not selected.is_empty
         if is_full and is_large and self._node.record_no_capacity(service):
-            selected = self._select_among_candidates(requirements, route)
+            selected = self._select_among_candidates(request, requirements, route)
         if isinstance(selected, selection.NoCapacity):
             return self._node.adjust_retry_after(selected, route, service)
         return selected
 
     def _select_among_candidates(
-        self, requirements: selection.Requirements, route: routes.Route
+        self,
+        request: sender.CallerRequest,
+        requirements: selection.Requirements,
+        route: routes.Route,
     ) -> selection.Selection:
         """Selects among the top servers of the ranking, or all if none of these has capacity."""
         node = self._node
         times = node.times.find(route.name, route.objective_ms / 1000)
         candidates = node.list_candidates(requirements.service, requirements.key, route)
+        restricted = self._crashes.restrict(request, candidates, requirements.tried)
+        if restricted is not candidates:
+            return selection.select_server(node.now(), requirements, restricted, times, self._rng)
         selected = selection.select_server(node.now(), requirements, candidates, times, self._rng)
         if isinstance(selected, selection.Placement) or len(candidates) < selection.CANDIDATES_MAX:
             return selected
--- a/src/caperdyke/transport/gateway/local_reply.py
+++ b/src/caperdyke/transport/gateway/local_reply.py
@@ -22,6 +22,7 @@
     NO_CAPACITY = "no room in time"
     REFUSED = "servers refused"
     NO_PATH = "no path to the servers"
+    CRASHES_SERVERS = "servers ended while they ran this request"
     FAILED = "server failed"
     TIMED_OUT = "timed out"
     DECLINED = "declined"
--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -14,6 +14,7 @@
     announcer,
     caller_policy,
     context,
+    crash_exchange,
     dispatcher,
     greeter,
     path_monitor,
@@ -56,6 +57,7 @@
         self.store_sync.on_configuration_changed = self.announcer.announce_change
         node.bounds.on_urgent_change = self.announcer.announce_server_state
         self._greeter = greeter.Greeter(node, self.announcer)
+        self._crash_exchange = crash_exchange.CrashExchange(node, self.announcer)
         self._dispatcher = dispatcher.Dispatcher(node)
         self._dispatcher.quotas.connect(self.announcer)
         self.requests = request_app.RequestApp(node, self._dispatcher)
@@ -117,6 +119,7 @@
             "path": self._path_monitor.run,
             "quotas": self._dispatcher.quotas.run,
             "greetings": self._greeter.run,
+            "crashes": self._crash_exchange.run,
         }
         for name, run_task in loops.items():
             self._tasks.append(asyncio.create_task(_run_forever(name, run_task)))
@@ -133,6 +136,7 @@
                 events.log(events.Event.CONFIGURATION_KNOWN, version=node.routes.version, **origin)
             node.refresh_servers()
             node.pool.drop_expired()
+            node.metrics.record_blocked(node.crashing_requests.count_blocked(node.now()))
             self._dispatcher.relay.drop_expired()
             self._apply_limits()
             is_ready = node.routes is not None and node.registrations_at is not None
--- a/src/caperdyke/transport/gateway/refusals.py
+++ b/src/caperdyke/transport/gateway/refusals.py
@@ -95,6 +95,25 @@
             max(0.0, min(jittered, time_left * RETRY_AFTER_RATIO_MAX)),
         )
 
+    def make_blocked_reply(
+        self,
+        request: sender.CallerRequest,
+        attempt_state: attempts.Attempts,
+        block_end: float,
+    ) -> local_reply.LocalReply:
+        """Returns the reply to a request that ends the servers that run it.
+
+        :param block_end: time until which the request is rejected.
+        """
+        if not attempt_state.is_known_not_run:
+            return self.make_final_reply(request, attempt_state, None)
+        # An earlier retry would certainly be rejected.
+        return local_reply.LocalReply(
+            503,
+            local_reply.LocalReplyReason.CRASHES_SERVERS,
+            max(0.0, block_end - self._node.now()),
+        )
+
     def make_no_path_reply(self, request: sender.CallerRequest) -> local_reply.LocalReply:
         """Returns the reply to a request that no instance has a path for."""
         retry_after = NO_PATH_RETRY_AFTER_SECONDS * self._rng.uniform(1.0, 1.5)
--- a/src/caperdyke/transport/gateway/reload.py
+++ b/src/caperdyke/transport/gateway/reload.py
@@ -26,7 +26,7 @@
 
     def reload(self) -> None:
         """Applies changed bounds, quota tolerances, failure domains, seeds, rules of revocation,
-        limits of pipelining and waiting, and the cost of leaving a failure domain.
+        limits of pipelining, waiting and crashes, and the cost of leaving a failure domain.
 
         Addresses and names stay as they are until a restart. A file that cannot be read leaves all
         settings unchanged.
@@ -49,6 +49,7 @@
             pipelined_max=new.pipelined_max,
             pipelined_bytes=new.pipelined_bytes,
             waiting_max=new.waiting_max,
+            crashes_max=new.crashes_max,
             has_ranks=new.has_ranks,
             has_team_shares=new.has_team_shares,
             overflow_ratio_max=new.overflow_ratio_max,
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -33,6 +33,7 @@
     local_reply.LocalReplyReason.NO_TEAM: relay_headers.RelayOutcome.NOT_RUN,
     local_reply.LocalReplyReason.TEAM_UNKNOWN: relay_headers.RelayOutcome.NOT_RUN,
     local_reply.LocalReplyReason.UNCONFIRMED: relay_headers.RelayOutcome.NOT_RUN,
+    local_reply.LocalReplyReason.CRASHES_SERVERS: relay_headers.RelayOutcome.NOT_RUN,
     local_reply.LocalReplyReason.DECLINED: relay_headers.RelayOutcome.DECLINED,
     local_reply.LocalReplyReason.NO_CAPACITY: relay_headers.RelayOutcome.NO_CAPACITY,
     local_reply.LocalReplyReason.NO_SERVER: relay_headers.RelayOutcome.NO_CAPACITY,
--- a/src/caperdyke/transport/gateway/server_headers.py
+++ b/src/caperdyke/transport/gateway/server_headers.py
@@ -3,7 +3,7 @@
 import collections.abc
 
 from caperdyke.coordination.registry import server_registry
-from caperdyke.state import backend, header_fields, name_hashes
+from caperdyke.state import backend, header_fields
 from caperdyke.transport.backends import pool
 from caperdyke.transport.gateway import server_bounds
 
@@ -78,7 +78,7 @@
             registered
             for registered in senders
             if self._bounds.record_leaving(
-                now, registered.registration.server.backend, _hash_start(registered)
+                now, registered.registration.server.backend, registered.start_hash
             )
         ]
         if newly_leaving:
@@ -87,15 +87,10 @@
     def is_leaving(self, registered: server_registry.RegisteredServer) -> bool:
         """Returns whether this start of a server has announced that it is leaving."""
         leaving = self._bounds.leaving
-        return not leaving.is_empty and leaving.contains(_hash_start(registered))
+        return not leaving.is_empty and leaving.contains(registered.start_hash)
 
     def _close_leaving(self, servers: list[server_registry.RegisteredServer]) -> None:
         for registered in servers:
             if self.is_leaving(registered):
                 self._connections.drop(registered.registration.server.backend)
         self._on_server_leaving()
-
-
-def _hash_start(registered: server_registry.RegisteredServer) -> int:
-    entry = registered.registration
-    return name_hashes.hash_start(entry.server.backend, entry.started_ms)
--- a/src/caperdyke/transport/metrics.py
+++ b/src/caperdyke/transport/metrics.py
@@ -43,6 +43,8 @@
         self._unknown_messages = meter.create_counter("unknown_messages")
         self._has_path = True
         meter.create_observable_gauge("server_path", callbacks=[self._observe_path])
+        self._blocked = 0
+        meter.create_observable_gauge("blocked_requests", callbacks=[self._observe_blocked])
         self._store_calls = meter.create_counter("store_calls")
         self._configuration_version = 0
         meter.create_observable_gauge("configuration", callbacks=[self._observe_configuration])
@@ -126,6 +128,13 @@
     def _observe_path(self, _options):
         return [otel_metrics_api.Observation(int(self._has_path))]
 
+    def record_blocked(self, count: int) -> None:
+        """Sets the gauge of requests that are rejected since servers ended under them."""
+        self._blocked = count
+
+    def _observe_blocked(self, _options):
+        return [otel_metrics_api.Observation(self._blocked)]
+
     def count_unknown_message(self, kind: int) -> None:
         """Counts a datagram of a kind that this build does not know."""
         self._unknown_messages.add(1, {"kind": str(kind)})
--- /dev/null
+++ b/testing/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests under which backend servers end."""
--- a/testing/platform/fleet_harness.py
+++ b/testing/platform/fleet_harness.py
@@ -82,7 +82,11 @@
             node.refresh_servers()
 
     async def send_request(
-        self, number: int, key: str = ""
+        self,
+        number: int,
+        key: str = "",
+        path: str = "/read/1",
+        extra_headers: tuple[tuple[bytes, bytes], ...] = (),
     ) -> sender.ServerAnswer | local_reply.LocalReply:
         """Sends a request through one gateway.
 
@@ -97,15 +101,17 @@
             caller_headers,
             "GET",
             harness.HOST,
-            "/read/1",
-            b"/read/1",
+            path,
+            path.encode(),
             [
                 (b"host", harness.HOST.encode()),
                 (headers.REQUEST_ID, caller_headers.request_id.encode()),
+                *extra_headers,
             ],
             b"",
             self.now + 3.0,
             self.table,
+            is_repeatable=self.route.kind.is_repeatable,
         )
         trace = local_reply.RequestTrace(
             caller_headers.request_id, self.now, caller_headers.object_key
@@ -225,17 +231,18 @@
 
 
 @contextlib.asynccontextmanager
-async def open_fleet(count: int, servers: int, seed: int = 1):
+async def open_fleet(count: int, servers: int, seed: int = 1, make_server=None):
     """Yields a fleet of gateways with servers in all failure domains.
 
     :param count: number of gateways.
     :param servers: number of servers.
+    :param make_server: makes a server from its name and the clock; ``TimedServer`` if None.
     """
     fleet = FleetHarness(count, seed)
     domains = itertools.cycle(DOMAINS)
     async with contextlib.AsyncExitStack() as stack:
         for number in range(servers):
-            server = TimedServer(f"s{number}", lambda: fleet.now)
+            server = (make_server or TimedServer)(f"s{number}", lambda: fleet.now)
             await stack.enter_async_context(server.listen())
             fleet.add_server(server, next(domains))
         try:
