Reject odd entries one by one, and apply the rows beside them

What was seen by other operators, and happens here: one odd entry among those of the servers, deeply nested, with a number too large or with a port out of range. The task that follows the registrations failed ("task servers failed and will be restarted: RecursionError", "OverflowError"), and the rows after it in the same read were lost until they changed again, since the position had moved on: a server that said "draining" in that read went on getting requests, so this breaks DRAIN as well. An address with port 70000 or a zero byte made each request for the server fail with an internal error.

Cause: decoders named the errors that they expected. RecursionError and OverflowError are no ValueError, float(10**400) and int(inf) raise the latter, and ports, keys and sizes were not checked. Nothing kept an error of one row from the rows after it.

Change: registrations, configurations, records, announcements, rows and reports of instances are checked for ranges, addresses and characters at the decoder, which names one tuple of errors. Each registration is applied for itself. connect() reports addresses that cannot be used as a failure to connect.

Rows of the configuration table: deeply nested only.

--- a/src/caperdyke/platform/documents.py
+++ b/src/caperdyke/platform/documents.py
@@ -1,8 +1,10 @@
 """Decodes rows that operators and backend servers write to the platform's store."""
 
 import json
+import re
 
 from caperdyke import errors
+from caperdyke.protocol import addresses
 from caperdyke.state import backend, ids, registration, routes, store_rows, teams
 
 CONFIGURATION_KEY = "config"
@@ -11,6 +13,22 @@
 HOMES = "homeRegions"
 # Largest valid rate, burst and priority of a team; JSON numbers have no bound.
 AMOUNT_MAX = 1e12
+# Largest valid slots, start time, sequence number and cold time of a registration.
+SLOTS_MAX = 1_000_000
+COUNT_MAX = 2**63 - 1
+COLD_MS_MAX = 86_400_000
+# What json and the constructors raise for documents that they cannot decode. RecursionError stands
+# for a document that is too deeply nested.
+DECODING_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+# Names of servers are sent as header values.
+_SERVER_NAME = re.compile(r"[\x21-\x7e]+")
 
 
 def read_route_table(row: store_rows.StoreRow) -> routes.RouteTable | None:
@@ -41,7 +59,7 @@
     except UnicodeDecodeError as error:
         # The representation of this error contains the whole document, with its keys.
         raise errors.ProtocolError(f"configuration, change {row.changed.number}: {error}") from None
-    except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as error:
+    except DECODING_ERRORS as error:
         raise errors.ProtocolError(
             f"configuration, change {row.changed.number}: {error!r}"
         ) from error
@@ -63,12 +81,14 @@
         document = json.loads(row.value or b"")
         information, status = document["information"], document["status"]
         _check_types(document, information, status)
+        if not _SERVER_NAME.fullmatch(row.key):
+            raise ValueError("got a key with other characters, expected visible ASCII characters")
         return registration.Registration(
             backend.BackendServer(
                 ids.BackendId(row.key),
                 ids.DomainName(information["zone"]),
                 ids.ServiceName(information["service"]),
-                ids.Address(document["address"]),
+                ids.Address(addresses.check_address(document["address"])),
                 information["slots"],
             ),
             registration.RegistrationState(status["state"]),
@@ -76,22 +96,23 @@
             status["sequence"],
             float(status.get("coldRemainingMs", 0)),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         raise errors.ProtocolError(f"registration {row.key!r}: {error!r}") from error
 
 
 def _check_types(document: dict, information: dict, status: dict) -> None:
     texts = (document["address"], information["zone"], information["service"], status["state"])
     numbers = (information["slots"], status["sequence"], document.get("born", 0))
-    if not all(isinstance(item, str) and item for item in texts):
+    if not all(isinstance(item, str) and item and _is_encodable(item) for item in texts):
         raise TypeError(f"got texts {texts!r}, expected four non-empty strings")
     if not all(isinstance(item, int) and not isinstance(item, bool) for item in numbers):
         raise TypeError(f"got numbers {numbers!r}, expected three whole numbers")
-    if information["slots"] < 1:
-        raise ValueError(f"got {information['slots']} slots, expected 1 or more")
-    host, _, port = document["address"].rpartition(":")
-    if not host or not port.isdecimal():
-        raise ValueError(f"got address {document['address']!r}, expected host:port")
+    if not 1 <= information["slots"] <= SLOTS_MAX:
+        raise ValueError(f"slots out of range, expected 1 to {SLOTS_MAX}")
+    if not all(0 <= item <= COUNT_MAX for item in numbers):
+        raise ValueError(f"number out of range, expected 0 to {COUNT_MAX}")
+    if not 0 <= float(status.get("coldRemainingMs", 0)) <= COLD_MS_MAX:
+        raise ValueError(f"cold time out of range, expected 0 to {COLD_MS_MAX} ms")
 
 
 def _read_route(name: str, item: dict) -> routes.Route:
--- a/src/caperdyke/protocol/announcements.py
+++ b/src/caperdyke/protocol/announcements.py
@@ -5,10 +5,13 @@
 import msgpack
 
 from caperdyke import errors
+from caperdyke.protocol import addresses
 from caperdyke.state import ids, member, store_rows
 
 # Increased with every change of the encoding; messages of any other version are rejected.
 LAYOUT_VERSION = 6
+# What msgpack and the constructors raise for bytes that they cannot decode.
+DECODING_ERRORS = (ValueError, TypeError, AttributeError, OverflowError, msgpack.UnpackException)
 # Tables that every instance follows, in the order of their positions in an announcement.
 FOLLOWED_TABLES = (store_rows.StoreTable.CONFIGURATION, store_rows.StoreTable.SERVERS)
 
@@ -107,7 +110,7 @@
             _unpack_durations(leaving),
             bool(is_reply_requested),
         )
-    except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as error:
+    except DECODING_ERRORS as error:
         raise errors.ProtocolError(f"invalid announcement: {error!r}") from error
 
 
@@ -126,7 +129,7 @@
         if layout != LAYOUT_VERSION:
             raise ValueError(f"layout version {layout}, expected {LAYOUT_VERSION}")
         return _unpack_member(record)
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
+    except DECODING_ERRORS as error:
         raise errors.ProtocolError(f"invalid instance record: {error!r}") from error
 
 
@@ -154,7 +157,7 @@
         if layout != LAYOUT_VERSION:
             raise ValueError(f"layout version {layout}, expected {LAYOUT_VERSION}")
         return [_unpack_changes(*item) for item in items]
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
+    except DECODING_ERRORS as error:
         raise errors.ProtocolError(f"invalid table changes from a peer: {error!r}") from error
 
 
@@ -217,7 +220,7 @@
         ids.InstanceId(str(instance)),
         ids.Incarnation(int(incarnation)),
         ids.DomainName(str(domain)),
-        ids.Address(str(peer_address)),
-        ids.Address(str(caller_address)),
+        ids.Address(addresses.check_address(str(peer_address))),
+        ids.Address(addresses.check_address(str(caller_address))),
         member.MemberState(state),
     )
--- a/src/caperdyke/protocol/crash_messages.py
+++ b/src/caperdyke/protocol/crash_messages.py
@@ -52,7 +52,7 @@
     """
     try:
         return [_read_report(item) for item in items[0][:RECORDS_MAX]]
-    except (ValueError, TypeError, IndexError) as error:
+    except (ValueError, TypeError, IndexError, OverflowError) as error:
         raise errors.ProtocolError(f"invalid reports of crashes: {error!r}") from error
 
 
--- a/src/caperdyke/transport/backends/connection.py
+++ b/src/caperdyke/transport/backends/connection.py
@@ -199,6 +199,7 @@
             _, protocol = await loop.create_connection(ServerConnection, host, int(port))
     except TimeoutError as error:
         raise errors.ConnectTimeoutError(f"{address}: {error!r}") from error
-    except OSError as error:
+    except (OSError, ValueError, OverflowError) as error:
+        # ValueError and OverflowError stand for addresses that cannot be used at all.
         raise errors.BackendFailedError(f"{address}: {error!r}", False) from error
     return protocol
--- a/src/caperdyke/transport/gateway/store_sync.py
+++ b/src/caperdyke/transport/gateway/store_sync.py
@@ -203,7 +203,11 @@
                 if node.servers.remove(now, name, row.changed):
                     self._log_server(name, "removed")
                 continue
-            self._apply_registration(now, row)
+            try:
+                self._apply_registration(now, row)
+            except Exception as error:
+                # The replica has the rows already, so the others would never be applied.
+                self._reject_registration(now, row, repr(error))
         if node.registrations_at is None:
             # Servers in the first read, from the store or another instance, were in service before.
             node.servers.mark_all_preexisting()
@@ -281,9 +285,7 @@
         try:
             entry = node.documents.read_registration(row)
         except errors.ProtocolError as error:
-            events.log(events.Event.ROW_UNREADABLE, table="servers", key=row.key, error=str(error))
-            # A server whose row cannot be decoded must not be used.
-            node.servers.remove(now, ids.BackendId(row.key), row.changed)
+            self._reject_registration(now, row, str(error))
             return
         current = node.servers.find(entry.server.backend)
         previous_state = current.registration.state if current else None
@@ -294,6 +296,11 @@
         elif previous_state is not entry.state:
             self._log_server(entry.server.backend, entry.state.value)
 
+    def _reject_registration(self, now: float, row: store_rows.StoreRow, error: str) -> None:
+        events.log(events.Event.ROW_UNREADABLE, table="servers", key=row.key, error=error)
+        # A server whose row cannot be decoded must not be used.
+        self._node.servers.remove(now, ids.BackendId(row.key), row.changed)
+
     def _apply_route_table(self, row: store_rows.StoreRow) -> None:
         node = self._node
         try:
