Ask only servers that ended a connection whether they still run

A connection now says whether it ended from outside, and only then the server is asked. test_gateway_endless and test_deadly_requests pass.

--- a/src/caperdyke/transport/backends/connection.py
+++ b/src/caperdyke/transport/backends/connection.py
@@ -23,7 +23,10 @@
 
 
 class ServerConnection(asyncio.Protocol):
-    """Carries one exchange at a time."""
+    """Carries one exchange at a time.
+
+    :ivar is_ended: whether the connection ended without being closed here.
+    """
 
     def __init__(self) -> None:
         self._parser = self._make_parser()
@@ -33,6 +36,7 @@
         self._request_events: list[h11.Event] = []
         self._unread_bytes = 0
         self._is_busy = False
+        self.is_ended = False
         self.idle_until = 0.0
 
     @property
@@ -60,6 +64,7 @@
 
     def eof_received(self) -> bool:
         """Passes the end of the stream to the parser; it may end a response without a length."""
+        self.is_ended = True
         if self._is_busy:
             self._parser.receive_data(b"")
         self._received.set()
@@ -67,6 +72,8 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Records why the connection ended."""
+        if self._closing_error is None:
+            self.is_ended = True
         self._closing_error = error or ConnectionResetError("the server closed the connection")
         self._received.set()
 
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -154,7 +154,7 @@
                     tried_servers.discard(selected.view.server.backend)
                 case sender.Failure():
                     _record_failure(attempt_state, result)
-                    if result.kind is sender.FailureKind.BROKEN:
+                    if result.has_connection_ended:
                         await self._crashes.record_broken(request, selected)
             if not attempt_state.allows_retry() or node.now() >= request.deadline:
                 return failed or self._make_refused_reply(request, route, service, attempt_state)
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -92,10 +92,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failure:
-    """A request that got no answer to forward."""
+    """A request that got no answer to forward.
+
+    :param has_connection_ended: whether the connection ended without being closed here.
+    """
 
     kind: FailureKind
     detail: str
+    has_connection_ended: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -182,7 +186,8 @@
             is_done = True
             return result
         except errors.BackendFailedError as error:
-            return Failure(FailureKind.BROKEN, f"{error}, on {_describe_connection(is_kept)}")
+            detail = f"{error}, on {_describe_connection(is_kept)}"
+            return Failure(FailureKind.BROKEN, detail, conn.is_ended)
         except TimeoutError:
             detail = f"no answer by the deadline, on {_describe_connection(is_kept)}"
             return Failure(FailureKind.LATE, detail)
