Close connections after answers without a request id

Callers were told "not run, try again" of a request that the server ran (REFUSED), and a repeatable request ran twice.

Cause: a refusal need not carry the request id, so one without an id counted as the answer to whatever was sent last on the connection. Answers with another id were skipped already, and bytes between two requests closed the connection already.

Change: a connection that carried an answer without a request id is not kept, so that no copy of it can follow. Price: one more connection after each refusal without an id. Weighed against marking the connection for repeatable requests only, which would still tell callers "not run" wrongly.

Before: test_repeated_refusal_is_no_answer_to_the_next_request fails in both cases (the second request gets 503 while the server runs it). After: passes.

Each prefix of an answer, with a length and in chunks, closed and reset, gives 502 or a body that is not whole (test_answer_that_ends_early_never_looks_complete, 4 cases, all lengths); it passed before, too.

--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -264,8 +264,12 @@
         length = parse_content_length(header_map)
         is_forwardable = fields.is_signed and not fields.is_refused
         body, is_whole = await buffer_body(conn) if is_forwardable else await _try_discard(conn)
-        if is_whole:
+        if is_whole and fields.request_id:
             self._release_connection(placed, conn, header_map)
+        elif is_whole:
+            # If the server repeated an answer without a request id, it could not be told from the
+            # answer to the next request.
+            conn.close()
         if fields.load is not None:
             placed.view.record_load_report(node.now(), fields.load)
         if fields.is_refused:
--- a/testing/platform/fake_server.py
+++ b/testing/platform/fake_server.py
@@ -27,6 +27,10 @@
     :ivar release: event that must be set for requests to be answered.
     :ivar closed_while_held: connections that the peer closed before their request was answered.
     :ivar endless_bytes: bytes sent by faults that send without end.
+    :ivar late_bytes: bytes that are sent when the next request of a connection has arrived, before
+        its answer.
+    :ivar cut_after: number of bytes after which answers break off; None if they are complete.
+    :ivar is_cut_by_reset: whether the connection is reset then, instead of closed.
     """
 
     def __init__(self, name: str) -> None:
@@ -41,7 +45,10 @@
         self.writers: list[asyncio.StreamWriter] = []
         self.closed_while_held = 0
         self.endless_bytes = 0
+        self.late_bytes: dict[asyncio.StreamWriter, bytes] = {}
         self.body = b"body of " + name.encode()
+        self.cut_after: int | None = None
+        self.is_cut_by_reset = False
 
     @contextlib.asynccontextmanager
     async def listen(self):
@@ -52,6 +59,8 @@
             yield self
         finally:
             server.close()
+            for writer in self.writers:
+                writer.transport.abort()
 
     def register(self, service: str, domain: str, state: str = "ready", **others) -> dict:
         """Returns a registration document of the server.
@@ -88,11 +97,27 @@
                 if not await self._wait_for_release(reader):
                     self.closed_while_held += 1
                     break
+                if writer in self.late_bytes:
+                    writer.write(self.late_bytes.pop(writer))
+                    await writer.drain()
+                    await asyncio.sleep(0.05)
+                if self.cut_after is not None:
+                    await self._cut_answer(request, writer)
+                    break
                 fault = self.faults.pop(0) if self.faults else ""
                 if not await self._answer_with_fault(fault, request, writer):
                     break
         writer.close()
 
+    async def _cut_answer(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        """Sends the beginning of an answer and ends the connection."""
+        request_id = request.headers.get("caperdyke-request-id", "")
+        writer.write(self.make_answer(request_id, self.body)[: self.cut_after])
+        await writer.drain()
+        if self.is_cut_by_reset:
+            _set_reset_on_close(writer)
+            writer.transport.abort()
+
     async def _wait_for_release(self, reader: asyncio.StreamReader) -> bool:
         """Waits until requests are released; returns whether the connection is still open."""
         release_task = asyncio.create_task(self.release.wait())
@@ -115,6 +140,10 @@
                 writer.write(answer)
             case "shed":
                 writer.write(_make(503, [("Caperdyke-Not-Executed", "1"), *self.headers], b""))
+            case "shed twice":
+                refusal = _make(503, [("Caperdyke-Not-Executed", "1"), *self.headers], b"")
+                self.late_bytes[writer] = refusal
+                writer.write(refusal)
             case "misdirected":
                 writer.write(_make(421, [("Caperdyke-Instance-Id", "other"), *self.headers], b""))
             case "error":
@@ -143,10 +172,7 @@
                 lines = [line for line in lines if not line.startswith(b"Content-Length")]
                 writer.write(b"\r\n".join(lines) + b"\r\n\r\n" + self.body)
                 await writer.drain()
-                # Closing discards unsent bytes and sends a reset.
-                linger = struct.pack("ii", 1, 0)
-                server_socket = writer.get_extra_info("socket")
-                server_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                _set_reset_on_close(writer)
                 writer.transport.abort()
                 return False
             case "extra":
@@ -225,6 +251,13 @@
         return _make(status, headers, body)
 
 
+def _set_reset_on_close(writer: asyncio.StreamWriter) -> None:
+    """Lets closing the connection discard unsent bytes and send a reset."""
+    linger = struct.pack("ii", 1, 0)
+    server_socket = writer.get_extra_info("socket")
+    server_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 async def _read_request(reader: asyncio.StreamReader) -> ReceivedRequest:
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
     method, target, _ = head[0].split(" ")
