Collect garbage before the test of imports parses the sources

test_layers failed when it ran right after tests with gateways: SystemError "AST constructor recursion depth mismatch". CPython 3.11 counts the depth of its parser in one place; a finalizer that reports an error during ast.parse (streams of a closed loop) parses source lines for the traceback and upsets the count.

--- a/testing/test_layers.py
+++ b/testing/test_layers.py
@@ -1,6 +1,7 @@
 """Import rules: layers import only lower layers, and modules are imported rather than names."""
 
 import ast
+import gc
 import pathlib
 
 import testtools
@@ -33,6 +34,11 @@
 class LayersTest(testtools.TestCase):
     """Import statements of the source tree."""
 
+    def setUp(self) -> None:
+        super().setUp()
+        # CPython 3.11 cannot parse while a finalizer reports an error, which parses source lines.
+        gc.collect()
+
     def test_imports_point_downward(self) -> None:
         for position, layer in enumerate(LAYERS):
             for path in (SOURCE_FOLDER / layer).rglob("*.py"):
