Give each concurrent test run a block of ports of its own

Two runs side by side could pick the same port: their ranges followed from the process id, and a port was only probed, not held. A run now holds the first port of its block for as long as it lives, so a second run takes the next block.

--- a/bench/soak/gateways.py
+++ b/bench/soak/gateways.py
@@ -1,6 +1,5 @@
 """The gateway processes of one run."""
 
-import itertools
 import json
 import os
 import pathlib
@@ -16,10 +15,10 @@
 REGIONS = {"hall-1": "north", "hall-2": "north", "hall-3": "south"}
 DOMAINS = tuple(REGIONS)
 STOP_TIMEOUT_S = 6.0
-# Ports below the system's ephemeral range. The process id spreads concurrent runs over different
-# ranges, so that they rarely collide.
-PORTS_START, PORTS_PER_RUN, CONCURRENT_RUNS_MAX = 10_000, 600, 16
-_PORTS = itertools.count(PORTS_START + os.getpid() % CONCURRENT_RUNS_MAX * PORTS_PER_RUN)
+# Blocks of ports below the system's ephemeral range, one for each concurrent run.
+PORTS_PER_RUN = 600
+PORT_BLOCKS = range(10_000, 19_600, PORTS_PER_RUN)
+_PORTS = servers.PortBlock(PORT_BLOCKS, PORTS_PER_RUN)
 
 
 class Gateway:
@@ -33,7 +32,7 @@
         self.domain = DOMAINS[number % len(DOMAINS)]
         self.folder = folder
         names = ("requests", "readiness", "lookups", "peer", "metrics")
-        self.addresses = {name: servers.pick_address(_PORTS) for name in names}
+        self.addresses = {name: _PORTS.pick_address() for name in names}
         self.cut_file = folder / f"gateway-{number}.cut"
         self.start = 0
         self.process: subprocess.Popen | None = None
--- a/testing/platform/harness.py
+++ b/testing/platform/harness.py
@@ -3,8 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
-import itertools
-import os
+import functools
 
 import aiosonic
 import testtools
@@ -56,13 +55,20 @@
     return document
 
 
-# Ports below the ephemeral range of the system.
-_PORTS = itertools.count(21_000 + os.getpid() % 500 * 16)
+# Blocks of ports below the ephemeral range of the system, and above those of the soak.
+PORTS_PER_RUN = 1_250
+PORT_BLOCKS = range(20_000, 32_500, PORTS_PER_RUN)
+
+
+@functools.cache
+def _claim_ports() -> servers.PortBlock:
+    # Not claimed when the module is imported: gateway processes of the soak need no ports.
+    return servers.PortBlock(PORT_BLOCKS, PORTS_PER_RUN)
 
 
 def pick_address() -> ids.Address:
-    """Returns a loopback address with a free port, never the same twice."""
-    return ids.Address(servers.pick_address(_PORTS))
+    """Returns a loopback address with a free port, the one that was not used for longest."""
+    return ids.Address(_claim_ports().pick_address())
 
 
 class GatewayHarness:
--- a/testing/servers.py
+++ b/testing/servers.py
@@ -3,21 +3,51 @@
 import asyncio
 import collections.abc
 import contextlib
+import itertools
 import socket
 
 from caperdyke.transport.http import http_server
 
+HOST = "127.0.0.1"
+
+
+class PortBlock:
+    """Ports that no other test run of this machine uses at the same time.
+
+    :param starts: first port of each block; the first free block is taken.
+    :param size: ports in a block.
+    """
+
+    def __init__(self, starts: collections.abc.Iterable[int], size: int) -> None:
+        for start in starts:
+            guard = socket.socket()
+            try:
+                guard.bind((HOST, start))
+            except OSError:
+                guard.close()
+                continue
+            # Bound until the process ends, so that other runs leave the block alone.
+            self._guard = guard
+            self._ports = itertools.cycle(range(start + 1, start + size))
+            self._size = size
+            return
+        raise AssertionError("got no free block of ports, expected one")
+
+    def pick_address(self) -> str:
+        """Returns a loopback address with the next free port."""
+        return pick_address(itertools.islice(self._ports, self._size))
+
 
 def pick_address(ports: collections.abc.Iterator[int]) -> str:
     """Returns a loopback address with the first free one of the ports."""
     for port in ports:
         with socket.socket() as probe:
             try:
-                probe.bind(("127.0.0.1", port))
+                probe.bind((HOST, port))
             except OSError:
                 # The port is in use.
                 continue
-        return f"127.0.0.1:{port}"
+        return f"{HOST}:{port}"
     raise AssertionError("no free port")
 
 
