Ask a server again after it was found running, and use other servers if one is full

Two faults of the new limit on crashes, found by reading: a probe that found a server running counted for 0.5 s, so that a crash right after it was not counted; and a suspected request, healthy in most cases, was rejected if the one server that all instances choose for it had no capacity. Only probes in progress, and servers that have ended, are shared now; without capacity there the request is placed as any other. test_server_that_ends_after_it_was_found_running_counts fails before.

--- a/src/caperdyke/transport/gateway/crash_detector.py
+++ b/src/caperdyke/transport/gateway/crash_detector.py
@@ -14,8 +14,8 @@
 # Longest time to open a connection that shows whether the server still runs; a lost packet between
 # regions would take longer. A server that does not answer is not known to have ended.
 PROBE_TIMEOUT_SECONDS = 0.25
-# Time for which the result of a probe counts for other requests that broke.
-PROBE_VALID_SECONDS = 0.5
+# Time for which it is remembered that a start of a server has ended.
+ENDED_VALID_SECONDS = 0.5
 AUTHORIZATION = b"authorization"
 
 
@@ -28,7 +28,7 @@
 
     def __init__(self, node: context.GatewayContext) -> None:
         self._node = node
-        # Probes of starts of servers, in progress or recent, with the time until which they count.
+        # Probes by the start of the server, with the time until which they are remembered.
         self._probes: dict[int, tuple[asyncio.Task[bool], float]] = {}
         self._background: set[asyncio.Task] = set()
 
@@ -47,10 +47,10 @@
         candidates: list[selection.Candidate],
         tried: collections.abc.Set[ids.BackendId],
     ) -> list[selection.Candidate]:
-        """Returns the candidates that a request may be sent to.
+        """Returns the candidates that a request should be sent to.
 
         Pattern: several instances send a suspected request at the same time. All send it to the
-        same server, so that it ends only that one.
+        same server as long as that has capacity, so that it ends only that one.
 
         :param tried: servers to which it was sent before.
         """
@@ -123,12 +123,19 @@
             crash_exchange.log_blocked(node, digest)
 
     def _probe(self, placement: selection.Placement, start_hash: int) -> asyncio.Task[bool]:
-        """Returns a task that finds out whether a start of a server has ended."""
+        """Returns a task that finds out whether a start of a server has ended.
+
+        Requests that broke together share a probe. A server that was found running may end later.
+        """
         now = self._node.now()
-        self._probes = {key: item for key, item in self._probes.items() if now < item[1]}
+        self._probes = {
+            key: (probe, until)
+            for key, (probe, until) in self._probes.items()
+            if not probe.done() or (probe.result() and now < until)
+        }
         if start_hash not in self._probes:
             probe = asyncio.create_task(self._has_ended(placement))
-            self._probes[start_hash] = probe, now + PROBE_VALID_SECONDS
+            self._probes[start_hash] = probe, now + ENDED_VALID_SECONDS
         return self._probes[start_hash][0]
 
     async def _has_ended(self, placement: selection.Placement) -> bool:
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -323,7 +323,10 @@
         candidates = node.list_candidates(requirements.service, requirements.key, route)
         restricted = self._crashes.restrict(request, candidates, requirements.tried)
         if restricted is not candidates:
-            return selection.select_server(node.now(), requirements, restricted, times, self._rng)
+            now = node.now()
+            selected = selection.select_server(now, requirements, restricted, times, self._rng)
+            if isinstance(selected, selection.Placement):
+                return selected
         selected = selection.select_server(node.now(), requirements, candidates, times, self._rng)
         if isinstance(selected, selection.Placement) or len(candidates) < selection.CANDIDATES_MAX:
             return selected
--- a/testing/platform/test_deadly_requests.py
+++ b/testing/platform/test_deadly_requests.py
@@ -209,3 +209,19 @@
                 self.assertGreater(count_ended(fleet), 3)
 
         self.run_async(scenario)
+
+    def test_server_that_ends_after_it_was_found_running_counts(self) -> None:
+        """Pattern: a connection breaks by itself shortly before the server ends."""
+
+        async def scenario() -> None:
+            async with open_fleet(routes.RouteKind.UNSAFE) as fleet:
+                for server in fleet.servers:
+                    server.faults = ["truncated"]
+                await fleet.send_request(0, "k1", HEALTHY)
+                await asyncio.sleep(0.05)
+                await fleet.send_request(0, "k1", DEADLY)
+                await asyncio.sleep(0.05)
+                records = fleet.nodes[0].crashing_requests
+                self.assertEqual(1, len(records.list_newest()))
+
+        self.run_async(scenario)
