--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -73,9 +73,9 @@
         node, relayed = self._node, request.relayed
         if not node.path.can_use_kept(node.now()):
             attempt_state = attempts.Attempts(route.attempts_max, route.kind.is_repeatable)
-            if self._crashes.is_blocked(request):
-                block_end = self._crashes.find_block_end(request)
-                return self._make_blocked_reply(request, attempt_state, block_end)
+            blocked = self._reject_deadly(request, attempt_state)
+            if blocked is not None:
+                return blocked
             return await self._serve_by_relay(request, route, None, attempt_state, trace, tokens)
         service = trace.service = node.splits.choose(route)
         if relayed is None or not relayed.is_counted:
@@ -97,9 +97,9 @@
                 )
                 route = admitted.route
                 service = self._find_changed_service(route, service, trace)
-            if self._crashes.is_blocked(request):
-                block_end = self._crashes.find_block_end(request)
-                return failed or self._make_blocked_reply(request, attempt_state, block_end)
+            blocked = self._reject_deadly(request, attempt_state)
+            if blocked is not None:
+                return failed or blocked
             if not node.path.can_use_kept(node.now()) and failed is None:
                 return await self._serve_by_relay(
                     request, route, service, attempt_state, trace, tokens
@@ -159,6 +159,15 @@
             if not attempt_state.allows_retry() or node.now() >= request.deadline:
                 return failed or self._make_refused_reply(request, route, service, attempt_state)
 
+    def _reject_deadly(
+        self, request: sender.CallerRequest, attempt_state: attempts.Attempts
+    ) -> local_reply.LocalReply | None:
+        """Returns the reply to a request that ends the servers that run it, or None for others."""
+        if not self._crashes.is_blocked(request):
+            return None
+        block_end = self._crashes.find_block_end(request)
+        return self._make_blocked_reply(request, attempt_state, block_end)
+
     def abandon_waiting(self) -> None:
         """Ends the sends of repeatable requests that wait on connections which hang."""
         self._sender.abandon_waiting()
