--- a/testing/knowledge/test_leaving_servers.py
+++ b/testing/knowledge/test_leaving_servers.py
@@ -55,6 +55,15 @@
     asyncio.get_running_loop().call_later(1.0, setattr, replay.store, "reads_version", None)
 
 
+async def refuse_domain(replay: fleet_replay.FleetReplay) -> None:
+    """The store refuses all instances of a failure domain."""
+    names = [name for name, instance in replay.instances.items() if instance.domain == 1]
+    for name in names:
+        replay.faults[name].is_refused = True
+    replay.silence_connections(names, 0.0)
+    await asyncio.sleep(3.0)
+
+
 async def lose_packets(replay: fleet_replay.FleetReplay) -> None:
     """Every tenth packet is lost."""
     for instance_faults in replay.faults.values():
@@ -82,6 +91,7 @@
     kill_readers,
     slow_store,
     show_old_state,
+    refuse_domain,
     lose_packets,
 )
 CASES = [
