Close the connections to the store when a gateway ends

Connections to the store were never closed; whether their streams are collected before or after the loop closes is chance. The program closes them after the gateway has stopped; idle ones at once, those in use as their calls end.

--- a/src/caperdyke/programs/gateway.py
+++ b/src/caperdyke/programs/gateway.py
@@ -17,9 +17,8 @@
     path: str, loaded_settings: gateway_settings.GatewaySettings, stop: asyncio.Event
 ) -> None:
     events.configure(loaded_settings.logs)
-    shared = context.GatewayContext(
-        loaded_settings, headers, documents, store.Store(loaded_settings.store_address)
-    )
+    store_client = store.Store(loaded_settings.store_address)
+    shared = context.GatewayContext(loaded_settings, headers, documents, store_client)
 
     def make_apps(shared: context.GatewayContext) -> dict:
         return {
@@ -33,6 +32,8 @@
     watch_task = asyncio.create_task(reloader.watch())
     await gateway.run(stop)
     watch_task.cancel()
+    # Connections that are left open report an error when the interpreter exits.
+    await store_client.close()
 
 
 def main(arguments: list[str] | None = None) -> int:
