Close connections in stages, so that responses before the close arrive

Cause: each end was a plain close of the socket. What the caller sends before it has read the announcement arrives at a closed socket, the system answers with a reset, and what the caller has not received or read is lost. Ruled out: the end of the process (2.2 s after the signal at the earliest), TCP_USER_TIMEOUT (2.5 s; the oldest request is 1.3 s old), responses dropped before the transport.

Change: all servers of HTTP run LingeringProtocol, whose transport closes the sending side first, then reads and discards until the caller closes (RFC 9112, section 9.6). Requests in progress end when the close begins. Event 5103 names connections that end with responses not received.

--- a/src/caperdyke/transport/events.py
+++ b/src/caperdyke/transport/events.py
@@ -51,6 +51,11 @@
     ANSWER_CUT = (5003, "WARNING", "answer to request {request} ended early: {error}")
     REQUEST_ENDED = (5101, "INFO", "request {request}: {status} after {took_ms} ms, {outcome}")
     SLOW_HEAD = (5102, "INFO", "request head from {caller} incomplete after {seconds} s")
+    RESPONSE_UNDELIVERED = (
+        5103,
+        "INFO",
+        "connection to {caller} ended with {size} bytes of responses not received: {cause}",
+    )
     SETTINGS_RELOADED = (6001, "INFO", "settings reloaded: {result}")
     STORE_AWAY = (6101, "WARNING", "store is unavailable for {table}: {error}")
     STORE_BACK = (6102, "INFO", "store is available again for {table} after {away_s} s")
--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -23,7 +23,7 @@
     row_exchange,
     store_sync,
 )
-from caperdyke.transport.http import caller_protocol, http_server
+from caperdyke.transport.http import caller_protocol, http_server, lingering_close
 
 RESTART_SECONDS = 0.5
 POLL_SECONDS = 0.05
@@ -105,8 +105,10 @@
         if address == settings.caller_address:
             policy = caller_policy.CallerPolicy(self.node)
             return functools.partial(caller_protocol.CallerProtocol, policy=policy)
-        # Instances relay one request at a time on a connection.
-        return caller_protocol.CallerProtocol if address == settings.peer_address else "httptools"
+        if address == settings.peer_address:
+            # Instances relay one request at a time on a connection.
+            return caller_protocol.CallerProtocol
+        return lingering_close.LingeringProtocol
 
     def _start_tasks(self) -> None:
         loops = {
@@ -182,6 +184,7 @@
         await asyncio.wait(
             [caller_server_task], timeout=max(0.0, deadline - node.now()) + POLL_SECONDS
         )
+        lingering_close.PROCESS_CONNECTIONS.log_undelivered()
 
     async def _wait_until(
         self, is_done: collections.abc.Callable[[], bool], deadline: float
--- a/src/caperdyke/transport/http/caller_protocol.py
+++ b/src/caperdyke/transport/http/caller_protocol.py
@@ -3,11 +3,17 @@
 import asyncio
 
 import httptools
-import uvicorn.protocols.http.httptools_impl as httptools_impl
 
 from caperdyke.state import clock
 from caperdyke.transport import events
-from caperdyke.transport.http import disconnects, pipeline, pipelining, stand_ins, tcp_keepalive
+from caperdyke.transport.http import (
+    disconnects,
+    lingering_close,
+    pipeline,
+    pipelining,
+    stand_ins,
+    tcp_keepalive,
+)
 
 # ASGI scope key of the request target exactly as received; uvicorn drops the question mark of an
 # empty query.
@@ -23,7 +29,7 @@
     return max(0.0, clock.read_clock() - scope[READ_AT_KEY]) if READ_AT_KEY in scope else 0.0
 
 
-class CallerProtocol(httptools_impl.HttpToolsProtocol):
+class CallerProtocol(lingering_close.LingeringProtocol):
     """One connection of a caller; its pipeline runs the requests.
 
     :param policy: rules for requests that are sent ahead.
@@ -53,19 +59,30 @@
         """Enables TCP keepalive on the new connection."""
         super().connection_made(transport)
         self._disconnect_watch = disconnects.DisconnectWatch(self.loop, transport)
-        self.flow = stand_ins.ConnectionFlow(transport, self._disconnect_watch)
+        self.flow = stand_ins.ConnectionFlow(self.transport, self._disconnect_watch)
         self._pipeline = pipeline.Pipeline(self, self._policy)
         tcp_keepalive.enable_keepalive(transport.get_extra_info("socket"))
 
+    def on_closing(self) -> None:
+        """Ends all requests in progress and cancels the timers."""
+        self._end_requests()
+        super().on_closing()
+
     def connection_lost(self, error: Exception | None) -> None:
         """Ends all requests in progress and cancels the timers."""
+        self._end_requests()
+        super().connection_lost(error)
+
+    def _end_requests(self) -> None:
         self._cancel_header_timer()
         self._disconnect_watch.stop()
         self._pipeline.disconnect()
-        super().connection_lost(error)
 
     def data_received(self, data: bytes) -> None:
         """Parses requests; uvicorn drops what follows a request to upgrade in the same read."""
+        if self.transport.is_closing():
+            self.transport.discard(len(data))
+            return
         self._unset_keepalive_if_required()
         while data and not self._is_input_over():
             try:
--- a/src/caperdyke/transport/http/http_server.py
+++ b/src/caperdyke/transport/http/http_server.py
@@ -6,10 +6,12 @@
 
 import uvicorn
 
+from caperdyke.transport.http import lingering_close
+
 # Default bound on the wait for responses in progress when the server stops.
 GRACEFUL_STOP_TIMEOUT_S = 5.0
 
-Protocol = str | collections.abc.Callable[..., asyncio.Protocol]
+Protocol = collections.abc.Callable[..., asyncio.Protocol]
 
 
 class Server(uvicorn.Server):
@@ -24,12 +26,12 @@
 def make_server(
     app,
     address: str,
-    protocol: Protocol = "httptools",
+    protocol: Protocol = lingering_close.LingeringProtocol,
     stop_seconds: float = GRACEFUL_STOP_TIMEOUT_S,
 ) -> Server:
     """Returns a server for an application at ``host:port``.
 
-    :param protocol: makes the protocol of a connection, or is uvicorn's name of one.
+    :param protocol: makes the protocol of a connection.
     :param stop_seconds: longest wait for responses in progress during a graceful stop.
     """
     host, _, port = address.rpartition(":")
--- a/testing/pipelined_connection.py
+++ b/testing/pipelined_connection.py
@@ -167,10 +167,13 @@
 
 
 @contextlib.asynccontextmanager
-async def open_setting(receive_buffer: int | None = None):
+async def open_setting(
+    receive_buffer: int | None = None, timeout_seconds: float = TIMEOUT_SECONDS * 2
+):
     """Serves a scripted application and yields a setting with an open connection.
 
     :param receive_buffer: size of the caller's receive buffer, in bytes.
+    :param timeout_seconds: longest time for which the setting is used.
     """
     setting = Setting()
     async with servers.serve_app(setting.app, setting.make_protocol) as address:
@@ -183,6 +186,6 @@
         reader, writer = await asyncio.open_connection(sock=caller_socket)
         setting.caller = Caller(reader, writer)
         await setting.wait_until(lambda: setting.protocol is not None)
-        async with asyncio.timeout(TIMEOUT_SECONDS * 2):
+        async with asyncio.timeout(timeout_seconds):
             yield setting
         writer.close()
