Answer earlier requests before a late head ends the connection

A caller that began another request and did not complete its head within the header timeout lost the answers to the requests before it, though servers had run them (LOST: passed on, no answer).

Cause: the timer closed the connection at once, whatever was in progress.

Change: the late head is ignored, what is behind it is not read as a request, and the connection closes after all earlier responses. The test fails before (no response) and passes after.

--- a/src/caperdyke/transport/http/caller_protocol.py
+++ b/src/caperdyke/transport/http/caller_protocol.py
@@ -50,7 +50,7 @@
         self._is_reading_head = False
         self._is_reading_body = False
         self._ignores_message = False
-        self._is_shutting_down = False
+        self._closes_when_idle = False
         self._malformed_message: str | None = None
 
     # Events of the connection.
@@ -104,7 +104,7 @@
 
     def shutdown(self) -> None:
         """Closes the connection, after the last response in progress if there is one."""
-        self._is_shutting_down = True
+        self._closes_when_idle = True
         if self._pipeline.is_idle:
             self.transport.close()
         else:
@@ -184,7 +184,7 @@
         self._unset_keepalive_if_required()
         if self._malformed_message is not None:
             super().send_400_response(self._malformed_message)
-        elif self._is_shutting_down:
+        elif self._closes_when_idle:
             self.transport.close()
         else:
             self.timeout_keep_alive_task = self.loop.call_later(
@@ -212,8 +212,13 @@
             self._header_timer = None
 
     def _close_slow_connection(self) -> None:
-        if not self.transport.is_closing():
-            events.log(
-                events.Event.SLOW_HEAD, caller=str(self.client), seconds=self.header_timeout_s
-            )
+        """Ignores a head that is late, and closes the connection after all earlier responses."""
+        if self.transport.is_closing():
+            return
+        events.log(events.Event.SLOW_HEAD, caller=str(self.client), seconds=self.header_timeout_s)
+        self._ignores_message = True
+        self._pipeline.end_input()
+        if self._pipeline.is_idle:
             self.transport.close()
+        else:
+            self._closes_when_idle = True
--- a/testing/test_caller_protocol.py
+++ b/testing/test_caller_protocol.py
@@ -493,6 +493,24 @@
 
         self.run_on_connection(scenario)
 
+    def test_requests_cut_off_by_half_a_head_behind_them(self) -> None:
+        """Guards against losing requests in progress when the next head is not completed."""
+
+        async def scenario(setting, app, caller) -> None:
+            setting.protocol.header_timeout_s = 0.1
+            app.hold("/1")
+            caller.send("GET /1", "POST /2 x")
+            caller.writer.write(b"GET /3 HTTP/1.1\r\nHo")
+            await asyncio.sleep(0.25)
+            caller.writer.write(b"st: x\r\n\r\n")
+            caller.send("GET /4")
+            await setting.settle()
+            app.release("/1")
+            self.assertEqual(["/1", "/2"], await caller.read_all())
+            self.assertEqual(["/1", "/2"], app.started)
+
+        self.run_on_connection(scenario)
+
     def test_half_a_head_while_reading_is_paused(self) -> None:
         """Guards against blaming the caller for a head that the instance does not read."""
 
