Stop reading bodies that go on behind the response to their request

A caller whose upload was rejected (413, or any reply before the body was read) could go on sending for as long as it liked: the instance read and dropped all of it and kept the connection. Before the lingering close nothing could be changed here, as a plain close would have reset the answer.

Cause: uvicorn drops the rest of a body without a bound. Ruled out: the bound of the lingering close, which counts only what arrives behind a close.

Change: above 256 KiB the connection closes (in stages) after its responses, in all servers of HTTP; a 413 announces the close. A shorter rest keeps the connection, as before.

--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -242,6 +242,9 @@
             headers.append((b"www-authenticate", b"Bearer"))
         headers += [(b"content-type", b"text/plain"), (b"content-length", b"%d" % len(body))]
         headers += self._make_relay_headers(_RELAY_OUTCOMES.get(answer.reason))
+        if answer.reason is local_reply.LocalReplyReason.BODY_TOO_LARGE:
+            # The rest of the body is not read.
+            headers.append((b"connection", b"close"))
         await self._send_head(send, answer.status, headers)
         await send({"type": "http.response.body", "body": body})
         trace.cause = answer.cause
--- a/src/caperdyke/transport/http/caller_protocol.py
+++ b/src/caperdyke/transport/http/caller_protocol.py
@@ -110,6 +110,15 @@
         else:
             self._pipeline.shut_down()
 
+    def close_after_responses(self) -> None:
+        """Reads no further requests, and closes the connection after the responses in progress."""
+        self._ignores_message = True
+        self._pipeline.end_input()
+        if self._pipeline.is_idle:
+            self.transport.close()
+        else:
+            self._closes_when_idle = True
+
     # Events of the parser.
 
     def on_message_begin(self) -> None:
@@ -212,13 +221,8 @@
             self._header_timer = None
 
     def _close_slow_connection(self) -> None:
-        """Ignores a head that is late, and closes the connection after all earlier responses."""
+        """Ignores a head that is late, and closes the connection."""
         if self.transport.is_closing():
             return
         events.log(events.Event.SLOW_HEAD, caller=str(self.client), seconds=self.header_timeout_s)
-        self._ignores_message = True
-        self._pipeline.end_input()
-        if self._pipeline.is_idle:
-            self.transport.close()
-        else:
-            self._closes_when_idle = True
+        self.close_after_responses()
--- a/src/caperdyke/transport/http/lingering_close.py
+++ b/src/caperdyke/transport/http/lingering_close.py
@@ -26,6 +26,8 @@
 CHECK_INTERVAL_S = 0.25
 # Received bytes above which reading stops. The full window then stops the caller, without a reset.
 DISCARDED_BYTES_MAX = 256 * 1024
+# Bytes of a body that arrive after the response to its request; above it the connection closes.
+UNREAD_BODY_BYTES_MAX = 256 * 1024
 # Lingering connections of a process; each holds a descriptor that a new connection may need.
 CONNECTIONS_MAX = 512
 
@@ -207,7 +209,12 @@
 
 
 class LingeringProtocol(httptools_impl.HttpToolsProtocol):
-    """One HTTP connection, which closes in stages."""
+    """One HTTP connection, which closes in stages.
+
+    Pattern: uploads are rejected by their size or for lack of a configuration, and go on.
+    """
+
+    _unread_body_bytes = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Wraps the transport, so that every close of the connection lingers."""
@@ -220,6 +227,24 @@
         else:
             super().data_received(data)
 
+    def on_message_begin(self) -> None:
+        """Prepares for the next request."""
+        super().on_message_begin()
+        self._unread_body_bytes = 0
+
+    def on_body(self, body: bytes) -> None:
+        """Stores a part of the body, or discards it if the request has its response."""
+        if not self.cycle.response_complete:
+            super().on_body(body)
+            return
+        self._unread_body_bytes += len(body)
+        if self._unread_body_bytes > UNREAD_BODY_BYTES_MAX:
+            self.close_after_responses()
+
+    def close_after_responses(self) -> None:
+        """Reads no further requests, and closes the connection after the responses in progress."""
+        self.transport.close()
+
     def on_closing(self) -> None:
         """Ends what is in progress, since its response can no longer be sent."""
         self._unset_keepalive_if_required()
--- a/testing/pipelined_connection.py
+++ b/testing/pipelined_connection.py
@@ -18,7 +18,7 @@
     :ivar started: paths of the requests, in the order in which they started.
     :ivar disconnected: paths of the requests whose caller disconnected.
     :ivar parts: parts of the response body, by path.
-    :ivar faults: ``closes``, ``breaks off`` or ``raises``, by path.
+    :ivar faults: ``closes``, ``breaks off``, ``raises`` or ``ignores body``, by path.
     :ivar read_at: time at which each request was read, by path.
     :ivar sent: number of body parts of each response that were accepted, by path.
     """
@@ -49,6 +49,9 @@
         path = scope["path"]
         self.started.append(path)
         self.read_at[path] = scope[caller_protocol.READ_AT_KEY]
+        if self.faults.get(path) == "ignores body":
+            await self._respond(path, send)
+            return
         message = await receive()
         body = message.get("body", b"")
         while message.get("more_body"):
--- a/testing/platform/test_gateway_requests.py
+++ b/testing/platform/test_gateway_requests.py
@@ -104,15 +104,16 @@
 
     @parameterized.expand(
         [
-            ("no route", "/other/1", "GET", b"", 404),
-            ("body too large", "/buy/1", "POST", b"x" * 100_001, 413),
+            ("no route", "/other/1", "GET", b"", 404, None),
+            ("body too large", "/buy/1", "POST", b"x" * 100_001, 413, "close"),
         ]
     )
-    def test_invalid_request(self, _name, path, method, body, expected) -> None:
+    def test_invalid_request(self, _name, path, method, body, expected, connection) -> None:
         async def scenario() -> None:
             async with harness.start_gateway(["s1"]) as env:
-                status, _, _ = await env.send_request(path, method, body)
+                status, answer_headers, _ = await env.send_request(path, method, body)
                 self.assertEqual(expected, status)
+                self.assertEqual(connection, answer_headers.get("connection"))
                 self.assertEqual([], env.servers[0].requests)
 
         self.run_async(scenario)
--- a/testing/test_caller_protocol.py
+++ b/testing/test_caller_protocol.py
@@ -389,6 +389,36 @@
         self.run_on_connection(scenario)
 
 
+class UnreadBodyTest(ProtocolTestCase):
+    """Bodies that arrive after the response to their request."""
+
+    def test_rejected_upload_is_read_whole(self) -> None:
+        """Guards against a caller that keeps an instance busy with a body that nobody wants."""
+
+        async def scenario(setting, app, caller) -> None:
+            app.faults["/1"] = "ignores body"
+            size = 64_000_000
+            caller.writer.write(b"POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % size)
+            self.assertEqual((b"/1", False), await caller.read_response())
+            caller.writer.write(b"x" * size)
+            await setting.wait_until(setting.protocol.transport.is_closing)
+            self.assertEqual(b"", await caller.reader.read())
+            unsent = caller.writer.transport.get_write_buffer_size()
+            self.assertTrue(unsent > size / 2, f"got {unsent} bytes of {size} unread")
+
+        self.run_on_connection(scenario)
+
+    def test_connection_is_kept_behind_a_short_unread_body(self) -> None:
+        async def scenario(setting, app, caller) -> None:
+            app.faults["/1"] = "ignores body"
+            body = "x" * 200_000
+            caller.send(f"POST /1 {body}", "GET /2")
+            bodies = [(await caller.read_response())[0] for _ in range(2)]
+            self.assertEqual([b"/1", b"/2"], bodies)
+
+        self.run_on_connection(scenario)
+
+
 class StopTest(ProtocolTestCase):
     """P4: the instance stops while requests of a connection are in progress."""
 
