Wait for the connections of all servers at the end of a stop

An instance that stops lost the end of answers that it relayed for others: their bytes were still in its buffers when the process exited. The relaying instance then cuts its caller off (LOST).

Cause: the stop waited for requests in progress and for callers' connections only. A request ends when its last bytes have been passed to the transport, up to 1 MiB before they are on the way.

Change: the stop waits for the connections of all its servers, until its deadline as before. The test fails before (the stop is over while the peer has not read the answer) and passes after.

--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -171,8 +171,7 @@
         await self._wait_until(
             lambda: False, min(deadline, stop_started_at + LOOKUP_EXPIRY_SECONDS)
         )
-        caller_server, caller_server_task = self._servers[0]
-        caller_server.should_exit = True
+        self._servers[0][0].should_exit = True
         await self._wait_until(lambda: node.active_requests == 0, deadline)
         events.log(events.Event.STOPPED, unfinished=node.active_requests)
         for server, _task in self._servers:
@@ -181,8 +180,11 @@
             task.cancel()
         node.pool.close()
         self._dispatcher.relay.close()
+        # Connections close when their callers, or the instances that relay requests here, have
+        # received all answers.
         await asyncio.wait(
-            [caller_server_task], timeout=max(0.0, deadline - node.now()) + POLL_SECONDS
+            [task for _server, task in self._servers],
+            timeout=max(0.0, deadline - node.now()) + POLL_SECONDS,
         )
         lingering_close.PROCESS_CONNECTIONS.log_undelivered()
 
--- a/testing/platform/test_gateway_lifecycle.py
+++ b/testing/platform/test_gateway_lifecycle.py
@@ -3,12 +3,17 @@
 import asyncio
 import contextlib
 import re
+import socket
 
 from caperdyke.platform import documents, headers, store
+from caperdyke.protocol import relay_headers
+from caperdyke.state import ids
 from caperdyke.transport.gateway import context, node
 from caperdyke.transport.http import http_server
 from testing.platform import harness
 
+SMALL_BUFFER_BYTES = 8 * 1024
+
 
 class CallerDisconnectTest(harness.AsyncTestCase):
     """A caller that closes its connection."""
@@ -120,12 +125,66 @@
 
         self.run_async(scenario)
 
+    def test_relayed_answer_lost_when_the_process_ends(self) -> None:
+        """Guards against a stop that does not wait for answers that a peer has not received."""
+
+        async def scenario() -> None:
+            async with harness.start_gateway(["s1"]) as env:
+                env.servers[0].body = b"x" * 900_000
+                env.gateway.node.fleet.has_host = lambda host: True
+                env.stop.set()
+                await asyncio.sleep(node.LOOKUP_EXPIRY_SECONDS / 2)
+                reader, writer = await _relay_with_small_buffers(env)
+                await env.wait_until(lambda: env.servers[0].requests)
+                await env.wait_until(lambda: env.gateway.node.active_requests == 0)
+                await asyncio.sleep(node.LOOKUP_EXPIRY_SECONDS / 2 + 0.7)
+                self.assertFalse(env.running.done())
+                writer.transport.resume_reading()
+                received = await reader.read()
+                self.assertTrue(received.endswith(env.servers[0].body), f"got {len(received)}")
+                writer.close()
+                await asyncio.wait_for(env.running, 10)
+
+        self.run_async(scenario)
+
     def test_server_shutdown_timeout_matches_the_platform(self) -> None:
         """Pattern: the platform allows 20 s for a stop, and a download takes 10 s of them."""
         server = http_server.make_server(None, "127.0.0.1:0", stop_seconds=20.0)
         self.assertEqual(20.0, server.config.timeout_graceful_shutdown)
 
 
+async def _relay_with_small_buffers(
+    env: harness.GatewayHarness,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Sends a request as another instance does, on a connection that is not read."""
+    address = env.gateway.node.settings.peer_address
+    host, _, port = address.rpartition(":")
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+    reader, writer = await asyncio.open_connection(sock=sock)
+    writer.transport.pause_reading()
+    (server,) = [server for server, _ in env.gateway._servers if server.config.port == int(port)]
+    await env.wait_until(lambda: server.server_state.connections)
+    (protocol,) = server.server_state.connections
+    protocol.transport.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES
+    )
+    relayed = relay_headers.RelayedRequest(ids.InstanceId("gateway-9"), 3000, 0, False, 1)
+    fields = b"".join(
+        b"%s: %s\r\n" % field
+        for field in [
+            (b"host", harness.HOST.encode()),
+            (b"caperdyke-request-id", b"relayed"),
+            (b"caperdyke-request-deadline", b"3000"),
+            *relay_headers.encode_request(relayed),
+        ]
+    )
+    writer.write(b"GET /read/1 HTTP/1.1\r\n" + fields + b"\r\n")
+    return reader, writer
+
+
 class Caller:
     """A caller that uses each connection until it ends, then opens another.
 
