Keep the lingering connections of each program, not of the interpreter

A full run of the tests on the lingering close failed in 15 tests of the stranded instances: "filedescriptor out of range in select()". Passed alone (24 of 24).

Cause: the lingering connections stood in a module, so those of event loops that had ended kept their sockets open until the run had more than 1,023 of them. A program has one loop and was not affected.

Change: each program makes its own collection and passes it to its servers.

--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -66,6 +66,7 @@
         )
         self._tasks: list[asyncio.Task] = []
         self.is_listening = False
+        self._lingering = lingering_close.LingeringConnections()
         self._servers: list[tuple[http_server.Server, asyncio.Task]] = []
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -87,7 +88,11 @@
         }
         for address, app in apps.items():
             server = http_server.make_server(
-                app, address, self._find_protocol(address), settings.bounds.stop_seconds
+                app,
+                address,
+                self._find_protocol(address),
+                settings.bounds.stop_seconds,
+                self._lingering,
             )
             self._servers.append((server, asyncio.create_task(server.serve())))
         self._start_tasks()
@@ -186,7 +191,7 @@
             [task for _server, task in self._servers],
             timeout=max(0.0, deadline - node.now()) + POLL_SECONDS,
         )
-        lingering_close.PROCESS_CONNECTIONS.log_undelivered()
+        self._lingering.log_undelivered()
 
     async def _wait_until(
         self, is_done: collections.abc.Callable[[], bool], deadline: float
--- a/src/caperdyke/transport/http/http_server.py
+++ b/src/caperdyke/transport/http/http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import functools
 
 import uvicorn
 
@@ -28,19 +29,23 @@
     address: str,
     protocol: Protocol = lingering_close.LingeringProtocol,
     stop_seconds: float = GRACEFUL_STOP_TIMEOUT_S,
+    lingering: lingering_close.LingeringConnections | None = None,
 ) -> Server:
     """Returns a server for an application at ``host:port``.
 
     :param protocol: makes the protocol of a connection.
     :param stop_seconds: longest wait for responses in progress during a graceful stop.
+    :param lingering: the lingering connections of the program; None if it has no other server.
     """
     host, _, port = address.rpartition(":")
+    if lingering is None:
+        lingering = lingering_close.LingeringConnections()
     config = uvicorn.Config(
         app,
         host=host,
         port=int(port),
         loop="asyncio",
-        http=protocol,
+        http=functools.partial(protocol, lingering=lingering),
         ws="none",
         lifespan="off",
         log_config=None,
--- a/src/caperdyke/transport/http/lingering_close.py
+++ b/src/caperdyke/transport/http/lingering_close.py
@@ -75,9 +75,6 @@
             transport.log_undelivered("the process ends")
 
 
-PROCESS_CONNECTIONS = LingeringConnections()
-
-
 class LingeringTransport(asyncio.Transport):
     """Transport of a connection that closes in stages.
 
@@ -91,7 +88,7 @@
         connection: asyncio.Transport,
         loop: asyncio.AbstractEventLoop,
         on_closing: collections.abc.Callable[[], None],
-        lingering: LingeringConnections = PROCESS_CONNECTIONS,
+        lingering: LingeringConnections,
     ) -> None:
         super().__init__()
         self._connection = connection
@@ -212,13 +209,20 @@
     """One HTTP connection, which closes in stages.
 
     Pattern: uploads are rejected by their size or for lack of a configuration, and go on.
+
+    :param lingering: the lingering connections of the process.
     """
 
-    _unread_body_bytes = 0
+    def __init__(self, *arguments, lingering: LingeringConnections, **named) -> None:
+        super().__init__(*arguments, **named)
+        self._lingering = lingering
+        self._unread_body_bytes = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Wraps the transport, so that every close of the connection lingers."""
-        super().connection_made(LingeringTransport(transport, self.loop, self.on_closing))
+        super().connection_made(
+            LingeringTransport(transport, self.loop, self.on_closing, self._lingering)
+        )
 
     def data_received(self, data: bytes) -> None:
         """Parses requests, or discards what arrives while the connection closes."""
