Send no request whose answer a planned stop would cut off

Work that must not be repeated was left uncertain (LOST).

Cause: a request was passed on whenever it was ready, whatever time was left; the end of the stop was known only to the queue of requests that wait for capacity. Ruled out: accepting connections for too long (requests on connections that were opened until then end in time), and an exit before its time (the process ran to 0.03 s before the kill).

Change: one decision, from the time left, the expected time, the spread of the latest answers and the kind, at every send to a server or another instance, and before each wait. A request that is too late gets its 503 with Retry-After 0 at once, also while its body is arriving.

--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -12,6 +12,7 @@
     crashing_requests,
     last_servers,
     load_estimate,
+    planned_stop,
     processing_times,
     region_overflow,
     selection,
@@ -34,7 +35,7 @@
 )
 from caperdyke.transport import events, metrics
 from caperdyke.transport.backends import pool
-from caperdyke.transport.gateway import server_bounds, server_headers
+from caperdyke.transport.gateway import server_bounds, server_headers, stop_limits
 
 # Assumed for a failure domain until a connection to it has been opened.
 ROUND_TRIP_DEFAULT_SECONDS = 0.005
@@ -108,12 +109,43 @@
         )
         self.metrics = metrics.Metrics()
         self.active_requests = 0
-        self.is_stopping = False
+        self.planned_stop: planned_stop.PlannedStop | None = None
+        self.stop_limits = stop_limits.StopLimits(now)
         self._services: dict[ids.ServiceName, list[server_registry.RegisteredServer]] = {}
         self._rankings = server_rankings.ServerRankings()
         self.last_servers = last_servers.LastServers()
         self.region_overflow = region_overflow.RegionOverflow(settings.overflow_ratio_max)
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether this instance has been asked to stop."""
+        return self.planned_stop is not None
+
+    def stop(self) -> None:
+        """Starts the planned stop, and limits what requests wait for."""
+        self.planned_stop = planned_stop.plan(self.now(), self.settings.bounds.stop_seconds)
+        self.stop_limits.apply()
+
+    def find_stop_deadline(self) -> float:
+        """Returns the time at which requests without an answer end; infinity without a stop."""
+        return math.inf if self.planned_stop is None else self.planned_stop.deadline
+
+    def find_latest_send(
+        self, route: routes.Route, ends_at: float, expected_s: float | None = None
+    ) -> float:
+        """Returns the time until which a request may be sent; infinity without a stop.
+
+        :param ends_at: time at which the request ends in any case.
+        :param expected_s: expected time on the selected server; None if none is selected.
+        """
+        if self.planned_stop is None:
+            return math.inf
+        times = self.times.find(route.name, route.objective_ms / 1000)
+        if expected_s is None:
+            expected_s = times.mean if times.recent_ratios else times.cold
+        work = planned_stop.Work(expected_s, times.spread, route.kind.is_repeatable, ends_at)
+        return self.planned_stop.find_latest_send(work)
+
     def apply_settings(self, changed: gateway_settings.GatewaySettings) -> None:
         """Applies changed limits and failure domains."""
         self.settings = changed
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -42,6 +42,7 @@
         self._make_blocked_reply = final_replies.make_blocked_reply
         self._make_final_reply = final_replies.make_final_reply
         self._make_refused_reply = final_replies.make_refused_reply
+        self._make_stopping_reply = final_replies.make_stopping_reply
         self._serve_by_relay = relaying.Relaying(
             node, self.relay, final_replies, self._try_acquire_retry
         ).serve
@@ -104,7 +105,11 @@
                 return await self._serve_by_relay(
                     request, route, service, attempt_state, trace, tokens
                 )
-            exceeded = await tokens.acquire(request, trace.find_objective_end(route))
+            latest_send = node.find_latest_send(route, request.deadline)
+            if node.now() > latest_send:
+                return failed or self._make_stopping_reply(request, attempt_state)
+            objective_end = trace.find_objective_end(route)
+            exceeded = await tokens.acquire(request, min(objective_end, latest_send))
             if node.routes is not request.table:
                 continue
             if exceeded is not None:
@@ -122,6 +127,8 @@
                         request, route, service, attempt_state, trace, tokens
                     )
                 trace.sends.append(_describe_no_capacity(selected))
+                if node.now() > node.find_latest_send(route, request.deadline):
+                    return failed or self._make_stopping_reply(request, attempt_state)
                 return failed or self._make_final_reply(request, attempt_state, selected)
             if attempt_state.sent and not self._try_acquire_retry(route, service):
                 return failed or self._make_refused_reply(request, route, service, attempt_state)
@@ -130,9 +137,12 @@
             node.record_region(selected.view.server, selected.is_regional_home)
             tokens.start_send()
             claim = service_capacities.make_claim(request, route)
-            sending = self._sender.send(request, selected)
+            sending = self._sender.send(request, route, selected)
+            trace.may_have_run = True
             result = await self.waiting.capacities.track(service, claim, sending)
             tokens.end_send(relaying.may_have_run(result))
+            was_run = not attempt_state.is_known_not_run
+            trace.may_have_run = was_run or relaying.may_have_run(result)
             self._record_result(request, route, selected, sent_at, result)
             trace.sends.append(self._describe(selected, sent_at, result))
             match result:
@@ -150,6 +160,8 @@
                     return await self._serve_by_relay(
                         request, route, service, attempt_state, trace, tokens
                     )
+                case sender.Failure(kind=sender.FailureKind.STOPPING):
+                    return failed or self._make_stopping_reply(request, attempt_state)
                 case sender.Failure(kind=sender.FailureKind.NOT_SENT):
                     tried_servers.discard(selected.view.server.backend)
                 case sender.Failure():
@@ -242,7 +254,7 @@
     ) -> None:
         sent_at = self._node.now()
         copy = dataclasses.replace(request, deadline=placement.due_at)
-        result = await self._sender.send(copy, placement)
+        result = await self._sender.send(copy, route, placement)
         if isinstance(result, sender.ServerAnswer) and result.remaining_body is not None:
             await result.remaining_body.aclose()
         self._record_result(copy, route, placement, sent_at, result)
@@ -382,7 +394,11 @@
             # The failure is due to the path of this instance, not to the server.
             return
         match result.kind:
-            case sender.FailureKind.NOT_SENT | sender.FailureKind.NO_PATH:
+            case (
+                sender.FailureKind.NOT_SENT
+                | sender.FailureKind.NO_PATH
+                | sender.FailureKind.STOPPING
+            ):
                 return
             case sender.FailureKind.UNREACHABLE:
                 view.record_unreachable(now)
--- a/src/caperdyke/transport/gateway/local_reply.py
+++ b/src/caperdyke/transport/gateway/local_reply.py
@@ -25,6 +25,8 @@
     CRASHES_SERVERS = "servers ended while they ran this request"
     FAILED = "server failed"
     TIMED_OUT = "timed out"
+    STOPPING = "instance stops"
+    STOPPED = "instance stopped before the answer"
     DECLINED = "declined"
     CALLER_DISCONNECTED = "caller left"
 
@@ -36,6 +38,8 @@
     :ivar relayed_by: instance that relayed the request here; empty if the caller sent it here.
     :ivar waited_s: seconds for which the request waited here for capacity.
     :ivar competition: who had the capacity that a rejected request lacked; empty for others.
+    :ivar may_have_run: whether a server may run the request now, or may have run it.
+    :ivar is_answer_started: whether the head of an answer has been sent.
     :ivar sends: description of each send, or of why a request was not sent.
     """
 
@@ -51,6 +55,8 @@
     relayed_by: str = ""
     waited_s: float = 0.0
     competition: dict[str, object] = dataclasses.field(default_factory=dict)
+    may_have_run: bool = False
+    is_answer_started: bool = False
     sends: list[str] = dataclasses.field(default_factory=list)
 
     def find_objective_end(self, route: routes.Route) -> float:
--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -35,8 +35,6 @@
 # Time after the stop signal for which requests still arrive: look-ups return other instances by
 # then, but callers cache an earlier answer for this long.
 LOOKUP_EXPIRY_SECONDS = 2.2
-# The process exits this long before the platform would kill it.
-STOP_MARGIN_SECONDS = 0.25
 
 MakeApps = collections.abc.Callable[[context.GatewayContext], dict[ids.Address, object]]
 
@@ -166,19 +164,22 @@
         """Shuts down gracefully: announces it, then drains requests until the deadline."""
         node = self.node
         stop_started_at = node.now()
-        deadline = stop_started_at + node.settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
+        node.stop()
+        deadline, exit_at = node.planned_stop.deadline, node.planned_stop.exit_at
         events.log(events.Event.STOPPING, deadline=round(deadline, 2))
         node.fleet.is_ready = False
-        node.is_stopping = True
         self.announcer.announce_leaving()
-        self._dispatcher.waiting.stop(deadline)
+        self._dispatcher.waiting.stop()
         withdrawal = asyncio.create_task(self.announcer.withdraw(node.settings.instance))
         await self._wait_until(
             lambda: False, min(deadline, stop_started_at + LOOKUP_EXPIRY_SECONDS)
         )
         self._servers[0][0].should_exit = True
         await self._wait_until(lambda: node.active_requests == 0, deadline)
-        events.log(events.Event.STOPPED, unfinished=node.active_requests)
+        unfinished = node.active_requests
+        # Requests that are left end now, with answers of this instance.
+        await self._wait_until(lambda: node.active_requests == 0, exit_at)
+        events.log(events.Event.STOPPED, unfinished=unfinished)
         for server, _task in self._servers:
             server.should_exit = True
         for task in (*self._tasks, withdrawal):
@@ -189,7 +190,7 @@
         # received all answers.
         await asyncio.wait(
             [task for _server, task in self._servers],
-            timeout=max(0.0, deadline - node.now()) + POLL_SECONDS,
+            timeout=max(0.0, exit_at - node.now()),
         )
         self._lingering.log_undelivered()
 
--- a/src/caperdyke/transport/gateway/refusals.py
+++ b/src/caperdyke/transport/gateway/refusals.py
@@ -12,6 +12,8 @@
 RETRY_AFTER_RATIO_MAX = 0.3
 # Retry-After while neither this instance nor another one has a path to the servers.
 NO_PATH_RETRY_AFTER_SECONDS = 0.5
+# Retry-After of an instance that stops: others serve the request at once.
+STOPPING_RETRY_AFTER_SECONDS = 0.0
 # Shortest Retry-After of a team that is over its quota.
 OVER_QUOTA_RETRY_AFTER_MIN_SECONDS = 0.1
 
@@ -114,6 +116,14 @@
             max(0.0, block_end - self._node.now()),
         )
 
+    def make_stopping_reply(
+        self, request: sender.CallerRequest, attempt_state: attempts.Attempts
+    ) -> local_reply.LocalReply:
+        """Returns the reply to a request that this instance cannot finish before it stops."""
+        if not attempt_state.is_known_not_run:
+            return self.make_final_reply(request, attempt_state, None)
+        return make_stopping_reply()
+
     def make_no_path_reply(self, request: sender.CallerRequest) -> local_reply.LocalReply:
         """Returns the reply to a request that no instance has a path for."""
         retry_after = NO_PATH_RETRY_AFTER_SECONDS * self._rng.uniform(1.0, 1.5)
@@ -125,6 +135,13 @@
         )
 
 
+def make_stopping_reply() -> local_reply.LocalReply:
+    """Returns the reply to a request that has not run when it is too late to send it."""
+    return local_reply.LocalReply(
+        503, local_reply.LocalReplyReason.STOPPING, STOPPING_RETRY_AFTER_SECONDS
+    )
+
+
 def make_no_longer_allowed_reply(
     refusal: local_reply.LocalReply, attempt_state: attempts.Attempts
 ) -> local_reply.LocalReply:
--- a/src/caperdyke/transport/gateway/relay.py
+++ b/src/caperdyke/transport/gateway/relay.py
@@ -77,7 +77,12 @@
         return min(choices, key=lambda peer: self._in_flight[peer.record.instance])
 
     async def send(
-        self, request: sender.CallerRequest, peer: fleet.PeerInstance, reached: int, counted: bool
+        self,
+        request: sender.CallerRequest,
+        route: routes.Route,
+        peer: fleet.PeerInstance,
+        reached: int,
+        counted: bool,
     ) -> RelayResult:
         """Sends a request to an instance and returns what it answers.
 
@@ -87,7 +92,7 @@
         name = peer.record.instance
         self._in_flight[name] += 1
         try:
-            return await self._exchange(request, peer, reached, counted)
+            return await self._exchange(request, route, peer, reached, counted)
         finally:
             self._in_flight[name] -= 1
 
@@ -100,7 +105,12 @@
         self._pool.close()
 
     async def _exchange(
-        self, request: sender.CallerRequest, peer: fleet.PeerInstance, reached: int, counted: bool
+        self,
+        request: sender.CallerRequest,
+        route: routes.Route,
+        peer: fleet.PeerInstance,
+        reached: int,
+        counted: bool,
     ) -> RelayResult:
         now, address = self._node.now, peer.record.peer_address
         conn = self._pool.acquire(address)
@@ -114,6 +124,9 @@
         if self._node.routes is not request.table:
             self._pool.release(address, conn, None)
             return sender.Failure(sender.FailureKind.NOT_SENT, "the configuration changed")
+        if now() > self._node.find_latest_send(route, request.deadline):
+            self._pool.release(address, conn, None)
+            return sender.make_stopping_failure()
         is_done = False
         try:
             async with asyncio.timeout(max(0.0, request.deadline - now())):
--- a/src/caperdyke/transport/gateway/relaying.py
+++ b/src/caperdyke/transport/gateway/relaying.py
@@ -67,7 +67,11 @@
                 request = dataclasses.replace(
                     request, table=node.routes, identity=admitted.identity
                 )
-            exceeded = await tokens.acquire(request, trace.find_objective_end(route))
+            latest_send = node.find_latest_send(route, request.deadline)
+            if node.now() > latest_send:
+                return self._refusals.make_stopping_reply(request, attempt_state)
+            objective_end = trace.find_objective_end(route)
+            exceeded = await tokens.acquire(request, min(objective_end, latest_send))
             if node.routes is not request.table:
                 continue
             if exceeded is not None:
@@ -85,8 +89,10 @@
             sent_at = node.now()
             reached, is_counted = attempt_state.reached, service is not None
             tokens.start_send()
-            result = await self._relay.send(request, peer, reached, is_counted)
+            trace.may_have_run = True
+            result = await self._relay.send(request, route, peer, reached, is_counted)
             tokens.end_send(may_have_run(result))
+            trace.may_have_run = may_have_run(result) or not attempt_state.is_known_not_run
             trace.sends.append(_describe_relay(peer, node.now() - sent_at, result))
             match result:
                 case sender.ServerAnswer():
@@ -95,6 +101,8 @@
                     refused = result.answer
                     if not result.has_no_capacity:
                         break
+                case sender.Failure(kind=sender.FailureKind.STOPPING):
+                    return self._refusals.make_stopping_reply(request, attempt_state)
                 case sender.Failure(kind=sender.FailureKind.NOT_SENT):
                     tried.discard(peer.record.instance)
                 case sender.Failure(may_have_run=True):
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 
 from caperdyke import errors
 from caperdyke.protocol import platform_interfaces, relay_headers
@@ -12,6 +13,7 @@
     context,
     dispatcher,
     local_reply,
+    refusals,
     sender,
 )
 from caperdyke.transport.http import caller_protocol
@@ -34,6 +36,7 @@
     local_reply.LocalReplyReason.TEAM_UNKNOWN: relay_headers.RelayOutcome.NOT_RUN,
     local_reply.LocalReplyReason.UNCONFIRMED: relay_headers.RelayOutcome.NOT_RUN,
     local_reply.LocalReplyReason.CRASHES_SERVERS: relay_headers.RelayOutcome.NOT_RUN,
+    local_reply.LocalReplyReason.STOPPING: relay_headers.RelayOutcome.DECLINED,
     local_reply.LocalReplyReason.DECLINED: relay_headers.RelayOutcome.DECLINED,
     local_reply.LocalReplyReason.NO_CAPACITY: relay_headers.RelayOutcome.NO_CAPACITY,
     local_reply.LocalReplyReason.NO_SERVER: relay_headers.RelayOutcome.NO_CAPACITY,
@@ -44,6 +47,10 @@
     """The caller closed its connection."""
 
 
+class _StoppedError(errors.CaperdykeError):
+    """An answer was not complete when the instance stopped."""
+
+
 class RequestApp:
     """Routes callers' requests and returns the answers of backend servers, or local replies.
 
@@ -72,8 +79,15 @@
             caller_headers.request_id, received_at, caller_headers.object_key
         )
         node.active_requests += 1
+        limit = node.stop_limits.limit(node.find_stop_deadline)
         try:
-            await self._handle(scope, receive, send, caller_headers, trace)
+            async with limit as timeout:
+                await self._handle(scope, receive, send, caller_headers, trace)
+        except TimeoutError as error:
+            if not timeout.expired():
+                events.log(events.Event.REQUEST_FAILED, request=trace.request_id, error=repr(error))
+                raise
+            await self._end_at_stop(send, caller_headers, trace)
         except _CallerDisconnectedError:
             self._log_request_end(trace, 0, local_reply.LocalReplyReason.CALLER_DISCONNECTED.value)
         except errors.ProtocolError as error:
@@ -101,14 +115,16 @@
             await self._send_local_reply(send, declined, caller_headers, trace)
             return
         refusal, admitted = self._admit(scope, table, caller_headers, relayed, trace)
+        body = b""
         if refusal is None:
-            body = await self._read_body(receive)
-            if body is None:
-                refusal = local_reply.LocalReply(413, local_reply.LocalReplyReason.BODY_TOO_LARGE)
+            deadline = _find_deadline(caller_headers, admitted.route, trace, relayed)
+            refusal, body = await self._read_body(receive, admitted.route, deadline)
         if refusal is not None:
             await self._send_local_reply(send, refusal, caller_headers, trace)
             return
-        request = self._make_request(scope, caller_headers, body, table, admitted, trace, relayed)
+        request = self._make_request(
+            scope, caller_headers, body, table, admitted, trace, relayed, deadline
+        )
         serving = asyncio.ensure_future(self._dispatcher.serve(request, admitted.route, trace))
         disconnecting = asyncio.ensure_future(_wait_for_disconnect(receive))
         try:
@@ -176,21 +192,53 @@
         trace.team = admitted.team.name if admitted.team is not None else ""
         return None, admitted
 
-    async def _read_body(self, receive) -> bytes | None:
-        """Returns the whole body, or None if it is too large."""
-        limit = self._node.routes.limits.body_bytes
-        parts = []
-        size = 0
-        while True:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                raise _CallerDisconnectedError
-            parts.append(message.get("body", b""))
-            size += len(parts[-1])
-            if size > limit:
-                return None
-            if not message.get("more_body"):
-                return b"".join(parts)
+    async def _read_body(
+        self, receive, route: routes.Route, deadline: float
+    ) -> tuple[local_reply.LocalReply | None, bytes]:
+        """Returns the whole body, or why the request is refused.
+
+        A request whose body is still being received when it is too late to send it is refused then.
+
+        :param deadline: time by which an answer must be sent to the caller.
+        """
+        node = self._node
+        limit = node.routes.limits.body_bytes
+        body, is_complete = await _receive_part(receive)
+        if not is_complete:
+            find_latest_send = functools.partial(node.find_latest_send, route, deadline)
+            try:
+                async with node.stop_limits.limit(find_latest_send) as timeout:
+                    parts = [body]
+                    size = len(body)
+                    while not is_complete and size <= limit:
+                        part, is_complete = await _receive_part(receive)
+                        parts.append(part)
+                        size += len(part)
+                    body = b"".join(parts)
+            except TimeoutError:
+                if not timeout.expired():
+                    raise
+                return refusals.make_stopping_reply(), b""
+        if len(body) > limit:
+            return local_reply.LocalReply(413, local_reply.LocalReplyReason.BODY_TOO_LARGE), b""
+        return None, body
+
+    async def _end_at_stop(
+        self,
+        send,
+        caller_headers: header_fields.CallerHeaders,
+        trace: local_reply.RequestTrace,
+    ) -> None:
+        """Ends a request that has no complete answer when this instance ends."""
+        if trace.is_answer_started:
+            error = "the instance stopped"
+            events.log(events.Event.ANSWER_CUT, request=trace.request_id, error=error)
+            raise _StoppedError(error)
+        if trace.may_have_run:
+            reply = local_reply.LocalReply(504, local_reply.LocalReplyReason.STOPPED)
+        else:
+            reply = refusals.make_stopping_reply()
+        await self._send_local_reply(send, reply, caller_headers, trace)
 
     def _make_request(
         self,
@@ -201,15 +249,12 @@
         admitted: admissions.AdmittedRequest,
         trace: local_reply.RequestTrace,
         relayed: relay_headers.RelayedRequest | None,
+        deadline: float,
     ) -> sender.CallerRequest:
         route = admitted.route
-        wait_ms = (
-            CALLER_WAIT_DEFAULT_MS if caller_headers.wait_ms is None else caller_headers.wait_ms
-        )
         caller_timeout_at = None
         if caller_headers.wait_ms is not None:
             caller_timeout_at = trace.received_at + caller_headers.wait_ms / 1000
-        wait_ms = min(wait_ms, route.timeout_ms, relayed.wait_ms if relayed else wait_ms)
         host = next(value for name, value in scope["headers"] if name == b"host")
         return sender.CallerRequest(
             caller_headers,
@@ -219,7 +264,7 @@
             scope[caller_protocol.TARGET_KEY],
             relay_headers.strip(_drop_hop_by_hop_headers(scope["headers"])),
             body,
-            trace.received_at + wait_ms / 1000 - ANSWER_MARGIN_SECONDS,
+            deadline,
             table,
             caller_timeout_at,
             route.kind.is_repeatable,
@@ -245,7 +290,7 @@
         if answer.reason is local_reply.LocalReplyReason.BODY_TOO_LARGE:
             # The rest of the body is not read.
             headers.append((b"connection", b"close"))
-        await self._send_head(send, answer.status, headers)
+        await self._send_head(send, answer.status, headers, trace)
         await send({"type": "http.response.body", "body": body})
         trace.cause = answer.cause
         self._log_request_end(trace, answer.status, answer.reason.value)
@@ -261,7 +306,7 @@
         headers = [*answer.headers, *self._make_relay_headers()]
         if answer.length is not None and request.method != "HEAD":
             headers.append((b"content-length", b"%d" % answer.length))
-        await self._send_head(send, answer.status, headers)
+        await self._send_head(send, answer.status, headers, trace)
         if answer.remaining_body is None:
             await send({"type": "http.response.body", "body": answer.body})
             self._log_request_end(trace, answer.status, "answered")
@@ -295,9 +340,16 @@
         outcome = outcome or relay_headers.RelayOutcome.FINAL
         return relay_headers.encode_answer(relay_headers.RelayedAnswer(outcome, version))
 
-    async def _send_head(self, send, status: int, headers: platform_interfaces.RawHeaders) -> None:
+    async def _send_head(
+        self,
+        send,
+        status: int,
+        headers: platform_interfaces.RawHeaders,
+        trace: local_reply.RequestTrace,
+    ) -> None:
         if self._node.is_stopping:
             headers = [*headers, (b"connection", b"close")]
+        trace.is_answer_started = True
         await send({"type": "http.response.start", "status": status, "headers": headers})
 
     def _log_request_end(self, trace: local_reply.RequestTrace, status: int, outcome: str) -> None:
@@ -340,6 +392,26 @@
         )
 
 
+async def _receive_part(receive) -> tuple[bytes, bool]:
+    """Returns a part of a request's body, and whether it is the last one."""
+    message = await receive()
+    if message["type"] == "http.disconnect":
+        raise _CallerDisconnectedError
+    return message.get("body", b""), not message.get("more_body")
+
+
+def _find_deadline(
+    caller_headers: header_fields.CallerHeaders,
+    route: routes.Route,
+    trace: local_reply.RequestTrace,
+    relayed: relay_headers.RelayedRequest | None,
+) -> float:
+    """Returns the time by which an answer must be sent to the caller."""
+    wait_ms = CALLER_WAIT_DEFAULT_MS if caller_headers.wait_ms is None else caller_headers.wait_ms
+    wait_ms = min(wait_ms, route.timeout_ms, relayed.wait_ms if relayed else wait_ms)
+    return trace.received_at + wait_ms / 1000 - ANSWER_MARGIN_SECONDS
+
+
 async def _send_streamed_body(send, answer: sender.ServerAnswer) -> None:
     """Streams a long body at the rate at which the caller reads it."""
     await send({"type": "http.response.body", "body": answer.body, "more_body": True})
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -9,7 +9,7 @@
 from caperdyke import errors
 from caperdyke.coordination.placement import selection
 from caperdyke.protocol import platform_interfaces, relay_headers
-from caperdyke.state import backend, header_fields, routes
+from caperdyke.state import header_fields, routes
 from caperdyke.transport.backends import connection
 from caperdyke.transport.gateway import context, header_log
 
@@ -78,6 +78,8 @@
     NOT_SENT = "not sent"
     # Nothing was sent, as this instance has no path to any server.
     NO_PATH = "no path"
+    # Nothing was sent, as this instance ends before the answer is expected.
+    STOPPING = "stopping"
     # Nothing was sent, as no connection could be opened.
     UNREACHABLE = "unreachable"
     # The server reports that it did not run the request.
@@ -136,13 +138,15 @@
         # Connections on which a repeatable request waits for the head of its answer.
         self._waiting: set[connection.ServerConnection] = set()
 
-    async def send(self, request: CallerRequest, placed: selection.Placement) -> Result:
+    async def send(
+        self, request: CallerRequest, route: routes.Route, placed: selection.Placement
+    ) -> Result:
         """Sends a request to the selected server and reads its answer."""
         node, view = self._node, placed.view
         sent_at = node.now()
         pending = view.record_send(sent_at, placed.due_at)
         try:
-            return await self._exchange(request, placed)
+            return await self._exchange(request, route, placed)
         finally:
             view.record_end(pending)
 
@@ -155,11 +159,15 @@
         for conn in list(self._waiting):
             conn.close()
 
-    async def _exchange(self, request: CallerRequest, placed: selection.Placement) -> Result:
+    async def _exchange(
+        self, request: CallerRequest, route: routes.Route, placed: selection.Placement
+    ) -> Result:
         node, server = self._node, placed.view.server
         time_left = request.deadline - node.now()
         if time_left <= 0:
             return Failure(FailureKind.NOT_SENT, "no time left")
+        if node.now() > node.find_latest_send(route, request.deadline, placed.expected_s):
+            return make_stopping_failure()
         conn = node.pool.acquire(server.backend)
         is_kept = conn is not None
         if conn is None and node.path.is_lost:
@@ -175,10 +183,10 @@
             node.path.record_opened(node.now())
             node.record_round_trip(server.domain, node.now() - opened_at)
         # Conditions may have changed meanwhile: opening a connection takes up to half a second.
-        reason = self._find_obstacle(request, server)
-        if reason is not None:
+        obstacle = self._find_obstacle(request, route, placed)
+        if obstacle is not None:
             node.pool.release(server.backend, conn, None)
-            return Failure(FailureKind.NOT_SENT, reason)
+            return obstacle
         is_done = False
         try:
             async with asyncio.timeout(max(0.0, request.deadline - node.now())):
@@ -195,14 +203,20 @@
             if not is_done:
                 conn.close()
 
-    def _find_obstacle(self, request: CallerRequest, server: backend.BackendServer) -> str | None:
+    def _find_obstacle(
+        self, request: CallerRequest, route: routes.Route, placed: selection.Placement
+    ) -> Failure | None:
         """Returns why a request must not be sent now; otherwise counts it and returns None."""
-        if self._node.now() >= request.deadline:
-            return "no time left"
-        if self._node.routes is not request.table:
-            return "the configuration changed"
-        if not self._node.try_record_send(server):
-            return "the server left service, or this instance's quota of it is used up"
+        node = self._node
+        if node.now() >= request.deadline:
+            return Failure(FailureKind.NOT_SENT, "no time left")
+        if node.routes is not request.table:
+            return Failure(FailureKind.NOT_SENT, "the configuration changed")
+        if node.now() > node.find_latest_send(route, request.deadline, placed.expected_s):
+            return make_stopping_failure()
+        if not node.try_record_send(placed.view.server):
+            detail = "the server left service, or this instance's quota of it is used up"
+            return Failure(FailureKind.NOT_SENT, detail)
         return None
 
     async def _exchange_on_connection(
@@ -330,6 +344,11 @@
             self._node.pool.release(server, conn, idle)
 
 
+def make_stopping_failure() -> Failure:
+    """Returns the result of a request that is too late for a planned stop."""
+    return Failure(FailureKind.STOPPING, "this instance ends before the answer is expected")
+
+
 def _describe_connection(is_kept: bool) -> str:
     return "a kept connection" if is_kept else "a new connection"
 
--- a/src/caperdyke/transport/gateway/waiting_requests.py
+++ b/src/caperdyke/transport/gateway/waiting_requests.py
@@ -4,7 +4,6 @@
 import collections
 import collections.abc
 import contextlib
-import math
 
 from caperdyke.coordination.placement import selection, team_shares, waiting_queue
 from caperdyke.state import ids, routes
@@ -32,7 +31,8 @@
         )
         # Completed to wake the request that waits for it.
         self._wakers: dict[waiting_queue.WaitingRequest, asyncio.Future] = {}
-        self._stop_at = math.inf
+        # Route of each waiting request.
+        self._routes: dict[waiting_queue.WaitingRequest, routes.Route] = {}
 
     def may_be_queued(
         self,
@@ -80,6 +80,7 @@
             decision = self._decide(service, entry, no_capacity, trace.waited_s == 0)
             if isinstance(decision, waiting_queue.Hold):
                 self._evict(service, queue.offer(entry, size_max))
+                self._routes[entry] = route
                 no_capacity = await self._hold(
                     request, service, entry, decision, trace, no_capacity, select
                 )
@@ -87,14 +88,11 @@
                     return no_capacity
         return self.capacities.record_rejection(service, claim, no_capacity, ahead, trace)
 
-    def stop(self, deadline: float) -> None:
-        """Rejects waiting requests early enough for the end of a graceful shutdown.
-
-        :param deadline: time by which all responses must have been sent.
-        """
-        self._stop_at = deadline
-        for entry in self._wakers:
-            entry.latest_start = min(entry.latest_start, deadline)
+    def stop(self) -> None:
+        """Rejects waiting requests as soon as they cannot be served before the planned stop."""
+        for entry, route in self._routes.items():
+            latest_send = self._node.find_latest_send(route, entry.deadline)
+            entry.latest_start = min(entry.latest_start, latest_send)
 
     def _make_entry(
         self,
@@ -108,7 +106,10 @@
         return waiting_queue.WaitingRequest(
             claim,
             request.deadline,
-            min(self._find_latest_start(route, trace.received_at), self._stop_at),
+            min(
+                self._find_latest_start(route, trace.received_at),
+                self._node.find_latest_send(route, request.deadline),
+            ),
             self._node.now() + allowance_s - trace.waited_s,
             self.capacities.must_yield(service, claim),
         )
@@ -182,6 +183,7 @@
         finally:
             queue.remove(entry)
             self._wakers.pop(entry, None)
+            self._routes.pop(entry, None)
             self._wake_next(service)
             waited_s = node.now() - waiting_since
             trace.waited_s += waited_s
--- a/testing/platform/live_fleet.py
+++ b/testing/platform/live_fleet.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import itertools
+import socket
 
 import aiosonic
 
@@ -36,11 +37,13 @@
     :ivar nodes: state of each gateway.
     :ivar gateways: the gateways themselves.
     :ivar running: task in which each gateway runs.
+    :ivar stops: set to request a graceful stop of a gateway.
     """
 
     def __init__(self) -> None:
         self.store = fake_store.FakeStore()
         self.servers: list[fake_server.FakeServer] = []
+        self.stops: list[asyncio.Event] = []
         self.nodes: list[context.GatewayContext] = []
         self.gateways: list[node.GatewayNode] = []
         self.running: list[asyncio.Task] = []
@@ -100,15 +103,25 @@
         address = self.nodes[number].settings.readiness_address
         return (await self._client.get(f"http://{address}/caperdyke/readiness")).status_code
 
-    async def open_request(self, number: int, request_id: str) -> asyncio.StreamWriter:
-        """Sends a request on a connection of its own and returns the connection."""
+    async def open_request(
+        self, number: int, request_id: str, wait_ms: int = 3000, receive_buffer: int | None = None
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Sends a request on a connection of its own and returns the connection.
+
+        :param receive_buffer: size of the caller's receive buffer, in bytes.
+        """
         host, _, port = self.nodes[number].settings.caller_address.rpartition(":")
-        _, writer = await asyncio.open_connection(host, int(port))
+        sock = socket.socket()
+        if receive_buffer is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+        reader, writer = await asyncio.open_connection(sock=sock)
         writer.write(
             f"GET /read/1 HTTP/1.1\r\nHost: {harness.HOST}\r\nCaperdyke-Request-Id: {request_id}"
-            "\r\nCaperdyke-Request-Deadline: 3000\r\n\r\n".encode()
+            f"\r\nCaperdyke-Request-Deadline: {wait_ms}\r\n\r\n".encode()
         )
-        return writer
+        return reader, writer
 
     async def call_peer(self, number: int, headers) -> tuple[int, list[tuple[bytes, bytes]]]:
         """Sends a request to a gateway's peer address and returns status and headers."""
@@ -208,7 +221,8 @@
             fleet.nodes.append(shared)
             gateway = node.GatewayNode(shared, harness.make_platform_apps)
             fleet.gateways.append(gateway)
-            fleet.running.append(asyncio.create_task(gateway.run(asyncio.Event())))
+            fleet.stops.append(asyncio.Event())
+            fleet.running.append(asyncio.create_task(gateway.run(fleet.stops[-1])))
             stack.push_async_callback(_cancel, fleet.running[-1])
         await fleet.wait_until(lambda: all(item.fleet.is_ready for item in fleet.nodes))
         await fleet.wait_until(lambda: all(map(fleet.sees_all_ready, fleet.nodes)))
--- a/testing/platform/test_stranded_instances.py
+++ b/testing/platform/test_stranded_instances.py
@@ -239,7 +239,7 @@
             async with live_fleet.start_fleet(DOMAINS) as fleet:
                 await strand(fleet, 0)
                 fleet.hold_servers()
-                writer = await fleet.open_request(0, "read-1")
+                _, writer = await fleet.open_request(0, "read-1")
                 await fleet.wait_until(lambda: fleet.find_requests("read-1"))
                 writer.close()
                 closed_at = fleet.nodes[0].now()
--- a/testing/platform/test_waiting_requests.py
+++ b/testing/platform/test_waiting_requests.py
@@ -248,7 +248,9 @@
             self.prepare()
             task = self.start("first")
             await asyncio.sleep(0)
-            self.waiting.stop(self.node.now() + 0.02)
+            latest_send = self.node.now() + 0.02
+            self.node.find_latest_send = lambda *_: latest_send
+            self.waiting.stop()
             took_s, result = await self.measure(task)
             self.assertIsInstance(result, selection.NoCapacity)
             self.assertTrue(took_s < 0.02 + waiting_requests.CHECK_SECONDS + SOON_SECONDS, took_s)
