Read the body of a request that asks for another protocol

Cause: httptools stops behind the head of such a request, whatever its framing, and our code took what follows for the next request. Ruled out: the split of reads (pieces of 37, 200 and 1,000 bytes fail alike), uvicorn's cycle.

Change: a new parser with the same framing reads the body and what is behind it, in the protocol of all servers of HTTP. The rule for what has a body moves to framing.py, which pipelining shares.

Before: 3 tests fail (2 for the body, 1 for a malformed one).

--- a/src/caperdyke/transport/http/caller_protocol.py
+++ b/src/caperdyke/transport/http/caller_protocol.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import httptools
-
 from caperdyke.state import clock
 from caperdyke.transport import events
 from caperdyke.transport.http import (
@@ -78,25 +76,6 @@
         self._disconnect_watch.stop()
         self._pipeline.disconnect()
 
-    def data_received(self, data: bytes) -> None:
-        """Parses requests; uvicorn drops what follows a request to upgrade in the same read."""
-        if self.transport.is_closing():
-            self.transport.discard(len(data))
-            return
-        self._unset_keepalive_if_required()
-        while data and not self._is_input_over():
-            try:
-                self.parser.feed_data(data)
-            except httptools.HttpParserUpgrade as upgrade:
-                self._unsupported_upgrade_warning()
-                data = data[upgrade.args[0] :]
-            except httptools.HttpParserError:
-                self.logger.warning("Invalid HTTP request received.")
-                self.send_400_response("Invalid HTTP request received.")
-                return
-            else:
-                return
-
     def resume_writing(self) -> None:
         """Sends what is buffered, as far as the caller reads it."""
         super().resume_writing()
@@ -148,7 +127,7 @@
 
     def on_message_complete(self) -> None:
         """Marks the body as complete, unless the request is ignored."""
-        if not self._ignores_message:
+        if not self._ignores_message and not self.is_body_ahead():
             self._is_reading_body = False
             super().on_message_complete()
 
@@ -202,9 +181,9 @@
 
     # Timers and states.
 
-    def _is_input_over(self) -> bool:
+    def is_input_over(self) -> bool:
         """Returns whether everything that will be served has been read."""
-        if self.transport.is_closing():
+        if super().is_input_over():
             return True
         return self._pipeline.is_input_ended and not self._is_reading_body
 
--- a/src/caperdyke/transport/http/lingering_close.py
+++ b/src/caperdyke/transport/http/lingering_close.py
@@ -14,9 +14,11 @@
 import struct
 import termios
 
+import httptools
 import uvicorn.protocols.http.httptools_impl as httptools_impl
 
 from caperdyke.transport import events
+from caperdyke.transport.http import framing, upgrades
 
 # Longest time between the close of the sending side and the close of the socket.
 LINGER_MAX_S = 30.0
@@ -225,11 +227,32 @@
         )
 
     def data_received(self, data: bytes) -> None:
-        """Parses requests, or discards what arrives while the connection closes."""
+        """Parses requests, or discards what arrives while the connection closes.
+
+        uvicorn drops what follows a request for another protocol in the same read.
+        """
         if self.transport.is_closing():
             self.transport.discard(len(data))
-        else:
-            super().data_received(data)
+            return
+        self._unset_keepalive_if_required()
+        while data and not self.is_input_over():
+            try:
+                self.parser.feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                self._unsupported_upgrade_warning()
+                data = data[upgrade.args[0] :]
+                if framing.has_body(self.headers):
+                    self.parser = upgrades.make_body_parser(self, self.headers)
+            except httptools.HttpParserError:
+                self.logger.warning("Invalid HTTP request received.")
+                self.send_400_response("Invalid HTTP request received.")
+                return
+            else:
+                return
+
+    def is_input_over(self) -> bool:
+        """Returns whether everything that will be served has been read."""
+        return self.transport.is_closing()
 
     def on_message_begin(self) -> None:
         """Prepares for the next request."""
@@ -245,6 +268,15 @@
         if self._unread_body_bytes > UNREAD_BODY_BYTES_MAX:
             self.close_after_responses()
 
+    def on_message_complete(self) -> None:
+        """Marks the body as complete, unless the parser has stopped before it."""
+        if not self.is_body_ahead():
+            super().on_message_complete()
+
+    def is_body_ahead(self) -> bool:
+        """Returns whether the parser stops at the head of a request that has a body."""
+        return self.parser.should_upgrade() and framing.has_body(self.headers)
+
     def close_after_responses(self) -> None:
         """Reads no further requests, and closes the connection after the responses in progress."""
         self.transport.close()
--- a/src/caperdyke/transport/http/pipelining.py
+++ b/src/caperdyke/transport/http/pipelining.py
@@ -5,6 +5,7 @@
 import typing
 
 from caperdyke.state import gateway_settings
+from caperdyke.transport.http import framing
 
 # Methods whose requests may start before the responses to earlier ones have been sent.
 SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
@@ -81,18 +82,11 @@
     """
     return (
         scope["method"] in SAFE_METHODS
-        and not _has_body(scope["headers"])
+        and not framing.has_body(scope["headers"])
         and policy.is_repeatable(scope)
     )
 
 
-def _has_body(headers: collections.abc.Iterable[tuple[bytes, bytes]]) -> bool:
-    return any(
-        name == b"transfer-encoding" or (name == b"content-length" and value.strip(b"0 ") != b"")
-        for name, value in headers
-    )
-
-
 def measure(message: dict) -> int:
     """Returns a bound on the bytes that an ASGI message adds to a response."""
     head = sum(len(name) + len(value) + 4 for name, value in message.get("headers", ()))
--- a/testing/test_caller_protocol.py
+++ b/testing/test_caller_protocol.py
@@ -120,6 +120,46 @@
 
         self.run_on_connection(scenario)
 
+    @parameterized.expand(
+        [
+            ("with a length", b"Content-Length: 28\r\n", b"GET /3 HTTP/1.1\r\nHost: x\r\n\r\n"),
+            (
+                "in chunks",
+                b"Transfer-Encoding: chunked\r\n",
+                b"a\r\nGET /3 HTT\r\n12\r\nP/1.1\r\nHost: x\r\n\r\n\r\n0\r\n\r\n",
+            ),
+        ]
+    )
+    def test_body_of_an_upgrade_runs_as_a_request(self, _name, framing, body) -> None:
+        """Guards against a request that runs without its body, and a body that runs."""
+
+        async def run(piece: int) -> None:
+            async with pipelined_connection.open_setting() as setting:
+                head = b"POST /1 HTTP/1.1\r\nHost: x\r\nConnection: Upgrade, HTTP2-Settings\r\n"
+                head += b"Upgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\n" + framing + b"\r\n"
+                data = head + body + b"GET /2 HTTP/1.1\r\nHost: x\r\n\r\n"
+                for start in range(0, len(data), piece):
+                    setting.caller.writer.write(data[start : start + piece])
+                    await asyncio.sleep(0.001)
+                bodies = [(await setting.caller.read_response())[0] for _ in range(2)]
+                self.assertEqual([b"/1", b"/2"], bodies)
+                self.assertEqual(["/1", "/2"], setting.app.started)
+                sent = b"GET /3 HTTP/1.1\r\nHost: x\r\n\r\n"
+                self.assertEqual(sent, setting.app.bodies["/1"])
+
+        for piece in (1000, 200, 37):
+            asyncio.run(run(piece))
+
+    def test_malformed_body_of_an_upgrade(self) -> None:
+        async def scenario(setting, app, caller) -> None:
+            caller.writer.write(
+                b"POST /1 HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\nno size\r\n"
+            )
+            self.assertEqual(["400*"], await caller.read_all())
+
+        self.run_on_connection(scenario)
+
     def test_requests_in_small_pieces(self) -> None:
         async def scenario(setting, app, caller) -> None:
             app.hold("/1")
