Let callers and servers read slowly

Cause: TCP_USER_TIMEOUT of 2.5 s, which on Linux also counts a closed window of a peer that answers all probes.

Price: a caller that vanishes silently in the middle of a response holds its buffer for up to 30 s.

--- a/src/caperdyke/transport/backends/connection.py
+++ b/src/caperdyke/transport/backends/connection.py
@@ -16,6 +16,8 @@
 BUFFER_LOW_BYTES = 64 * 1024
 # Largest head of a response.
 HEAD_MAX_BYTES = 64 * 1024
+# Largest body that counts as received as soon as the server's system has a window for it.
+SHORT_BODY_MAX_BYTES = 8 * 1024
 # Number of informational responses skipped before the final one.
 INFORMATIONAL_MAX = 8
 
@@ -36,6 +38,7 @@
         self._request_events: list[h11.Event] = []
         self._unread_bytes = 0
         self._is_busy = False
+        self._may_read_slowly = False
         self.is_ended = False
         self.idle_until = 0.0
 
@@ -89,6 +92,7 @@
         :raises errors.ProtocolError: if the request is not valid HTTP; nothing was sent.
         """
         self._is_busy = True
+        self._set_user_timeout(len(body) > SHORT_BODY_MAX_BYTES)
         self._request_events = [h11.Request(method=method, target=target, headers=headers)]
         if body:
             self._request_events.append(h11.Data(data=body))
@@ -165,6 +169,16 @@
         self._unread_bytes = 0
         return True
 
+    def _set_user_timeout(self, may_read_slowly: bool) -> None:
+        """Lets a server that reads a long body slowly take its time."""
+        if may_read_slowly == self._may_read_slowly:
+            return
+        self._may_read_slowly = may_read_slowly
+        timeout_ms = tcp_keepalive.REQUEST_KEEPALIVE.user_timeout_ms
+        if may_read_slowly:
+            timeout_ms = tcp_keepalive.LONG_BODY_USER_TIMEOUT_MS
+        tcp_keepalive.set_user_timeout(self._transport.get_extra_info("socket"), timeout_ms)
+
     def _encode_request(self) -> list[bytes]:
         return [self._parser.send(event) or b"" for event in self._request_events]
 
--- a/src/caperdyke/transport/http/caller_protocol.py
+++ b/src/caperdyke/transport/http/caller_protocol.py
@@ -59,7 +59,9 @@
         self._disconnect_watch = disconnects.DisconnectWatch(self.loop, transport)
         self.flow = stand_ins.ConnectionFlow(self.transport, self._disconnect_watch)
         self._pipeline = pipeline.Pipeline(self, self._policy)
-        tcp_keepalive.enable_keepalive(transport.get_extra_info("socket"))
+        tcp_keepalive.enable_keepalive(
+            transport.get_extra_info("socket"), tcp_keepalive.CALLER_KEEPALIVE
+        )
 
     def on_closing(self) -> None:
         """Ends all requests in progress and cancels the timers."""
--- a/src/caperdyke/transport/http/lingering_close.py
+++ b/src/caperdyke/transport/http/lingering_close.py
@@ -30,6 +30,8 @@
 DISCARDED_BYTES_MAX = 256 * 1024
 # Bytes of a body that arrive after the response to its request; above it the connection closes.
 UNREAD_BODY_BYTES_MAX = 256 * 1024
+# Longest time for which a caller may leave the buffer of responses full.
+STALLED_MAX_S = 30.0
 # Lingering connections of a process; each holds a descriptor that a new connection may need.
 CONNECTIONS_MAX = 512
 
@@ -219,6 +221,7 @@
         super().__init__(*arguments, **named)
         self._lingering = lingering
         self._unread_body_bytes = 0
+        self._stall_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Wraps the transport, so that every close of the connection lingers."""
@@ -290,7 +293,26 @@
             self.cycle.message_event.set()
         self.flow.resume_writing()
 
+    def pause_writing(self) -> None:
+        """Bounds the time for which the caller may leave the buffer full."""
+        super().pause_writing()
+        self._stall_timer = self.loop.call_later(STALLED_MAX_S, self._end_stalled)
+
+    def resume_writing(self) -> None:
+        """Lets responses go on, since the caller has read."""
+        self._stop_stall_timer()
+        super().resume_writing()
+
+    def _end_stalled(self) -> None:
+        self.transport.end(f"not read for {STALLED_MAX_S:.0f} s")
+
+    def _stop_stall_timer(self) -> None:
+        if self._stall_timer is not None:
+            self._stall_timer.cancel()
+            self._stall_timer = None
+
     def connection_lost(self, error: Exception | None) -> None:
-        """Cancels the timer of the close."""
+        """Cancels the timers."""
+        self._stop_stall_timer()
         self.transport.stop_lingering()
         super().connection_lost(error)
--- a/src/caperdyke/transport/http/tcp_keepalive.py
+++ b/src/caperdyke/transport/http/tcp_keepalive.py
@@ -12,10 +12,12 @@
     """How long a peer may leave packets unacknowledged.
 
     On Linux the user timeout also decides when probes give up, whatever their number; the number
-    applies where there is no such timeout. Both must stand for the same time.
+    applies where there is no such timeout. Both must stand for the same time. The user timeout also
+    ends connections to peers that answer all probes and only stop reading for so long.
 
     :param probes_max: unanswered probes on an idle connection before it is closed.
-    :param user_timeout_ms: longest time that sent bytes may stay unacknowledged, in milliseconds.
+    :param user_timeout_ms: longest time that sent bytes may stay unacknowledged, in milliseconds; 0
+        for the system's own limit, which does not count peers that only read slowly.
     """
 
     probes_max: int
@@ -29,6 +31,10 @@
 
 # Shorter than callers usually wait, longer than a few retransmissions take.
 REQUEST_KEEPALIVE = KeepaliveOptions(probes_max=2, user_timeout_ms=2500)
+# Callers may read slowly, and stop for a while.
+CALLER_KEEPALIVE = KeepaliveOptions(probes_max=2, user_timeout_ms=0)
+# For bodies that exceed the window of a server that reads slowly.
+LONG_BODY_USER_TIMEOUT_MS = 30_000
 # Store calls that end too early are merely repeated; a dead connection has to end within the time
 # limit for applying configuration changes.
 STORE_KEEPALIVE = KeepaliveOptions(probes_max=1, user_timeout_ms=1500)
@@ -41,4 +47,9 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, options.probes_max)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, options.user_timeout_ms)
+    set_user_timeout(sock, options.user_timeout_ms)
+
+
+def set_user_timeout(sock: socket.socket, timeout_ms: int) -> None:
+    """Sets how long sent bytes may stay unacknowledged; 0 for the system's own limit."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
--- a/testing/test_lingering_close.py
+++ b/testing/test_lingering_close.py
@@ -292,6 +292,41 @@
         self.run_on_connection(scenario)
 
 
+class SlowCallerTest(LingeringTestCase):
+    """Callers that stop reading in the middle of a response."""
+
+    def test_system_ends_connections_of_slow_callers(self) -> None:
+        """Guards against a user timeout that counts a caller that pauses as gone."""
+
+        async def scenario(setting, _app, _caller) -> None:
+            sock = setting.protocol.transport.get_extra_info("socket")
+            user_timeout = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+            self.assertEqual(0, user_timeout)
+
+        self.run_on_connection(scenario)
+
+    @parameterized.expand(
+        [
+            ("just before the limit", lingering_close.STALLED_MAX_S - 1, True),
+            ("just after the limit", lingering_close.STALLED_MAX_S + 1, False),
+        ]
+    )
+    def test_pause_in_the_middle_of_a_response(self, _name, pause_s, expected) -> None:
+        """Guards against losing a slow caller's response, and against waiting for it for ever."""
+
+        async def scenario(setting, app, caller) -> None:
+            app.parts["/1"] = [b"x" * 100_000] * 100
+            caller.reader._transport.pause_reading()
+            caller.send("GET /1")
+            await setting.wait_until(lambda: setting.protocol.flow.write_paused)
+            await asyncio.sleep(pause_s)
+            caller.reader._transport.resume_reading()
+            bodies = await caller.read_all() if not expected else [await caller.read_response()]
+            self.assertEqual(expected, bool(bodies))
+
+        self.run_on_connection(scenario)
+
+
 class _FakeTransport:
     """Records whether it was ended."""
 
--- a/testing/test_tcp_keepalive.py
+++ b/testing/test_tcp_keepalive.py
@@ -28,10 +28,10 @@
             due_at += tcp_keepalive.PROBE_INTERVAL_S
         self.assertEqual(options.idle_detection_s, due_at)
 
-    def test_options_are_set(self) -> None:
+    @parameterized.expand([*OPTIONS, ("callers", tcp_keepalive.CALLER_KEEPALIVE)])
+    def test_options_are_set(self, _name, options) -> None:
         with socket.socket() as sock:
-            tcp_keepalive.enable_keepalive(sock)
-            options = tcp_keepalive.REQUEST_KEEPALIVE
+            tcp_keepalive.enable_keepalive(sock, options)
             for name, expected in (
                 (socket.TCP_KEEPCNT, options.probes_max),
                 (socket.TCP_KEEPIDLE, tcp_keepalive.PROBE_INTERVAL_S),
