Read on after all received chunks have been read

Cause: the count of unread bytes took in the framing of chunks and let out only their bodies. Ruled out: the pause itself (a server without one stops alike) and the caller's flow control (the tests have no caller).

Change: when the parser asks for more data, everything received has been read, so the count starts anew and reading resumes; the same at the end of an exchange, after which a paused connection went back to the pool.

--- a/src/caperdyke/transport/backends/connection.py
+++ b/src/caperdyke/transport/backends/connection.py
@@ -166,7 +166,7 @@
             self.close()
             return False
         self._parser.start_next_cycle()
-        self._unread_bytes = 0
+        self._mark_read(self._unread_bytes)
         return True
 
     def _set_user_timeout(self, may_read_slowly: bool) -> None:
@@ -194,6 +194,8 @@
                 return event
             if self._closing_error is not None:
                 raise errors.BackendFailedError(repr(self._closing_error), True)
+            # The framing of chunks, which no event contains, has been read, too.
+            self._mark_read(self._unread_bytes)
             self._received.clear()
             await self._received.wait()
 
--- a/testing/test_connection.py
+++ b/testing/test_connection.py
@@ -30,6 +30,91 @@
     return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
 
 
+class FakeTransport:
+    """Records whether reading is paused."""
+
+    def __init__(self) -> None:
+        self.is_reading = True
+
+    def get_extra_info(self, _name) -> socket.socket:
+        """Returns a socket that is not connected."""
+        return socket.socket()
+
+    def write(self, _data: bytes) -> None:
+        """Drops the request."""
+
+    def is_closing(self) -> bool:
+        """Returns whether the connection closes."""
+        return False
+
+    def pause_reading(self) -> None:
+        """Stops reading."""
+        self.is_reading = False
+
+    def resume_reading(self) -> None:
+        """Reads on."""
+        self.is_reading = True
+
+
+class ReadingTest(testtools.TestCase):
+    """Reading pauses while an answer is not forwarded, and goes on."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.transport = FakeTransport()
+        self.conn = connection.ServerConnection()
+        self.conn.connection_made(self.transport)
+        self.conn.send("GET", b"/1", [(b"host", b"x")], b"")
+
+    async def read(self, size: int) -> int:
+        """Reads a part of the body of at least this size, and returns its size."""
+        received = 0
+        while received < size:
+            received += len(await self.conn.read_chunk())
+        return received
+
+    @parameterized.expand([("of one byte", 1, 20_000), ("of a row", 200, 15_000)])
+    def test_answer_in_many_chunks_stops(self, _name, size, count) -> None:
+        """Guards against counting the framing of chunks as unread for good."""
+
+        async def scenario() -> None:
+            self.conn.data_received(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            await self.conn.read_head()
+            chunk = b"%x\r\n%b\r\n" % (size, b"x" * size)
+            for _ in range(count):
+                self.conn.data_received(chunk)
+                await self.read(size)
+            at_once = 2 * connection.BUFFER_HIGH_BYTES // len(chunk)
+            self.conn.data_received(chunk * at_once)
+            self.assertFalse(self.transport.is_reading)
+            await self.read(size * at_once)
+            waiting = asyncio.ensure_future(self.conn.read_chunk())
+            await asyncio.sleep(0)
+            self.assertTrue(self.transport.is_reading)
+            self.conn.data_received(chunk + b"0\r\n\r\n")
+            self.assertEqual(size, len(await waiting))
+            self.assertIsNone(await self.conn.read_chunk())
+
+        asyncio.run(scenario())
+
+    def test_kept_connection_is_not_read(self) -> None:
+        """Guards against a connection that is kept while its reading is paused."""
+
+        async def scenario() -> None:
+            size = 2 * connection.BUFFER_HIGH_BYTES
+            self.conn.data_received(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            await self.conn.read_head()
+            chunk = b"1\r\nx\r\n"
+            self.conn.data_received(chunk * (size // len(chunk)) + b"0\r\n\r\n")
+            self.assertFalse(self.transport.is_reading)
+            while await self.conn.read_chunk() is not None:
+                continue
+            self.assertTrue(self.conn.finish())
+            self.assertTrue(self.transport.is_reading)
+
+        asyncio.run(scenario())
+
+
 class SlowServerTest(testtools.TestCase):
     """Servers that stop reading in the middle of a body."""
 
