--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -23,7 +23,12 @@
     row_exchange,
     store_sync,
 )
-from caperdyke.transport.http import caller_protocol, http_server, lingering_close
+from caperdyke.transport.http import (
+    caller_protocol,
+    http_server,
+    lingering_close,
+    server_protocol,
+)
 
 RESTART_SECONDS = 0.5
 POLL_SECONDS = 0.05
@@ -111,7 +116,7 @@
         if address == settings.peer_address:
             # Instances relay one request at a time on a connection.
             return caller_protocol.CallerProtocol
-        return lingering_close.LingeringProtocol
+        return server_protocol.ServerProtocol
 
     def _start_tasks(self) -> None:
         loops = {
--- a/src/caperdyke/transport/http/caller_protocol.py
+++ b/src/caperdyke/transport/http/caller_protocol.py
@@ -6,9 +6,9 @@
 from caperdyke.transport import events
 from caperdyke.transport.http import (
     disconnects,
-    lingering_close,
     pipeline,
     pipelining,
+    server_protocol,
     stand_ins,
     tcp_keepalive,
 )
@@ -27,7 +27,7 @@
     return max(0.0, clock.read_clock() - scope[READ_AT_KEY]) if READ_AT_KEY in scope else 0.0
 
 
-class CallerProtocol(lingering_close.LingeringProtocol):
+class CallerProtocol(server_protocol.ServerProtocol):
     """One connection of a caller; its pipeline runs the requests.
 
     :param policy: rules for requests that are sent ahead.
--- a/src/caperdyke/transport/http/http_server.py
+++ b/src/caperdyke/transport/http/http_server.py
@@ -7,7 +7,7 @@
 
 import uvicorn
 
-from caperdyke.transport.http import lingering_close
+from caperdyke.transport.http import lingering_close, server_protocol
 
 # Default bound on the wait for responses in progress when the server stops.
 GRACEFUL_STOP_TIMEOUT_S = 5.0
@@ -27,7 +27,7 @@
 def make_server(
     app,
     address: str,
-    protocol: Protocol = lingering_close.LingeringProtocol,
+    protocol: Protocol = server_protocol.ServerProtocol,
     stop_seconds: float = GRACEFUL_STOP_TIMEOUT_S,
     lingering: lingering_close.LingeringConnections | None = None,
 ) -> Server:
--- a/testing/servers.py
+++ b/testing/servers.py
@@ -6,7 +6,7 @@
 import itertools
 import socket
 
-from caperdyke.transport.http import http_server, lingering_close
+from caperdyke.transport.http import http_server, server_protocol
 
 HOST = "127.0.0.1"
 
@@ -52,7 +52,7 @@
 
 
 @contextlib.asynccontextmanager
-async def serve_app(app, protocol: http_server.Protocol = lingering_close.LingeringProtocol):
+async def serve_app(app, protocol: http_server.Protocol = server_protocol.ServerProtocol):
     """Serves an ASGI application and yields its address."""
     listening = socket.socket()
     listening.bind(("127.0.0.1", 0))
--- a/testing/test_lingering_close.py
+++ b/testing/test_lingering_close.py
@@ -9,7 +9,7 @@
 from parameterized import parameterized
 
 from caperdyke.transport import events
-from caperdyke.transport.http import lingering_close
+from caperdyke.transport.http import lingering_close, server_protocol
 from testing import pipelined_connection, servers
 from testing.knowledge import simulated_loop
 
@@ -307,8 +307,8 @@
 
     @parameterized.expand(
         [
-            ("just before the limit", lingering_close.STALLED_MAX_S - 1, True),
-            ("just after the limit", lingering_close.STALLED_MAX_S + 1, False),
+            ("just before the limit", server_protocol.STALLED_MAX_S - 1, True),
+            ("just after the limit", server_protocol.STALLED_MAX_S + 1, False),
         ]
     )
     def test_pause_in_the_middle_of_a_response(self, _name, pause_s, expected) -> None:
