Log messages of libraries as events

Where logs are JSON lines, an answer that broke off or a task that failed left a traceback between them, which no collector can parse and which names no event; at the end of a stop it was all that was left of a cut request.

Cause: the standard library prints messages of libraries that nobody handles. Change: they are events (1007, not exempt from the limit of lines a second, as callers can cause them), with the error's text.

--- a/src/caperdyke/transport/events.py
+++ b/src/caperdyke/transport/events.py
@@ -2,6 +2,7 @@
 
 import enum
 import json
+import logging
 import sys
 
 import loguru
@@ -23,6 +24,7 @@
     STOPPED = (1004, "INFO", "stopped with {unfinished} unfinished requests")
     TASK_FAILED = (1005, "ERROR", "task {task} failed and will be restarted: {error}")
     LINES_LEFT_OUT = (1006, "INFO", "{count} log lines were dropped")
+    LIBRARY_MESSAGE = (1007, "INFO", "{library}: {text}")
     LINK_OPENED = (2001, "INFO", "link to {peer} opened")
     LINK_CLOSED = (2002, "INFO", "link to {peer} closed: {cause}")
     FRAME_REJECTED = (2003, "WARNING", "invalid frame from {peer}; link closed: {error}")
@@ -148,12 +150,23 @@
         return self.value[0]
 
 
+class _LibraryHandler(logging.Handler):
+    """Turns messages of libraries into events, which would be text between the JSON lines."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Logs a message, and the error that it reports."""
+        error = repr(record.exc_info[1]) if record.exc_info else None
+        text = record.getMessage().strip()
+        log(Event.LIBRARY_MESSAGE, library=record.name, text=text, error=error)
+
+
 def configure(log_settings: settings.LogSettings) -> None:
     """Sends log events to standard output as JSON, or to standard error as text."""
     loguru.logger.remove()
     if log_settings.format is settings.LogFormat.JSON:
         _SINK.set_nonblocking()
         loguru.logger.add(_write_json, level=log_settings.level)
+        logging.basicConfig(handlers=[_LibraryHandler()], level=logging.WARNING, force=True)
         return
     line_format = "{time:YYYY-MM-DDTHH:mm:ss.SSS!UTC}Z {level} {extra[event]} {message}"
     loguru.logger.add(sys.stderr, level=log_settings.level, format=line_format)
