Bound the memory that bodies take together

Cause: a body was held up to four times, and nothing bounded the sum over all requests, nor knew the machine's memory. Ruled out as the main part: bytes that the system holds (the measure is resident memory).

A body that does not fit is refused before it is read (503, Retry-After); small ones are always read. A body that is late for the request's deadline ends with a 408 and gives its memory back. A connection on which the answer came before the end of the body is not used again.

--- a/src/caperdyke/state/gateway_settings.py
+++ b/src/caperdyke/state/gateway_settings.py
@@ -112,6 +112,7 @@
     :param crashes_max: backend servers that may end under a request before it is rejected; 0 to
         reject none.
     :param heartbeat_seconds: interval at which a backend server writes its registration.
+    :param memory_bytes: memory that the process may take; None if unknown.
     :param seeds: peer addresses of possible other instances.
     """
 
@@ -143,3 +144,4 @@
     has_ranks: bool = False
     heartbeat_seconds: float = HEARTBEAT_SECONDS
     crashes_max: int = CRASHES_MAX
+    memory_bytes: int | None = None
--- a/src/caperdyke/transport/backends/connection.py
+++ b/src/caperdyke/transport/backends/connection.py
@@ -18,6 +18,8 @@
 HEAD_MAX_BYTES = 64 * 1024
 # Largest body that counts as received as soon as the server's system has a window for it.
 SHORT_BODY_MAX_BYTES = 8 * 1024
+# Bytes of a body that are passed to the transport at a time.
+BODY_PART_BYTES = 64 * 1024
 # Number of informational responses skipped before the final one.
 INFORMATIONAL_MAX = 8
 
@@ -39,6 +41,10 @@
         self._unread_bytes = 0
         self._is_busy = False
         self._may_read_slowly = False
+        self._writable = asyncio.Event()
+        self._writable.set()
+        # Writes a long body.
+        self._writing: asyncio.Task | None = None
         self.is_ended = False
         self.idle_until = 0.0
 
@@ -80,14 +86,26 @@
         self._closing_error = error or ConnectionResetError("the server closed the connection")
         self._received.set()
 
+    def pause_writing(self) -> None:
+        """Lets a long body wait until the server has read."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Lets a long body go on."""
+        self._writable.set()
+
     def close(self) -> None:
         """Aborts the connection, including an exchange in progress."""
+        if self._writing is not None:
+            self._writing.cancel()
         if self._transport is not None:
             self._transport.abort()
         self._closing_error = self._closing_error or ConnectionAbortedError("closed here")
 
-    def send(self, method: str, target: bytes, headers: Headers, body: bytes) -> None:
-        """Writes a whole request.
+    def send(self, method: str, target: bytes, headers: Headers, body: bytes | bytearray) -> None:
+        """Writes a whole request; a long body as fast as the server reads it.
+
+        The body must not change until the exchange has ended.
 
         :raises errors.ProtocolError: if the request is not valid HTTP; nothing was sent.
         """
@@ -98,10 +116,13 @@
             self._request_events.append(h11.Data(data=body))
         self._request_events.append(h11.EndOfMessage())
         try:
-            data = b"".join(self._encode_request())
+            parts = self._encode_request()
         except h11.LocalProtocolError as error:
             raise errors.ProtocolError(f"request: {error}") from error
-        self._transport.write(data)
+        if len(body) <= SHORT_BODY_MAX_BYTES:
+            self._transport.write(b"".join(parts))
+        else:
+            self._writing = asyncio.ensure_future(self._write_parts(parts))
 
     async def read_head(self) -> h11.Response:
         """Returns status and headers of the response.
@@ -160,6 +181,8 @@
             and self._parser.their_state is h11.DONE
             and self._parser.trailing_data == (b"", False)
             and self._closing_error is None
+            # The server may answer before it has read the whole request.
+            and (self._writing is None or self._writing.done())
         )
         self._is_busy = False
         if not is_clean:
@@ -179,8 +202,20 @@
             timeout_ms = tcp_keepalive.LONG_BODY_USER_TIMEOUT_MS
         tcp_keepalive.set_user_timeout(self._transport.get_extra_info("socket"), timeout_ms)
 
-    def _encode_request(self) -> list[bytes]:
-        return [self._parser.send(event) or b"" for event in self._request_events]
+    def _encode_request(self) -> list[bytes | bytearray]:
+        parts = []
+        for event in self._request_events:
+            parts += self._parser.send_with_data_passthrough(event) or []
+        return parts
+
+    async def _write_parts(self, parts: list[bytes | bytearray]) -> None:
+        for part in parts:
+            view = memoryview(part)
+            for start in range(0, len(view), BODY_PART_BYTES):
+                await self._writable.wait()
+                if self._closing_error is not None:
+                    return
+                self._transport.write(view[start : start + BODY_PART_BYTES])
 
     async def _next_event(self):
         while True:
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -8,6 +8,7 @@
 import statistics
 import time
 
+from caperdyke.coordination import body_budget
 from caperdyke.coordination.placement import (
     crashing_requests,
     last_servers,
@@ -110,6 +111,7 @@
         self.metrics = metrics.Metrics()
         self.active_requests = 0
         self.planned_stop: planned_stop.PlannedStop | None = None
+        self.body_budget = body_budget.BodyBudget(body_budget.compute_budget(settings.memory_bytes))
         self.stop_limits = stop_limits.StopLimits(now)
         self._services: dict[ids.ServiceName, list[server_registry.RegisteredServer]] = {}
         self._rankings = server_rankings.ServerRankings()
@@ -149,6 +151,7 @@
     def apply_settings(self, changed: gateway_settings.GatewaySettings) -> None:
         """Applies changed limits and failure domains."""
         self.settings = changed
+        self.body_budget.bytes_max = body_budget.compute_budget(changed.memory_bytes)
         self.region_overflow.ratio_max = changed.overflow_ratio_max
         self.fleet.apply_regions(changed.domains)
         self.bounds.apply_regions(changed.domains)
--- a/src/caperdyke/transport/gateway/local_reply.py
+++ b/src/caperdyke/transport/gateway/local_reply.py
@@ -16,6 +16,8 @@
     UNCONFIRMED = "configuration not confirmed"
     TEAM_UNKNOWN = "team not known here"
     BODY_TOO_LARGE = "body too large"
+    BODY_LATE = "body not received in time"
+    NO_MEMORY = "no memory for the body"
     MALFORMED = "request cannot be passed on"
     HEADERS_TOO_LARGE = "headers too large"
     NO_SERVER = "no server"
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import functools
 
 from caperdyke import errors
 from caperdyke.protocol import platform_interfaces, relay_headers
@@ -10,13 +9,14 @@
 from caperdyke.transport import events
 from caperdyke.transport.gateway import (
     admissions,
+    body_reader,
     context,
     dispatcher,
     local_reply,
     refusals,
     sender,
 )
-from caperdyke.transport.http import caller_protocol
+from caperdyke.transport.http import caller_protocol, framing
 
 # Time for which a caller without a deadline header is assumed to wait. The route's timeout ends
 # most requests earlier.
@@ -28,6 +28,13 @@
 ERROR_STATUS_MIN = 400
 # The last answer is sent this long before the caller's deadline, so that it arrives in time.
 ANSWER_MARGIN_SECONDS = 0.03
+# Retry-After of an instance whose memory is taken by bodies.
+NO_MEMORY_RETRY_AFTER_SECONDS = 0.5
+_UNREAD_BODY_REASONS = (
+    local_reply.LocalReplyReason.BODY_TOO_LARGE,
+    local_reply.LocalReplyReason.BODY_LATE,
+    local_reply.LocalReplyReason.NO_MEMORY,
+)
 # What local replies tell an instance that relayed the request.
 _RELAY_OUTCOMES = {
     local_reply.LocalReplyReason.REFUSED: relay_headers.RelayOutcome.NOT_RUN,
@@ -36,6 +43,7 @@
     local_reply.LocalReplyReason.TEAM_UNKNOWN: relay_headers.RelayOutcome.NOT_RUN,
     local_reply.LocalReplyReason.UNCONFIRMED: relay_headers.RelayOutcome.NOT_RUN,
     local_reply.LocalReplyReason.CRASHES_SERVERS: relay_headers.RelayOutcome.NOT_RUN,
+    local_reply.LocalReplyReason.NO_MEMORY: relay_headers.RelayOutcome.DECLINED,
     local_reply.LocalReplyReason.STOPPING: relay_headers.RelayOutcome.DECLINED,
     local_reply.LocalReplyReason.DECLINED: relay_headers.RelayOutcome.DECLINED,
     local_reply.LocalReplyReason.NO_CAPACITY: relay_headers.RelayOutcome.NO_CAPACITY,
@@ -43,10 +51,6 @@
 }
 
 
-class _CallerDisconnectedError(errors.CaperdykeError):
-    """The caller closed its connection."""
-
-
 class _StoppedError(errors.CaperdykeError):
     """An answer was not complete when the instance stopped."""
 
@@ -88,7 +92,7 @@
                 events.log(events.Event.REQUEST_FAILED, request=trace.request_id, error=repr(error))
                 raise
             await self._end_at_stop(send, caller_headers, trace)
-        except _CallerDisconnectedError:
+        except body_reader.CallerDisconnectedError:
             self._log_request_end(trace, 0, local_reply.LocalReplyReason.CALLER_DISCONNECTED.value)
         except errors.ProtocolError as error:
             trace.sends.append(str(error))
@@ -103,34 +107,52 @@
     async def _handle(
         self, scope, receive, send, caller_headers, trace: local_reply.RequestTrace
     ) -> None:
-        relayed = None
+        relayed, node = None, self._node
         if self._is_for_peers:
             relayed = relay_headers.decode_request(scope["headers"])
             trace.relayed_by = relayed.instance
         else:
             await self._wait_for_initial_sync(caller_headers)
-        table = self._node.routes
+        table = node.routes
         if relayed is not None and (table is None or table.version < relayed.version):
             declined = local_reply.LocalReply(503, local_reply.LocalReplyReason.DECLINED)
             await self._send_local_reply(send, declined, caller_headers, trace)
             return
         refusal, admitted = self._admit(scope, table, caller_headers, relayed, trace)
-        body = b""
-        if refusal is None:
-            deadline = _find_deadline(caller_headers, admitted.route, trace, relayed)
-            refusal, body = await self._read_body(receive, admitted.route, deadline)
         if refusal is not None:
             await self._send_local_reply(send, refusal, caller_headers, trace)
             return
-        request = self._make_request(
-            scope, caller_headers, body, table, admitted, trace, relayed, deadline
+        deadline = _find_deadline(caller_headers, admitted.route, trace, relayed)
+        reader = body_reader.BodyReader(
+            node.body_budget, framing.find_length(scope["headers"]), table.limits.body_bytes
         )
+        try:
+            refusal = await self._read_body(receive, reader, admitted.route, deadline)
+            if refusal is not None:
+                await self._send_local_reply(send, refusal, caller_headers, trace)
+                return
+            request = self._make_request(
+                scope, caller_headers, reader.body, table, admitted, trace, relayed, deadline
+            )
+            await self._serve(receive, send, request, admitted, caller_headers, trace)
+        finally:
+            reader.release()
+
+    async def _serve(
+        self,
+        receive,
+        send,
+        request: sender.CallerRequest,
+        admitted: admissions.AdmittedRequest,
+        caller_headers: header_fields.CallerHeaders,
+        trace: local_reply.RequestTrace,
+    ) -> None:
         serving = asyncio.ensure_future(self._dispatcher.serve(request, admitted.route, trace))
         disconnecting = asyncio.ensure_future(_wait_for_disconnect(receive))
         try:
             await asyncio.wait({serving, disconnecting}, return_when=asyncio.FIRST_COMPLETED)
             if not serving.done():
-                raise _CallerDisconnectedError
+                raise body_reader.CallerDisconnectedError
             result = serving.result()
             match result:
                 case local_reply.LocalReply():
@@ -193,35 +215,39 @@
         return None, admitted
 
     async def _read_body(
-        self, receive, route: routes.Route, deadline: float
-    ) -> tuple[local_reply.LocalReply | None, bytes]:
-        """Returns the whole body, or why the request is refused.
+        self, receive, reader: body_reader.BodyReader, route: routes.Route, deadline: float
+    ) -> local_reply.LocalReply | None:
+        """Reads the whole body, and returns why the request is refused, or None.
 
         A request whose body is still being received when it is too late to send it is refused then.
 
         :param deadline: time by which an answer must be sent to the caller.
         """
         node = self._node
-        limit = node.routes.limits.body_bytes
-        body, is_complete = await _receive_part(receive)
-        if not is_complete:
-            find_latest_send = functools.partial(node.find_latest_send, route, deadline)
-            try:
-                async with node.stop_limits.limit(find_latest_send) as timeout:
-                    parts = [body]
-                    size = len(body)
-                    while not is_complete and size <= limit:
-                        part, is_complete = await _receive_part(receive)
-                        parts.append(part)
-                        size += len(part)
-                    body = b"".join(parts)
-            except TimeoutError:
-                if not timeout.expired():
-                    raise
-                return refusals.make_stopping_reply(), b""
-        if len(body) > limit:
-            return local_reply.LocalReply(413, local_reply.LocalReplyReason.BODY_TOO_LARGE), b""
-        return None, body
+
+        def find_end() -> float:
+            return min(deadline, node.find_latest_send(route, deadline))
+
+        try:
+            reader.start()
+            await reader.read_part(receive)
+            if reader.is_complete:
+                return None
+            async with node.stop_limits.limit(find_end) as timeout:
+                while not reader.is_complete:
+                    await reader.read_part(receive)
+        except body_reader.BodyTooLargeError:
+            return local_reply.LocalReply(413, local_reply.LocalReplyReason.BODY_TOO_LARGE)
+        except body_reader.NoMemoryError as error:
+            reason = local_reply.LocalReplyReason.NO_MEMORY
+            return local_reply.LocalReply(503, reason, NO_MEMORY_RETRY_AFTER_SECONDS, str(error))
+        except TimeoutError:
+            if not timeout.expired():
+                raise
+            if node.now() < deadline:
+                return refusals.make_stopping_reply()
+            return local_reply.LocalReply(408, local_reply.LocalReplyReason.BODY_LATE)
+        return None
 
     async def _end_at_stop(
         self,
@@ -244,7 +270,7 @@
         self,
         scope,
         caller_headers: header_fields.CallerHeaders,
-        body: bytes,
+        body: bytearray,
         table: routes.RouteTable,
         admitted: admissions.AdmittedRequest,
         trace: local_reply.RequestTrace,
@@ -287,7 +313,7 @@
             headers.append((b"www-authenticate", b"Bearer"))
         headers += [(b"content-type", b"text/plain"), (b"content-length", b"%d" % len(body))]
         headers += self._make_relay_headers(_RELAY_OUTCOMES.get(answer.reason))
-        if answer.reason is local_reply.LocalReplyReason.BODY_TOO_LARGE:
+        if answer.reason in _UNREAD_BODY_REASONS:
             # The rest of the body is not read.
             headers.append((b"connection", b"close"))
         await self._send_head(send, answer.status, headers, trace)
@@ -315,7 +341,7 @@
         try:
             await asyncio.wait({streaming, disconnecting}, return_when=asyncio.FIRST_COMPLETED)
             if not streaming.done():
-                raise _CallerDisconnectedError
+                raise body_reader.CallerDisconnectedError
             streaming.result()
         except errors.BackendFailedError as error:
             events.log(events.Event.ANSWER_CUT, request=trace.request_id, error=str(error))
@@ -392,14 +418,6 @@
         )
 
 
-async def _receive_part(receive) -> tuple[bytes, bool]:
-    """Returns a part of a request's body, and whether it is the last one."""
-    message = await receive()
-    if message["type"] == "http.disconnect":
-        raise _CallerDisconnectedError
-    return message.get("body", b""), not message.get("more_body")
-
-
 def _find_deadline(
     caller_headers: header_fields.CallerHeaders,
     route: routes.Route,
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -62,7 +62,7 @@
     path: str
     target: bytes
     headers: platform_interfaces.RawHeaders
-    body: bytes
+    body: bytes | bytearray
     deadline: float
     table: routes.RouteTable
     caller_timeout_at: float | None = None
--- a/src/caperdyke/transport/http/framing.py
+++ b/src/caperdyke/transport/http/framing.py
@@ -7,6 +7,14 @@
 TRANSFER_ENCODING = b"transfer-encoding"
 
 
+def find_length(headers: collections.abc.Iterable[tuple[bytes, bytes]]) -> int | None:
+    """Returns the announced length of a body in bytes, None if there is none.
+
+    :param headers: with names in lower case.
+    """
+    return next((int(value) for name, value in headers if name == CONTENT_LENGTH), None)
+
+
 def has_body(headers: collections.abc.Iterable[tuple[bytes, bytes]]) -> bool:
     """Returns whether a body follows the head of a request.
 
--- a/testing/platform/test_gateway_requests.py
+++ b/testing/platform/test_gateway_requests.py
@@ -269,6 +269,51 @@
         self.run_async(scenario)
 
 
+class BodyTest(harness.AsyncTestCase):
+    """Bodies that are large, late or not announced."""
+
+    def test_upload_without_memory(self) -> None:
+        """Guards against reading a body that ends the process, and against keeping memory."""
+
+        async def scenario() -> None:
+            async with harness.start_gateway(["s1"]) as env:
+                budget = env.gateway.node.body_budget
+                budget.bytes_max = 60_000
+                self.assertTrue(budget.try_reserve(0, 30_000))
+                body = b"x" * 40_000
+                status, answer_headers, _ = await env.send_request("/buy/1", "POST", body)
+                self.assertEqual(503, status)
+                self.assertIn("retry-after", answer_headers)
+                self.assertEqual("close", answer_headers["connection"])
+                self.assertEqual(200, (await env.send_request("/buy/1", "POST", b"small"))[0])
+                budget.release(30_000)
+                self.assertEqual(200, (await env.send_request("/buy/1", "POST", body))[0])
+                self.assertEqual(0, budget.reserved)
+                self.assertEqual(body, env.servers[0].requests[-1].body)
+
+        self.run_async(scenario)
+
+    def test_body_that_never_ends(self) -> None:
+        """Guards against a body that keeps its memory when its caller has given up."""
+
+        async def scenario() -> None:
+            async with harness.start_gateway(["s1"]) as env:
+                host, _, port = env.gateway.node.settings.caller_address.rpartition(":")
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(
+                    f"POST /buy/1 HTTP/1.1\r\nHost: {harness.HOST}\r\nContent-Length: 50000\r\n"
+                    "Caperdyke-Request-Id: r1\r\nCaperdyke-Request-Deadline: 200\r\n\r\nxx".encode()
+                )
+                head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+                self.assertTrue(head.startswith("http/1.1 408 "), head)
+                self.assertIn("connection: close", head)
+                self.assertEqual(0, env.gateway.node.body_budget.reserved)
+                self.assertEqual([], env.servers[0].requests)
+                writer.close()
+
+        self.run_async(scenario)
+
+
 class NearHomeTest(harness.AsyncTestCase):
     """Pattern: large answers are served from the region's other failure domain all day."""
 
--- a/testing/test_connection.py
+++ b/testing/test_connection.py
@@ -142,3 +142,52 @@
                 conn.close()
 
         asyncio.run(scenario())
+
+
+class LongBodyTest(testtools.TestCase):
+    """Bodies that are written as fast as the server reads them."""
+
+    def test_buffer_holds_a_second_copy(self) -> None:
+        """Guards against a transport that buffers what the server has not read."""
+
+        async def scenario() -> None:
+            release = asyncio.Event()
+
+            async def serve(reader, writer) -> None:
+                await reader.readuntil(b"\r\n\r\n")
+                await release.wait()
+                await reader.readexactly(size)
+                writer.write(ANSWER)
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=8 * 1024)
+            size = 64_000_000
+            host, port = server.sockets[0].getsockname()
+            conn = await connection.connect(f"{host}:{port}", 1.0)
+            exchanging = asyncio.ensure_future(exchange(conn, bytearray(size)))
+            await asyncio.sleep(0.2)
+            buffered = conn._transport.get_write_buffer_size()
+            self.assertTrue(buffered <= 256 * 1024, f"got {buffered} bytes")
+            release.set()
+            self.assertEqual(b"ok", await exchanging)
+            self.assertTrue(conn.finish())
+            server.close()
+
+        asyncio.run(scenario())
+
+    def test_answer_before_the_end_of_the_body(self) -> None:
+        """Guards against a request that follows in the middle of an earlier body."""
+
+        async def scenario() -> None:
+            async def serve(reader, writer) -> None:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(ANSWER)
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=8 * 1024)
+            host, port = server.sockets[0].getsockname()
+            conn = await connection.connect(f"{host}:{port}", 1.0)
+            self.assertEqual(b"ok", await exchange(conn, bytes(64_000_000)))
+            self.assertFalse(conn.finish())
+            self.assertFalse(conn.is_reusable)
+            server.close()
+
+        asyncio.run(scenario())
