Bound the wait for the first part of a body, and write short bodies at once

Change: all reading of an announced body is bounded; bodies up to 64 KiB are passed to the transport at once.

--- a/src/caperdyke/transport/backends/connection.py
+++ b/src/caperdyke/transport/backends/connection.py
@@ -85,6 +85,7 @@
             self.is_ended = True
         self._closing_error = error or ConnectionResetError("the server closed the connection")
         self._received.set()
+        self._writable.set()
 
     def pause_writing(self) -> None:
         """Lets a long body wait until the server has read."""
@@ -119,7 +120,7 @@
             parts = self._encode_request()
         except h11.LocalProtocolError as error:
             raise errors.ProtocolError(f"request: {error}") from error
-        if len(body) <= SHORT_BODY_MAX_BYTES:
+        if len(body) <= BODY_PART_BYTES:
             self._transport.write(b"".join(parts))
         else:
             self._writing = asyncio.ensure_future(self._write_parts(parts))
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -127,7 +127,10 @@
             node.body_budget, framing.find_length(scope["headers"]), table.limits.body_bytes
         )
         try:
-            refusal = await self._read_body(receive, reader, admitted.route, deadline)
+            if framing.has_body(scope["headers"]):
+                refusal = await self._read_body(receive, reader, admitted.route, deadline)
+            else:
+                await reader.read_part(receive)
             if refusal is not None:
                 await self._send_local_reply(send, refusal, caller_headers, trace)
                 return
@@ -230,9 +233,6 @@
 
         try:
             reader.start()
-            await reader.read_part(receive)
-            if reader.is_complete:
-                return None
             async with node.stop_limits.limit(find_end) as timeout:
                 while not reader.is_complete:
                     await reader.read_part(receive)
--- a/testing/platform/test_gateway_requests.py
+++ b/testing/platform/test_gateway_requests.py
@@ -293,7 +293,8 @@
 
         self.run_async(scenario)
 
-    def test_body_that_never_ends(self) -> None:
+    @parameterized.expand([("nothing arrives", ""), ("a part arrives", "xx")])
+    def test_body_that_never_ends(self, _name, part) -> None:
         """Guards against a body that keeps its memory when its caller has given up."""
 
         async def scenario() -> None:
@@ -302,7 +303,8 @@
                 reader, writer = await asyncio.open_connection(host, int(port))
                 writer.write(
                     f"POST /buy/1 HTTP/1.1\r\nHost: {harness.HOST}\r\nContent-Length: 50000\r\n"
-                    "Caperdyke-Request-Id: r1\r\nCaperdyke-Request-Deadline: 200\r\n\r\nxx".encode()
+                    "Caperdyke-Request-Id: r1\r\nCaperdyke-Request-Deadline: 200\r\n\r\n"
+                    f"{part}".encode()
                 )
                 head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
                 self.assertTrue(head.startswith("http/1.1 408 "), head)
