--- a/src/caperdyke/transport/http/caller_protocol.py
+++ b/src/caperdyke/transport/http/caller_protocol.py
@@ -94,6 +94,7 @@
     def close_after_responses(self) -> None:
         """Reads no further requests, and closes the connection after the responses in progress."""
         self._ignores_message = True
+        self._is_reading_body = False
         self._pipeline.end_input()
         if self._pipeline.is_idle:
             self.transport.close()
