Run the tests of requests that wait for the first reads on a simulated clock

Cause, traced: the test holds back the store's answers, and the gateway's first read times out after 1.5 s of real time (CALL_TIMEOUT_S). On a machine so busy that the request comes later than that, requests rightly no longer wait, so the test never sees one in progress. The product is not at fault.

Change: the test, and the one of the lifecycle with the same dependence, run on a simulated clock; their checks are the same.

--- a/testing/platform/test_gateway_lifecycle.py
+++ b/testing/platform/test_gateway_lifecycle.py
@@ -10,6 +10,7 @@
 from caperdyke.state import ids
 from caperdyke.transport.gateway import context, node
 from caperdyke.transport.http import http_server
+from testing.knowledge import simulated_loop
 from testing.platform import harness
 
 SMALL_BUFFER_BYTES = 8 * 1024
@@ -59,7 +60,8 @@
                 env.store.answers_allowed.set()
                 self.assertEqual(200, (await request_task)[0])
 
-        self.run_async(scenario)
+        # On the real clock, a busy machine lets the first read of the store time out.
+        simulated_loop.run_with_sockets(scenario())
 
     def test_request_does_not_wait_for_a_store_that_refuses(self) -> None:
         def refuse_calls(store) -> None:
--- a/testing/platform/test_gateway_teams.py
+++ b/testing/platform/test_gateway_teams.py
@@ -6,6 +6,7 @@
 
 from caperdyke.state import gateway_settings
 from caperdyke.transport import events, metrics
+from testing.knowledge import simulated_loop
 from testing.platform import harness, team_callers
 
 KEY, OTHER_KEY, BEARER = team_callers.KEY, team_callers.OTHER_KEY, team_callers.BEARER
@@ -215,7 +216,8 @@
                 env.store.answers_allowed.set()
                 self.assertEqual(expected, (await sending)[0])
 
-        self.run_async(scenario)
+        # On the real clock, a busy machine lets the first read of the store time out.
+        simulated_loop.run_with_sockets(scenario())
 
 
 class HomesTest(harness.AsyncTestCase):
