Name the requests whose responses did not arrive

Cause: the transport does not know which bytes belong to which request. Change: the pipeline tells it the id with the last byte of each response; line 5103 lists those whose end lies in the bytes that were not acknowledged (the latest 16 of a connection). A response of which a part waits for the caller has its own line, as before.

Before: the new test fails, the event has no such field. After: it passes. Resets by the caller are not named: the system drops the send queue before the program hears of them.

--- a/src/caperdyke/transport/events.py
+++ b/src/caperdyke/transport/events.py
@@ -56,7 +56,8 @@
     RESPONSE_UNDELIVERED = (
         5103,
         "INFO",
-        "connection to {caller} ended with {size} bytes of responses not received: {cause}",
+        "connection to {caller} ended with {size} bytes of responses not received: {cause}; "
+        "requests {requests}",
     )
     SETTINGS_RELOADED = (6001, "INFO", "settings reloaded: {result}")
     STORE_AWAY = (6101, "WARNING", "store is unavailable for {table}: {error}")
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -16,7 +16,7 @@
     refusals,
     sender,
 )
-from caperdyke.transport.http import caller_protocol, framing
+from caperdyke.transport.http import caller_protocol, exchanges, framing
 
 # Time for which a caller without a deadline header is assumed to wait. The route's timeout ends
 # most requests earlier.
@@ -82,6 +82,7 @@
         trace = local_reply.RequestTrace(
             caller_headers.request_id, received_at, caller_headers.object_key
         )
+        scope[exchanges.REQUEST_ID_KEY] = caller_headers.request_id
         node.active_requests += 1
         limit = node.stop_limits.limit(node.find_stop_deadline)
         try:
--- a/src/caperdyke/transport/http/exchanges.py
+++ b/src/caperdyke/transport/http/exchanges.py
@@ -7,6 +7,9 @@
 
 from caperdyke.transport.http import ordered_writer
 
+# ASGI scope key under which the application stores the id of a request.
+REQUEST_ID_KEY = "caperdyke.request_id"
+
 
 @dataclasses.dataclass(eq=False, slots=True)
 class Exchange:
--- a/src/caperdyke/transport/http/lingering_close.py
+++ b/src/caperdyke/transport/http/lingering_close.py
@@ -26,6 +26,8 @@
 DISCARDED_BYTES_MAX = 256 * 1024
 # Lingering connections of a process; each holds a descriptor that a new connection may need.
 CONNECTIONS_MAX = 512
+# Responses of a connection that a log line can name, the latest ones.
+RECORDED_RESPONSES_MAX = 16
 
 
 def count_unacknowledged(transport: asyncio.Transport) -> int:
@@ -96,6 +98,11 @@
         self._quiet_at = 0.0
         self._end_at = 0.0
         self._discarded_bytes = 0
+        self._written_bytes = 0
+        # Count of written bytes after each of the latest responses, and the request's id.
+        self._responses: collections.deque[tuple[int, str]] = collections.deque(
+            maxlen=RECORDED_RESPONSES_MAX
+        )
 
     def get_extra_info(self, name, default=None):
         """Returns information about the connection."""
@@ -108,8 +115,14 @@
     def write(self, data: bytes) -> None:
         """Sends bytes, unless the connection is closing."""
         if not self._is_closing:
+            self._written_bytes += len(data)
             self._connection.write(data)
 
+    def record_response(self, request_id: str | None) -> None:
+        """Records that all bytes of the response to a request have been written."""
+        if request_id:
+            self._responses.append((self._written_bytes, request_id))
+
     def get_write_buffer_size(self) -> int:
         """Returns the bytes that have not been passed to the system."""
         return self._connection.get_write_buffer_size()
@@ -165,11 +178,13 @@
     def log_undelivered(self, cause: str) -> None:
         """Logs the end of the connection if bytes of responses have not arrived."""
         if size := self._count_undelivered():
+            delivered = self._written_bytes - size
             events.log(
                 events.Event.RESPONSE_UNDELIVERED,
                 caller=str(self.get_extra_info("peername")),
                 size=size,
                 cause=cause,
+                requests=[item for end, item in self._responses if end > delivered],
             )
 
     def _linger(self) -> None:
--- a/src/caperdyke/transport/http/pipeline.py
+++ b/src/caperdyke/transport/http/pipeline.py
@@ -117,7 +117,10 @@
         """Sends what may be sent, then starts requests that waited for it."""
         sent = self._writer.release()
         for _ in sent:
-            if self._started.popleft().ends_connection:
+            exchange = self._started.popleft()
+            request_id = exchange.cycle.scope.get(exchanges.REQUEST_ID_KEY)
+            self._connection.transport.record_response(request_id)
+            if exchange.ends_connection:
                 self._connection.transport.close()
         self._connection.on_responses_sent(len(sent))
         self._wake_blocked()
--- a/testing/pipelined_connection.py
+++ b/testing/pipelined_connection.py
@@ -6,7 +6,7 @@
 import re
 import socket
 
-from caperdyke.transport.http import caller_protocol, pipeline
+from caperdyke.transport.http import caller_protocol, exchanges, pipeline
 from testing import servers, test_pipelining
 
 TIMEOUT_SECONDS = 5.0
@@ -47,6 +47,7 @@
     async def __call__(self, scope, receive, send) -> None:
         """Handles one request; an ASGI application."""
         path = scope["path"]
+        scope[exchanges.REQUEST_ID_KEY] = path
         self.started.append(path)
         self.read_at[path] = scope[caller_protocol.READ_AT_KEY]
         if self.faults.get(path) == "ignores body":
--- a/testing/test_lingering_close.py
+++ b/testing/test_lingering_close.py
@@ -326,6 +326,26 @@
 
         self.run_on_connection(scenario)
 
+    def test_undelivered_responses_are_named(self) -> None:
+        """Guards against a lost response that the log shows as answered and nothing else."""
+        logged = []
+        self.patch(events, "log", lambda event, **fields: logged.append((event, fields)))
+
+        async def scenario(setting, app, caller) -> None:
+            app.parts["/long"] = [b"x" * 5_000_000]
+            caller.send("GET /read")
+            await caller.read_response()
+            caller.reader._transport.pause_reading()
+            caller.send("GET /long")
+            await setting.wait_until(lambda: setting.protocol.flow.write_paused)
+            await asyncio.sleep(server_protocol.STALLED_MAX_S + 1)
+
+        self.run_on_connection(scenario)
+        self.assertEqual(
+            [(events.Event.RESPONSE_UNDELIVERED, ["/long"])],
+            [(event, fields["requests"]) for event, fields in logged],
+        )
+
 
 class _FakeTransport:
     """Records whether it was ended."""
