Count segments to tell silent peers from slow ones

Change: transport/http/silence.py counts segments sent and received (TCP_INFO) while bytes are undelivered. A peer is silent if nothing has arrived for 2.5 s and two segments in a row stay unanswered, the first for a second. One decision in ServerConnection (servers, relaying peers), HttpClient (entry, load generator, store) and every HTTP server, instead of three options.

On kernels that double the interval of probes the bound is 3 p + 3 s after a pause p (test_silence, injected clock).

test_connection: the check of the user timeout now runs without counted segments, where the option still applies; a new one wants no user timeout where they are counted.

--- a/src/caperdyke/transport/backends/connection.py
+++ b/src/caperdyke/transport/backends/connection.py
@@ -9,14 +9,15 @@
 import h11
 
 from caperdyke import errors
-from caperdyke.transport.http import tcp_keepalive
+from caperdyke.transport.http import silence, tcp_keepalive
 
 # Unread bytes above which reading from the socket pauses, and below which it resumes.
 BUFFER_HIGH_BYTES = 256 * 1024
 BUFFER_LOW_BYTES = 64 * 1024
 # Largest head of a response.
 HEAD_MAX_BYTES = 64 * 1024
-# Largest body that counts as received as soon as the server's system has a window for it.
+# Largest body that counts as received as soon as the server's system has a window for it, where the
+# system does not tell a server that reads slowly from a silent one.
 SHORT_BODY_MAX_BYTES = 8 * 1024
 # Bytes of a body that are passed to the transport at a time.
 BODY_PART_BYTES = 64 * 1024
@@ -36,6 +37,7 @@
         self._parser = self._make_parser()
         self._received = asyncio.Event()
         self._transport: asyncio.Transport | None = None
+        self._silence_watch: silence.SilenceWatch | None = None
         self._closing_error: Exception | None = None
         self._request_events: list[h11.Event] = []
         self._unread_bytes = 0
@@ -58,7 +60,9 @@
     def connection_made(self, transport) -> None:
         """Configures keepalive probes and timeouts of the socket."""
         self._transport = transport
-        tcp_keepalive.enable_keepalive(transport.get_extra_info("socket"))
+        self._silence_watch = silence.SilenceWatch(
+            transport, tcp_keepalive.REQUEST_KEEPALIVE, self._end_silent
+        )
 
     def data_received(self, data: bytes) -> None:
         """Feeds the parser; bytes that belong to no request close the connection."""
@@ -81,9 +85,12 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Records why the connection ended."""
+        self._silence_watch.stop()
         if self._closing_error is None:
             self.is_ended = True
-        self._closing_error = error or ConnectionResetError("the server closed the connection")
+        self._closing_error = (
+            error or self._closing_error or ConnectionResetError("the server closed the connection")
+        )
         self._received.set()
         self._writable.set()
 
@@ -121,6 +128,7 @@
         except h11.LocalProtocolError as error:
             raise errors.ProtocolError(f"request: {error}") from error
         if len(body) <= BODY_PART_BYTES:
+            self._silence_watch.start()
             self._transport.write(b"".join(parts))
         else:
             self._writing = asyncio.ensure_future(self._write_parts(parts))
@@ -194,8 +202,11 @@
         return True
 
     def _set_user_timeout(self, may_read_slowly: bool) -> None:
-        """Lets a server that reads a long body slowly take its time."""
-        if may_read_slowly == self._may_read_slowly:
+        """Lets a server that reads a long body slowly take its time, if its silence is not watched.
+
+        A user timeout ends connections to silent servers and to those that read slowly alike.
+        """
+        if self._silence_watch.is_counting or may_read_slowly == self._may_read_slowly:
             return
         self._may_read_slowly = may_read_slowly
         timeout_ms = tcp_keepalive.REQUEST_KEEPALIVE.user_timeout_ms
@@ -203,6 +214,11 @@
             timeout_ms = tcp_keepalive.LONG_BODY_USER_TIMEOUT_MS
         tcp_keepalive.set_user_timeout(self._transport.get_extra_info("socket"), timeout_ms)
 
+    def _end_silent(self) -> None:
+        self.is_ended = True
+        self._closing_error = TimeoutError("the server answers nothing")
+        self._transport.abort()
+
     def _encode_request(self) -> list[bytes | bytearray]:
         parts = []
         for event in self._request_events:
@@ -216,6 +232,7 @@
                 await self._writable.wait()
                 if self._closing_error is not None:
                     return
+                self._silence_watch.start()
                 self._transport.write(view[start : start + BODY_PART_BYTES])
 
     async def _next_event(self):
--- a/src/caperdyke/transport/http/caller_protocol.py
+++ b/src/caperdyke/transport/http/caller_protocol.py
@@ -10,7 +10,6 @@
     pipelining,
     server_protocol,
     stand_ins,
-    tcp_keepalive,
 )
 
 # ASGI scope key of the request target exactly as received; uvicorn drops the question mark of an
@@ -54,14 +53,11 @@
     # Events of the connection.
 
     def connection_made(self, transport) -> None:
-        """Enables TCP keepalive on the new connection."""
+        """Prepares the pipeline of the new connection."""
         super().connection_made(transport)
         self._disconnect_watch = disconnects.DisconnectWatch(self.loop, transport)
         self.flow = stand_ins.ConnectionFlow(self.transport, self._disconnect_watch)
         self._pipeline = pipeline.Pipeline(self, self._policy)
-        tcp_keepalive.enable_keepalive(
-            transport.get_extra_info("socket"), tcp_keepalive.CALLER_KEEPALIVE
-        )
 
     def on_closing(self) -> None:
         """Ends all requests in progress and cancels the timers."""
--- a/src/caperdyke/transport/http/http_client.py
+++ b/src/caperdyke/transport/http/http_client.py
@@ -18,7 +18,7 @@
 import aiosonic.pools
 import aiosonic.timeout
 
-from caperdyke.transport.http import tcp_keepalive
+from caperdyke.transport.http import silence, tcp_keepalive
 
 # Servers commonly close idle connections after 5 s or more; closing them earlier avoids a race
 # between the server's close and the next request.
@@ -64,15 +64,24 @@
     A pooled connection that the server has closed is not reused: a request written to it would be
     lost, and the client could not prove that it never ran.
 
-    :cvar silence: keepalive options. They are a class attribute because aiosonic creates
+    :cvar keepalive: keepalive options. They are a class attribute because aiosonic creates
         connections from a class, with their pool as the only argument.
     """
 
-    silence = tcp_keepalive.REQUEST_KEEPALIVE
+    keepalive = tcp_keepalive.REQUEST_KEEPALIVE
+    _silence_watch: silence.SilenceWatch | None = None
 
     async def connect(self, *arguments, **named) -> None:
+        opened = self.writer
         await super().connect(*arguments, **named)
-        tcp_keepalive.enable_keepalive(self.writer.get_extra_info("socket"), self.silence)
+        if self.writer is not opened:
+            self._silence_watch = silence.SilenceWatch(
+                self.writer.transport, self.keepalive, self._end_silent
+            )
+
+    def _end_silent(self) -> None:
+        self.reader.set_exception(TimeoutError("the server answers nothing"))
+        self.writer.transport.abort()
 
     def reuse(self, urlparsed, verify: bool) -> bool:
         if self.reader is not None and self.reader.at_eof():
@@ -86,6 +95,7 @@
             if exchange.connection is None and time.time() > exchange.send_by:
                 raise LateStartError("the request was held up before its first byte")
             exchange.connection = self
+        self._silence_watch.start()
         super().write(data)
 
 
@@ -94,20 +104,20 @@
 
     :param connections_max: size of the connection pool of each address.
     :param connect_timeout: longest time to open a connection, in seconds.
-    :param silence: keepalive options of the connections.
+    :param keepalive: keepalive options of the connections.
     """
 
     def __init__(
         self,
         connections_max: int,
         connect_timeout: float,
-        silence: tcp_keepalive.KeepaliveOptions = tcp_keepalive.REQUEST_KEEPALIVE,
+        keepalive: tcp_keepalive.KeepaliveOptions = tcp_keepalive.REQUEST_KEEPALIVE,
     ) -> None:
         pool = aiosonic.pools.PoolConfig(size=connections_max, max_conn_idle_ms=IDLE_MAX_MS)
         timeouts = aiosonic.timeout.Timeouts(
             sock_connect=connect_timeout, sock_read=None, request_timeout=None
         )
-        connection_cls = type("_ProbedConnection", (_TrackedConnection,), {"silence": silence})
+        connection_cls = type("_ProbedConnection", (_TrackedConnection,), {"keepalive": keepalive})
         connector = aiosonic.connectors.TCPConnector(
             pool_configs={":default": pool}, timeouts=timeouts, connection_cls=connection_cls
         )
--- a/src/caperdyke/transport/http/lingering_close.py
+++ b/src/caperdyke/transport/http/lingering_close.py
@@ -10,11 +10,9 @@
 import asyncio
 import collections
 import collections.abc
-import fcntl
-import struct
-import termios
 
 from caperdyke.transport import events
+from caperdyke.transport.http import silence, tcp_keepalive, tcp_state
 
 # Longest time between the close of the sending side and the close of the socket.
 LINGER_MAX_S = 30.0
@@ -30,15 +28,6 @@
 RECORDED_RESPONSES_MAX = 16
 
 
-def count_unacknowledged(transport: asyncio.Transport) -> int:
-    """Returns the bytes that the peer's system has not acknowledged, 0 if that is unknown."""
-    try:
-        descriptor = transport.get_extra_info("socket").fileno()
-        return struct.unpack("i", fcntl.ioctl(descriptor, termios.TIOCOUTQ, b"\0" * 4))[0]
-    except (OSError, ValueError):
-        return 0
-
-
 class LingeringConnections:
     """The connections of a process that linger, the longest-lingering first.
 
@@ -103,6 +92,9 @@
         self._responses: collections.deque[tuple[int, str]] = collections.deque(
             maxlen=RECORDED_RESPONSES_MAX
         )
+        self._silence_watch = silence.SilenceWatch(
+            connection, tcp_keepalive.CALLER_KEEPALIVE, self._end_silent
+        )
 
     def get_extra_info(self, name, default=None):
         """Returns information about the connection."""
@@ -115,6 +107,7 @@
     def write(self, data: bytes) -> None:
         """Sends bytes, unless the connection is closing."""
         if not self._is_closing:
+            self._silence_watch.start()
             self._written_bytes += len(data)
             self._connection.write(data)
 
@@ -162,9 +155,10 @@
         if self._discarded_bytes >= DISCARDED_BYTES_MAX:
             self._connection.pause_reading()
 
-    def stop_lingering(self) -> None:
-        """Cancels the timer after the connection was lost."""
+    def stop_checks(self) -> None:
+        """Cancels the timers after the connection was lost."""
         self._lingering.remove(self)
+        self._silence_watch.stop()
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -172,12 +166,12 @@
     def end(self, cause: str) -> None:
         """Closes the socket early; what has not been passed to the system is lost."""
         self.log_undelivered(cause)
-        self.stop_lingering()
+        self.stop_checks()
         self._connection.abort()
 
     def log_undelivered(self, cause: str) -> None:
         """Logs the end of the connection if bytes of responses have not arrived."""
-        if size := self._count_undelivered():
+        if size := self.count_undelivered():
             delivered = self._written_bytes - size
             events.log(
                 events.Event.RESPONSE_UNDELIVERED,
@@ -187,6 +181,13 @@
                 requests=[item for end, item in self._responses if end > delivered],
             )
 
+    def count_undelivered(self) -> int:
+        """Returns the bytes of responses that the caller's system has not acknowledged."""
+        return tcp_state.count_undelivered(self._connection)
+
+    def _end_silent(self) -> None:
+        self.end("the caller answers nothing")
+
     def _linger(self) -> None:
         # Reading may be paused for a large body.
         self._connection.resume_reading()
@@ -204,13 +205,9 @@
             return
         check_at = self._quiet_at
         if now >= self._quiet_at:
-            if not self._count_undelivered():
-                self.stop_lingering()
+            if not self.count_undelivered():
+                self.stop_checks()
                 self._connection.close()
                 return
             check_at = now + CHECK_INTERVAL_S
         self._timer = self._loop.call_at(min(check_at, self._end_at), self._check)
-
-    def _count_undelivered(self) -> int:
-        buffered = self._connection.get_write_buffer_size()
-        return buffered + count_unacknowledged(self._connection)
--- a/src/caperdyke/transport/http/server_protocol.py
+++ b/src/caperdyke/transport/http/server_protocol.py
@@ -122,5 +122,5 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Cancels the timers."""
         self._stop_stall_timer()
-        self.transport.stop_lingering()
+        self.transport.stop_checks()
         super().connection_lost(error)
--- a/src/caperdyke/transport/http/tcp_keepalive.py
+++ b/src/caperdyke/transport/http/tcp_keepalive.py
@@ -9,18 +9,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeepaliveOptions:
-    """How long a peer may leave packets unacknowledged.
+    """How long a peer may answer nothing.
 
-    On Linux the user timeout also decides when probes give up, whatever their number; the number
-    applies where there is no such timeout. Both must stand for the same time. The user timeout also
-    ends connections to peers that answer all probes and only stop reading for so long.
+    Where the system counts segments, ``silence.SilenceWatch`` applies ``silence_s`` while bytes are
+    undelivered. Elsewhere the user timeout does, which also ends connections to peers that answer
+    all probes and only stop reading for so long. On Linux it decides as well when probes of an idle
+    connection give up, whatever their number. All must stand for the same time.
 
     :param probes_max: unanswered probes on an idle connection before it is closed.
+    :param silence_s: time after which a peer that answers nothing counts as gone, in seconds.
     :param user_timeout_ms: longest time that sent bytes may stay unacknowledged, in milliseconds; 0
         for the system's own limit, which does not count peers that only read slowly.
     """
 
     probes_max: int
+    silence_s: float
     user_timeout_ms: int
 
     @property
@@ -30,14 +33,14 @@
 
 
 # Shorter than callers usually wait, longer than a few retransmissions take.
-REQUEST_KEEPALIVE = KeepaliveOptions(probes_max=2, user_timeout_ms=2500)
+REQUEST_KEEPALIVE = KeepaliveOptions(probes_max=2, silence_s=2.5, user_timeout_ms=2500)
 # Callers may read slowly, and stop for a while.
-CALLER_KEEPALIVE = KeepaliveOptions(probes_max=2, user_timeout_ms=0)
+CALLER_KEEPALIVE = KeepaliveOptions(probes_max=2, silence_s=2.5, user_timeout_ms=0)
 # For bodies that exceed the window of a server that reads slowly.
 LONG_BODY_USER_TIMEOUT_MS = 30_000
 # Store calls that end too early are merely repeated; a dead connection has to end within the time
 # limit for applying configuration changes.
-STORE_KEEPALIVE = KeepaliveOptions(probes_max=1, user_timeout_ms=1500)
+STORE_KEEPALIVE = KeepaliveOptions(probes_max=1, silence_s=1.5, user_timeout_ms=1500)
 
 
 def enable_keepalive(sock: socket.socket, options: KeepaliveOptions = REQUEST_KEEPALIVE) -> None:
--- a/testing/test_connection.py
+++ b/testing/test_connection.py
@@ -7,7 +7,7 @@
 from parameterized import parameterized
 
 from caperdyke.transport.backends import connection
-from caperdyke.transport.http import tcp_keepalive
+from caperdyke.transport.http import tcp_keepalive, tcp_state
 from testing import servers
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -126,7 +126,11 @@
         ]
     )
     def test_system_ends_long_bodies(self, _name, size, expected) -> None:
-        """Guards against a user timeout that counts a server that pauses as gone."""
+        """Guards against a user timeout that counts a server that pauses as gone.
+
+        The system does not count segments, so nothing else notices a silent server.
+        """
+        self.patch(tcp_state, "count_segments", lambda _transport: None)
 
         async def scenario() -> None:
             async with servers.RawServer({"/1": [ANSWER]}).listen() as address:
@@ -143,6 +147,20 @@
 
         asyncio.run(scenario())
 
+    @parameterized.expand([("no body", 0), ("short", 8 * 1024), ("long", 8 * 1024 + 1)])
+    def test_system_ends_bodies(self, _name, size) -> None:
+        """Guards against a user timeout beside the watch, which knows a pause from silence."""
+
+        async def scenario() -> None:
+            async with servers.RawServer({"/1": [ANSWER]}).listen() as address:
+                conn = await connection.connect(address, 1.0)
+                self.assertEqual(0, find_user_timeout(conn))
+                await exchange(conn, b"x" * size)
+                self.assertEqual(0, find_user_timeout(conn))
+                conn.close()
+
+        asyncio.run(scenario())
+
 
 class LongBodyTest(testtools.TestCase):
     """Bodies that are written as fast as the server reads them."""
