Let callers pause as long as the configuration lets requests take

What callers would see: a download that is paused for over 30 s is ended, though the route's timeoutMs grants more.

Cause: the bound on a full buffer, STALLED_MAX_S, knows nothing of the configuration.

Before: the attribute that both tests set or read does not exist, and the constant ends the response at 30 s.

--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -162,6 +162,10 @@
             return
         self._servers[0][0].config.timeout_keep_alive = table.limits.idle_timeout_ms / 1000
         caller_protocol.CallerProtocol.header_timeout_s = table.limits.header_timeout_ms / 1000
+        longest_ms = max((item.timeout_ms for item in table.routes), default=0.0)
+        server_protocol.ServerProtocol.stalled_max_s = max(
+            server_protocol.STALLED_MAX_S, longest_ms / 1000
+        )
         idle_limit = min((item.connections_max for item in table.services.values()), default=0)
         node.pool.set_idle_limit(idle_limit, node.fleet.count_recent(node.now()))
 
--- a/src/caperdyke/transport/http/server_protocol.py
+++ b/src/caperdyke/transport/http/server_protocol.py
@@ -9,7 +9,8 @@
 
 # Bytes of a body that arrive after the response to its request; above it the connection closes.
 UNREAD_BODY_BYTES_MAX = 256 * 1024
-# Longest time for which a caller may leave the buffer of responses full.
+# Longest time for which a caller may leave the buffer of responses full, unless requests may take
+# longer.
 STALLED_MAX_S = 30.0
 
 
@@ -19,8 +20,12 @@
     Pattern: uploads are rejected by their size or for lack of a configuration, and go on.
 
     :param lingering: the lingering connections of the process.
+    :cvar stalled_max_s: longest time for which a caller may leave the buffer of responses full, in
+        seconds; a configuration raises it to its longest timeout.
     """
 
+    stalled_max_s = STALLED_MAX_S
+
     def __init__(
         self, *arguments, lingering: lingering_close.LingeringConnections, **named
     ) -> None:
@@ -104,7 +109,7 @@
     def pause_writing(self) -> None:
         """Bounds the time for which the caller may leave the buffer full."""
         super().pause_writing()
-        self._stall_timer = self.loop.call_later(STALLED_MAX_S, self._end_stalled)
+        self._stall_timer = self.loop.call_later(self.stalled_max_s, self._end_stalled)
 
     def resume_writing(self) -> None:
         """Lets responses go on, since the caller has read."""
@@ -112,7 +117,7 @@
         super().resume_writing()
 
     def _end_stalled(self) -> None:
-        self.transport.end(f"not read for {STALLED_MAX_S:.0f} s")
+        self.transport.end(f"not read for {self.stalled_max_s:.0f} s")
 
     def _stop_stall_timer(self) -> None:
         if self._stall_timer is not None:
--- a/testing/platform/test_gateway_lifecycle.py
+++ b/testing/platform/test_gateway_lifecycle.py
@@ -5,17 +5,38 @@
 import re
 import socket
 
+from parameterized import parameterized
+
 from caperdyke.platform import documents, headers, store
 from caperdyke.protocol import relay_headers
 from caperdyke.state import ids
 from caperdyke.transport.gateway import context, node
-from caperdyke.transport.http import http_server
+from caperdyke.transport.http import http_server, server_protocol
 from testing.knowledge import simulated_loop
 from testing.platform import harness
 
 SMALL_BUFFER_BYTES = 8 * 1024
 
 
+class SlowCallerTest(harness.AsyncTestCase):
+    """Callers that read slowly, inside the longest time that the configuration grants."""
+
+    @parameterized.expand([("shorter", 5_000.0, 30.0), ("longer", 90_000.0, 90.0)])
+    def test_pauses_are_bounded_by_a_constant(self, _name, timeout_ms, expected) -> None:
+        """Guards against losing the response to a request that may take longer than the bound."""
+        protocol = server_protocol.ServerProtocol
+        self.patch(protocol, "stalled_max_s", protocol.stalled_max_s)
+        configuration = harness.make_configuration()
+        for route in configuration["routes"].values():
+            route["timeoutMs"] = timeout_ms
+
+        async def scenario() -> None:
+            async with harness.start_gateway(configuration=configuration) as env:
+                await env.wait_until(lambda: protocol.stalled_max_s == expected)
+
+        self.run_async(scenario)
+
+
 class CallerDisconnectTest(harness.AsyncTestCase):
     """A caller that closes its connection."""
 
--- a/testing/test_lingering_close.py
+++ b/testing/test_lingering_close.py
@@ -326,6 +326,23 @@
 
         self.run_on_connection(scenario)
 
+    def test_longest_timeout_of_the_configuration_bounds_pauses(self) -> None:
+        """Guards against losing the response to a request that may take longer than the bound."""
+        self.patch(
+            server_protocol.ServerProtocol, "stalled_max_s", 2 * server_protocol.STALLED_MAX_S
+        )
+
+        async def scenario(setting, app, caller) -> None:
+            app.parts["/1"] = [b"x" * 100_000] * 100
+            caller.reader._transport.pause_reading()
+            caller.send("GET /1")
+            await setting.wait_until(lambda: setting.protocol.flow.write_paused)
+            await asyncio.sleep(server_protocol.STALLED_MAX_S + 1)
+            caller.reader._transport.resume_reading()
+            self.assertTrue((await caller.read_response())[0])
+
+        self.run_on_connection(scenario)
+
     def test_undelivered_responses_are_named(self) -> None:
         """Guards against a lost response that the log shows as answered and nothing else."""
         logged = []
