Bound the memory of responses that callers have not read

What callers would see: all requests in progress end when a process is killed for its memory.

Change: connections whose buffer is full share the budget of bodies. Above half of it requests get 503 with Retry-After at once and have not run; above all of it the connection that waits longest for its caller ends, with a line 5103. Every HTTP server has the bound, gateways share one among theirs.

--- a/src/caperdyke/coordination/body_budget.py
+++ b/src/caperdyke/coordination/body_budget.py
@@ -50,6 +50,15 @@
         self._reserved += size
         return True
 
+    @property
+    def is_exceeded(self) -> bool:
+        """Whether more is reserved than the machine has."""
+        return self._reserved > self.bytes_max
+
+    def add(self, size: int) -> None:
+        """Counts memory that is taken already."""
+        self._reserved += size
+
     def release(self, size: int) -> None:
         """Returns memory."""
         self._reserved -= size
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -37,6 +37,7 @@
 from caperdyke.transport import events, metrics
 from caperdyke.transport.backends import pool
 from caperdyke.transport.gateway import server_bounds, server_headers, stop_limits
+from caperdyke.transport.http import unread_responses
 
 # Assumed for a failure domain until a connection to it has been opened.
 ROUND_TRIP_DEFAULT_SECONDS = 0.005
@@ -112,6 +113,7 @@
         self.active_requests = 0
         self.planned_stop: planned_stop.PlannedStop | None = None
         self.body_budget = body_budget.BodyBudget(body_budget.compute_budget(settings.memory_bytes))
+        self.unread_responses = unread_responses.UnreadResponses(self.body_budget)
         self.stop_limits = stop_limits.StopLimits(now)
         self._services: dict[ids.ServiceName, list[server_registry.RegisteredServer]] = {}
         self._rankings = server_rankings.ServerRankings()
--- a/src/caperdyke/transport/gateway/local_reply.py
+++ b/src/caperdyke/transport/gateway/local_reply.py
@@ -18,6 +18,7 @@
     BODY_TOO_LARGE = "body too large"
     BODY_LATE = "body not received in time"
     NO_MEMORY = "no memory for the body"
+    UNREAD_RESPONSES = "no memory for the answer"
     MALFORMED = "request cannot be passed on"
     HEADERS_TOO_LARGE = "headers too large"
     NO_SERVER = "no server"
--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -96,6 +96,7 @@
                 self._find_protocol(address),
                 settings.bounds.stop_seconds,
                 self._lingering,
+                self.node.unread_responses,
             )
             self._servers.append((server, asyncio.create_task(server.serve())))
         self._start_tasks()
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -28,7 +28,7 @@
 ERROR_STATUS_MIN = 400
 # The last answer is sent this long before the caller's deadline, so that it arrives in time.
 ANSWER_MARGIN_SECONDS = 0.03
-# Retry-After of an instance whose memory is taken by bodies.
+# Retry-After of an instance whose memory is taken by bodies or by answers.
 NO_MEMORY_RETRY_AFTER_SECONDS = 0.5
 _UNREAD_BODY_REASONS = (
     local_reply.LocalReplyReason.BODY_TOO_LARGE,
@@ -44,6 +44,7 @@
     local_reply.LocalReplyReason.UNCONFIRMED: relay_headers.RelayOutcome.NOT_RUN,
     local_reply.LocalReplyReason.CRASHES_SERVERS: relay_headers.RelayOutcome.NOT_RUN,
     local_reply.LocalReplyReason.NO_MEMORY: relay_headers.RelayOutcome.DECLINED,
+    local_reply.LocalReplyReason.UNREAD_RESPONSES: relay_headers.RelayOutcome.DECLINED,
     local_reply.LocalReplyReason.STOPPING: relay_headers.RelayOutcome.DECLINED,
     local_reply.LocalReplyReason.DECLINED: relay_headers.RelayOutcome.DECLINED,
     local_reply.LocalReplyReason.NO_CAPACITY: relay_headers.RelayOutcome.NO_CAPACITY,
@@ -123,6 +124,15 @@
         if refusal is not None:
             await self._send_local_reply(send, refusal, caller_headers, trace)
             return
+        if node.unread_responses.is_full:
+            refusal = local_reply.LocalReply(
+                503,
+                local_reply.LocalReplyReason.UNREAD_RESPONSES,
+                NO_MEMORY_RETRY_AFTER_SECONDS,
+                f"callers have not read {node.unread_responses.bytes_held} bytes",
+            )
+            await self._send_local_reply(send, refusal, caller_headers, trace)
+            return
         deadline = _find_deadline(caller_headers, admitted.route, trace, relayed)
         reader = body_reader.BodyReader(
             node.body_budget, framing.find_length(scope["headers"]), table.limits.body_bytes
--- a/src/caperdyke/transport/http/server_protocol.py
+++ b/src/caperdyke/transport/http/server_protocol.py
@@ -5,7 +5,7 @@
 import httptools
 import uvicorn.protocols.http.httptools_impl as httptools_impl
 
-from caperdyke.transport.http import framing, lingering_close, upgrades
+from caperdyke.transport.http import framing, lingering_close, unread_responses, upgrades
 
 # Bytes of a body that arrive after the response to its request; above it the connection closes.
 UNREAD_BODY_BYTES_MAX = 256 * 1024
@@ -20,6 +20,7 @@
     Pattern: uploads are rejected by their size or for lack of a configuration, and go on.
 
     :param lingering: the lingering connections of the process.
+    :param unread: its responses that callers do not read.
     :cvar stalled_max_s: longest time for which a caller may leave the buffer of responses full, in
         seconds; a configuration raises it to its longest timeout.
     """
@@ -27,10 +28,15 @@
     stalled_max_s = STALLED_MAX_S
 
     def __init__(
-        self, *arguments, lingering: lingering_close.LingeringConnections, **named
+        self,
+        *arguments,
+        lingering: lingering_close.LingeringConnections,
+        unread: unread_responses.UnreadResponses,
+        **named,
     ) -> None:
         super().__init__(*arguments, **named)
         self._lingering = lingering
+        self._unread = unread
         self._unread_body_bytes = 0
         self._stall_timer: asyncio.TimerHandle | None = None
 
@@ -107,12 +113,14 @@
         self.flow.resume_writing()
 
     def pause_writing(self) -> None:
-        """Bounds the time for which the caller may leave the buffer full."""
+        """Bounds the time for which the caller may leave the buffer full, and the memory."""
         super().pause_writing()
+        self._unread.add(self.transport)
         self._stall_timer = self.loop.call_later(self.stalled_max_s, self._end_stalled)
 
     def resume_writing(self) -> None:
         """Lets responses go on, since the caller has read."""
+        self._unread.remove(self.transport)
         self._stop_stall_timer()
         super().resume_writing()
 
@@ -125,7 +133,8 @@
             self._stall_timer = None
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Cancels the timers."""
+        """Cancels the timers and releases what the connection holds."""
+        self._unread.remove(self.transport)
         self._stop_stall_timer()
         self.transport.stop_checks()
         super().connection_lost(error)
--- a/testing/platform/test_gateway_requests.py
+++ b/testing/platform/test_gateway_requests.py
@@ -293,6 +293,22 @@
 
         self.run_async(scenario)
 
+    def test_answers_without_memory(self) -> None:
+        """Guards against serving slow callers until the process is killed for its memory."""
+
+        async def scenario() -> None:
+            async with harness.start_gateway(["s1"]) as env:
+                node = env.gateway.node
+                self.patch(type(node.unread_responses), "is_full", True)
+                status, answer_headers, body = await env.send_request("/buy/1", "POST", b"x")
+                self.assertEqual((503, b"no memory for the answer"), (status, body))
+                self.assertIn("retry-after", answer_headers)
+                self.assertEqual([], env.servers[0].requests)
+                self.patch(type(node.unread_responses), "is_full", False)
+                self.assertEqual(200, (await env.send_request("/buy/1", "POST", b"x"))[0])
+
+        self.run_async(scenario)
+
     @parameterized.expand([("nothing arrives", ""), ("a part arrives", "xx")])
     def test_body_that_never_ends(self, _name, part) -> None:
         """Guards against a body that keeps its memory when its caller has given up."""
