Judge requests of rare routes in a planned stop by the other routes

Cause: with fewer than eight answers of the route three times the expected time must fit, and without any the expected time is 1.2 times the objective; with an objective of 6 s that exceeds every stop of 6 s. Change: the times of the latest answers of all routes, relative to their objectives, bound what must fit (the same quantile and reserve as for a route's own answers), from 32 of them on; a route's own answers count from the first one. Without answers nothing changes.

Before: test_planned_stop wants the first upload of a route to be sent 2.2 s after the signal, where the old rule asks for 21.6 s (the new test fails there for want of the field).

--- a/src/caperdyke/coordination/placement/planned_stop.py
+++ b/src/caperdyke/coordination/placement/planned_stop.py
@@ -18,7 +18,8 @@
 UNREPEATABLE_QUANTILE = 0.95
 REPEATABLE_QUANTILE = 0.75
 RESERVE_FACTOR = 1.25
-# Answers from which on the quantile is used, and the multiples of the expected time before.
+# Answers from which on the quantile is used, and the multiples of the expected time before, unless
+# other routes show that less is enough.
 ANSWERS_MIN = 8
 UNREPEATABLE_UNKNOWN_FACTOR = 3.0
 REPEATABLE_UNKNOWN_FACTOR = 1.5
@@ -32,12 +33,15 @@
     :param spread: times of the latest answers as multiples of the expected ones, ascending.
     :param is_repeatable: whether the request may run more than once.
     :param ends_at: time at which the request ends in any case, with or without an answer.
+    :param related_s: times of the latest answers of all routes, in proportion to the latency
+        objective of this one, ascending; empty if too few are known.
     """
 
     expected_s: float
     spread: list[float]
     is_repeatable: bool
     ends_at: float
+    related_s: tuple[float, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,7 +65,7 @@
         """
         if work.ends_at <= self.deadline:
             return math.inf
-        return self.deadline - ANSWER_MARGIN_S - work.expected_s * _find_factor(work)
+        return self.deadline - ANSWER_MARGIN_S - _find_needed(work)
 
 
 def plan(asked_at: float, stop_s: float) -> PlannedStop:
@@ -74,8 +78,21 @@
     return PlannedStop(exit_at - min(FINAL_ANSWERS_S, FINAL_ANSWERS_RATIO * stop_s), exit_at)
 
 
-def _find_factor(work: Work) -> float:
-    if len(work.spread) < ANSWERS_MIN:
-        return REPEATABLE_UNKNOWN_FACTOR if work.is_repeatable else UNREPEATABLE_UNKNOWN_FACTOR
+def _find_needed(work: Work) -> float:
+    """Returns the seconds that must be left for a request.
+
+    Pattern: the first upload of a route, whose objective is as long as the stop, arrives as the
+    instance stops; all other routes are answered in a fraction of their objectives.
+    """
     quantile = REPEATABLE_QUANTILE if work.is_repeatable else UNREPEATABLE_QUANTILE
-    return RESERVE_FACTOR * max(1.0, work.spread[int(quantile * len(work.spread))])
+    if len(work.spread) >= ANSWERS_MIN:
+        ratio = max(1.0, work.spread[int(quantile * len(work.spread))])
+        return RESERVE_FACTOR * work.expected_s * ratio
+    factor = REPEATABLE_UNKNOWN_FACTOR if work.is_repeatable else UNREPEATABLE_UNKNOWN_FACTOR
+    needed_s = factor * work.expected_s
+    if not work.related_s:
+        return needed_s
+    # Without an answer of the route, the expected time is a guess from its objective.
+    answered_s = work.expected_s * max(work.spread) if work.spread else 0.0
+    related_s = work.related_s[int(quantile * len(work.related_s))]
+    return min(needed_s, RESERVE_FACTOR * max(related_s, answered_s))
--- a/src/caperdyke/coordination/placement/processing_times.py
+++ b/src/caperdyke/coordination/placement/processing_times.py
@@ -18,6 +18,10 @@
 OUTLIER_RATIO_MAX = 2.5
 # Latest answers whose times relative to the estimates are kept as the spread of a route.
 SPREAD_ANSWERS_MAX = 64
+# Latest answers of all routes whose times relative to the objectives are kept, and how many must be
+# known before they say anything about another route.
+OBJECTIVE_ANSWERS_MAX = 256
+OBJECTIVE_ANSWERS_MIN = 32
 
 
 @dataclasses.dataclass(slots=True)
@@ -141,6 +145,19 @@
 
     def __init__(self) -> None:
         self._times: dict[ids.RouteName, ProcessingTime] = {}
+        self._objective_ratios: collections.deque[float] = collections.deque(
+            maxlen=OBJECTIVE_ANSWERS_MAX
+        )
+
+    def list_related(self, objective: float) -> tuple[float, ...]:
+        """Returns the times of the latest answers of all routes, in proportion to an objective.
+
+        :param objective: latency objective of the route that is asked about, in seconds.
+        :returns: seconds, ascending; empty if too few answers are known.
+        """
+        if len(self._objective_ratios) < OBJECTIVE_ANSWERS_MIN:
+            return ()
+        return tuple(ratio * objective for ratio in sorted(self._objective_ratios))
 
     def find(self, route: ids.RouteName, objective: float) -> ProcessingTime:
         """Returns the estimates of a route.
@@ -175,6 +192,7 @@
         :returns: time of the answer as a multiple of the expected time.
         """
         times = self.find(route, objective)
+        self._objective_ratios.append(elapsed_s / max(EXPECTED_MIN_S, objective))
         if pace is None:
             times.update(is_known_warm, elapsed_s)
         else:
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -147,7 +147,13 @@
         times = self.times.find(route.name, route.objective_ms / 1000)
         if expected_s is None:
             expected_s = times.mean if times.recent_ratios else times.cold
-        work = planned_stop.Work(expected_s, times.spread, route.kind.is_repeatable, ends_at)
+        work = planned_stop.Work(
+            expected_s,
+            times.spread,
+            route.kind.is_repeatable,
+            ends_at,
+            self.times.list_related(route.objective_ms / 1000),
+        )
         return self.planned_stop.find_latest_send(work)
 
     def apply_settings(self, changed: gateway_settings.GatewaySettings) -> None:
--- a/testing/placement/test_planned_stop.py
+++ b/testing/placement/test_planned_stop.py
@@ -5,12 +5,16 @@
 import testtools
 from parameterized import parameterized
 
-from caperdyke.coordination.placement import planned_stop
+from caperdyke.coordination.placement import planned_stop, processing_times
+from caperdyke.state import ids
 
 ASKED_AT = 100.0
 EVEN_SPREAD = [1.0] * planned_stop.ANSWERS_MIN
 # Of 100 answers, 10 take three times as long.
 UNEVEN_SPREAD = [1.0] * 90 + [3.0] * 10
+# Times of the answers of other routes, in proportion to the objective of this one.
+FAST = (0.1,) * 30 + (0.2,) * 2
+SLOW = (5.0,) * 32
 
 
 def make_work(**changes) -> planned_stop.Work:
@@ -49,6 +53,10 @@
             ("not repeatable, few answers", {"spread": []}, 1.3),
             ("repeatable, few answers", {"spread": [], "is_repeatable": True}, 0.7),
             ("slow server", {"expected_s": 1.5}, 1.975),
+            ("few answers, other routes are fast", {"spread": [], "related_s": FAST}, 0.35),
+            ("few answers, other routes are slow", {"spread": [], "related_s": SLOW}, 1.3),
+            ("one slow answer, other routes are fast", {"spread": [2.0], "related_s": FAST}, 1.1),
+            ("answers enough", {"related_s": FAST}, 0.6),
         ]
     )
     def test_work_that_does_not_fit(self, _name, changes, needed_s) -> None:
@@ -58,6 +66,25 @@
             latest = stop.find_latest_send(make_work(**changes))
             self.assertAlmostEqual(needed_s, stop.deadline - latest, 6)
 
+    @parameterized.expand(
+        [
+            ("none", 0, False),
+            ("too few", processing_times.OBJECTIVE_ANSWERS_MIN - 1, False),
+            ("enough", processing_times.OBJECTIVE_ANSWERS_MIN, True),
+        ]
+    )
+    def test_first_request_of_a_route_with_a_long_objective(self, _name, answers, expected) -> None:
+        """Guards against refusing the uploads of a rare route for the whole of every stop."""
+        times = processing_times.ProcessingTimes()
+        for _ in range(answers):
+            times.record(ids.RouteName("look-ups"), 0.6, False, 0.2)
+        objective, stop = 6.0, planned_stop.plan(ASKED_AT, 6.0)
+        upload = times.find(ids.RouteName("uploads"), objective)
+        work = make_work(
+            expected_s=upload.cold, spread=upload.spread, related_s=times.list_related(objective)
+        )
+        self.assertEqual(expected, stop.find_latest_send(work) >= ASKED_AT + 2.2)
+
     @parameterized.expand(
         [
             ("1 s, at the signal", 1.0, 0.0, True),
