--- a/review/standins_2/standins.py
+++ b/review/standins_2/standins.py
@@ -363,9 +363,13 @@
 
     async def start(self, store: Store) -> None:
         """Listens on a free port and registers."""
-        self._server, self.address = await listen(self._serve)
+        await self.listen()
         await store.put("servers", self.name, self.make_entry())
 
+    async def listen(self) -> None:
+        """Listens on a free port."""
+        self._server, self.address = await listen(self._serve)
+
     def make_entry(self) -> dict:
         """Returns the target's entry in the store."""
         return {
@@ -545,8 +549,14 @@
     gateways: list[Gateway] = []
 
     async def run(folder: pathlib.Path) -> int:
-        async with asyncio.timeout(110):
-            return await scenario(record, folder, gateways)
+        try:
+            async with asyncio.timeout(110):
+                return await scenario(record, folder, gateways)
+        finally:
+            for gateway in gateways:
+                gateway.kill()
+            # Lets the tasks of the gateways' connections end.
+            await asyncio.sleep(0.2)
 
     with tempfile.TemporaryDirectory(prefix="caperdyke-review-") as name:
         try:
@@ -555,7 +565,5 @@
             record.conclude(f"the case could not run: {error!r}")
             status = UNUSABLE
         finally:
-            for gateway in gateways:
-                gateway.kill()
             record.close()
     return status
