--- a/review/standins_2/standins.py
+++ b/review/standins_2/standins.py
@@ -130,15 +130,20 @@
 
 
 def encode_request(
-    method: str, path: str, request: str, deadline_ms: int, body: bytes = b""
+    method: str, path: str, request: str, deadline_ms: int, body: bytes = b"", key: str = ""
 ) -> bytes:
-    """Returns the bytes of a client's request."""
+    """Returns the bytes of a client's request.
+
+    :param key: the object that it concerns; empty if none.
+    """
     lines = [
         f"{method} {path} HTTP/1.1",
         f"Host: {HOST}",
         f"Caperdyke-Request-Id: {request}",
         f"Caperdyke-Request-Deadline: {deadline_ms}",
     ]
+    if key:
+        lines.append(f"Cookie: Caperdyke-Affinity-Key={key}")
     if body:
         lines.append(f"Content-Length: {len(body)}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
@@ -262,11 +267,9 @@
             status, document = await self._call(path, dict(urllib.parse.parse_qsl(query)), body)
             document |= {"dataVersion": self._version, "nowMs": int(time.monotonic() * 1000)}
             data = json.dumps(document).encode()
-            writer.write(
-                b"HTTP/1.1 %d Status\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
-                % (status, len(data))
-                + data
-            )
+            head = f"HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\n"
+            head += f"Content-Length: {len(data)}\r\n\r\n"
+            writer.write(head.encode() + data)
             await writer.drain()
 
     async def _call(self, path: str, query: dict[str, str], body: bytes) -> tuple[int, dict]:
