Add a review case: a removed target stays in use after another gateway's start

Others take it over and skip a removal that they have not read yet, so they go on sending to the target (rule DRAIN).

--- a/review/standins_2/standins.py
+++ b/review/standins_2/standins.py
@@ -189,7 +189,13 @@
 
 
 async def send_request(
-    address: str, method: str, path: str, request: str, deadline_ms: int, body: bytes = b""
+    address: str,
+    method: str,
+    path: str,
+    request: str,
+    deadline_ms: int,
+    body: bytes = b"",
+    key: str = "",
 ) -> Answer:
     """Sends a request on a new connection and gives up at its deadline."""
     try:
@@ -198,7 +204,7 @@
         return Answer(0, 0, False, False)
     try:
         async with asyncio.timeout(deadline_ms / 1000):
-            writer.write(encode_request(method, path, request, deadline_ms, body))
+            writer.write(encode_request(method, path, request, deadline_ms, body, key))
             await writer.drain()
             return await read_answer(reader)
     except OSError:
@@ -245,6 +251,10 @@
         value = base64.b64encode(json.dumps(document).encode()).decode()
         await self._change(table, key, value)
 
+    async def drop(self, table: str, key: str) -> None:
+        """Removes a row."""
+        await self._change(table, key, None)
+
     async def _change(self, table: str, key: str, value: str | None) -> None:
         async with self._changed:
             self._version += 1
