--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,170 +1,204 @@
-"""Clients send downloads ahead and read slowly; the gateways exceed their memory."""
+"""Targets leave without reporting draining while gateways restart; some go on getting requests."""
 
 import asyncio
-import collections
+import itertools
 import pathlib
+import signal
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 from standins_2 import standins
 
 ZONES = {"jhb-midrand": "gauteng", "jhb-isando": "gauteng"}
-GATEWAYS_BY_ZONE = tuple(ZONES)
-# Clients of one machine. The site has 236, and any number of its 10 machines may be lost at once.
-CLIENTS = 80
-# Downloads that a client sends before it has read the first answer.
-AHEAD = 16
-# Largest answer of the site's downloads, and the work for one.
-ANSWER_BYTES = 540_000
-WORK_S = 0.05
-CLIENT_GAP_S = 0.1
-# How long a client does not read, and the deadline that it names.
-PAUSE_S = 10.0
-DEADLINE_MS = 20_000
-# "Links have small windows, so a peer that does not read blocks the writer."
-WINDOW_BYTES = 64 * 1024
-ROUNDS = 3
-ROUND_MAX_S = 25.0
-TARGETS = 12
+GATEWAYS = 4
+SERVICE = "projview"
+TARGETS = 16
 SLOTS = 8
-# A process that exceeds this is killed by the platform, and restarted.
-MEMORY_BYTES = standins.MEMORY_MB * 1024 * 1024
-# "Three times in the day", on two machines at least.
-ENDS_MIN = 3
-MACHINES_MIN = 2
-
-
-class Platform:
-    """Kills a process that exceeds its memory, and restarts it."""
-
-    def __init__(self, record, store, gateways) -> None:
-        self._record, self._store, self._gateways = record, store, gateways
-        self.kills: collections.Counter[str] = collections.Counter()
-        self.peaks: dict[str, int] = {}
-
-    async def watch(self) -> None:
-        """Watches all gateways, forever."""
-        while True:
-            for gateway in self._gateways:
-                size = gateway.measure_memory()
-                self.peaks[gateway.name] = max(self.peaks.get(gateway.name, 0), size)
-                if size > MEMORY_BYTES:
-                    gateway.kill()
-                    self.kills[gateway.name] += 1
-                    self._record.add(f"{gateway.name} killed: {size / 1e6:.0f} MB in memory")
-                if not gateway.is_running:
-                    await asyncio.sleep(standins.RESTART_DELAY_S)
-                    gateway.start(self._store.address)
-                    self._record.add(f"{gateway.name} restarted")
-            await asyncio.sleep(0.02)
+WORK_S = 0.1
+OBJECTS = 66
+# Requests per second at each gateway.
+REQUESTS_PER_S = 20
+DEADLINE_MS = 3000
+TEST_S = 60.0
+# The targets are replaced one after the other: a new one starts, and the old one leaves.
+REPLACE_GAP_S = 1.0
+# A leaving target "continues serving for the same time (drainMs after the store has accepted) and
+# a little longer (at times many seconds)".
+SERVES_ON_S = 10.0
+DRAIN_S = standins.BOUNDS["drainMs"] / 1000
+GRACE_S = standins.BOUNDS["graceS"]
+STABLE_WINDOW_S = 4.0
+# The machines are stopped and started in turn.
+RESTART_GAP_S = 1.3
+
+
+class Environment:
+    """The store, the targets and the gateways of the case."""
+
+    def __init__(self, record, folder: pathlib.Path, gateways: list) -> None:
+        self.record, self.folder, self.gateways = record, folder, gateways
+        self.store = standins.Store()
+        self.targets: list[LeavingTarget] = []
+        self._names = itertools.count()
+        # Time since which each gateway runs without a SIGTERM or start; None from SIGTERM to start.
+        self.calm_since: dict[str, float | None] = {}
+        # Gateway and time of sending of each request.
+        self.sent: dict[str, tuple[str, float]] = {}
+        self.late: list[str] = []
+
+    async def add_target(self) -> None:
+        """Starts one more target and registers it."""
+        number = next(self._names)
+        zone = tuple(ZONES)[number % len(ZONES)]
+        target = LeavingTarget(
+            f"i-{number}", SERVICE, zone, SLOTS, lambda _: (WORK_S, 400), self.record
+        )
+        target.environment = self
+        await target.start(self.store)
+        self.targets.append(target)
+        self.record.add(f"{target.name} starts")
+
+    async def remove_target(self) -> None:
+        """Lets the oldest target leave; it never reports draining."""
+        target = self.targets.pop(0)
+        await self.store.drop("servers", target.name)
+        target.gone_at = time.monotonic()
+        self.record.add(f"{target.name} leaves: the store has removed its entry")
+        asyncio.get_running_loop().call_later(SERVES_ON_S, target.end)
+
+    def start_gateway(self, gateway: standins.Gateway) -> None:
+        """Starts a gateway."""
+        gateway.start(self.store.address)
+        self.calm_since[gateway.name] = time.monotonic()
+        self.record.add(f"{gateway.name} starts")
+
+    def is_in_touch(self, name: str, since: float) -> bool:
+        """Returns whether a gateway is in touch now and was at an earlier time."""
+        calm_since = self.calm_since[name]
+        return calm_since is not None and calm_since + STABLE_WINDOW_S <= since
+
+
+class LeavingTarget(standins.Target):
+    """A target that notes requests that reach it too late."""
+
+    environment: Environment
+    gone_at: float | None = None
+
+    async def _run(self, first: str, request: str, writer: asyncio.StreamWriter) -> None:
+        now, gone_at = time.monotonic(), self.gone_at
+        gateway, sent_at = self.environment.sent[request]
+        if gone_at is not None and sent_at > gone_at + DRAIN_S:
+            in_touch = self.environment.is_in_touch(gateway, sent_at)
+            text = f"{request} reaches {self.name} {now - gone_at:.2f} s after its removal"
+            text += f", from {gateway}{'' if in_touch else ' (not in touch)'}"
+            self._record.add(text)
+            if in_touch:
+                self.environment.late.append(text)
+        await super()._run(first, request, writer)
+
+    def end(self) -> None:
+        """Ends the target."""
+        self._record.add(f"{self.name} has ended")
+        self._server.close()
+        for task in self.tasks:
+            task.cancel()
 
+    @property
+    def tasks(self) -> set[asyncio.Task]:
+        """Tasks of its connections."""
+        return self.__dict__.setdefault("_tasks", set())
 
-async def download(record, gateway, name: str, answers: collections.Counter) -> None:
-    """Sends downloads ahead on one connection and reads their answers, slowly in trouble."""
-    count = 0
-    try:
-        reader, writer = await standins.open_connection(gateway.addresses["front"], WINDOW_BYTES)
-    except OSError:
-        answers["no connection"] += 1
-        return
-    try:
-        for number in range(AHEAD):
-            request = f"{name}-{number}"
-            data = standins.encode_request("GET", f"/pull/{request}", request, DEADLINE_MS)
-            writer.write(data)
-        record.add(f"{name}-0 to {AHEAD - 1} sent to {gateway.name}")
-        if standins.has_trouble():
-            await asyncio.sleep(PAUSE_S)
-        async with asyncio.timeout(DEADLINE_MS / 1000):
-            while count < AHEAD:
-                answer = await standins.read_answer(reader)
-                answers[answer.status if answer.is_complete else "cut"] += 1
-                if not answer.is_complete:
-                    record.add(f"{name}-{count} answered: {answer}")
-                    break
-                count += 1
-    except OSError as error:
-        answers[type(error).__name__] += 1
-    finally:
-        record.add(f"{name}: {count} of {AHEAD} answered completely")
-        writer.close()
-
-
-async def lodge(record, gateway, results: dict[str, str]) -> None:
-    """Sends unsafe requests one after the other, each on a new connection."""
-    number = 0
-    while True:
-        number += 1
-        request = f"lodge-{gateway.name}-{number}"
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        try:
+            await super()._serve(reader, writer)
+        finally:
+            self.tasks.discard(task)
+
+
+async def call(environment: Environment, gateway: standins.Gateway, counts: dict) -> None:
+    """Sends requests to one gateway, each on a new connection."""
+    tasks = set()
+
+    async def send(request: str, key: str) -> None:
+        path = f"/view/{key}"
+        environment.sent[request] = gateway.name, time.monotonic()
         answer = await standins.send_request(
-            gateway.addresses["front"], "POST", f"/lodge/{number}", request, 4000, b"x" * 4000
+            gateway.addresses["front"], "GET", path, request, DEADLINE_MS, key=key
         )
-        record.add(f"{request} answered: {answer}")
-        results[request] = str(answer.status)
-        await asyncio.sleep(0.1)
+        counts[answer.status] = counts.get(answer.status, 0) + 1
+        environment.record.add(f"{request} to {gateway.name} answered: {answer}")
+
+    for number in itertools.count():
+        if environment.calm_since[gateway.name] is not None:
+            key = str(number % OBJECTS)
+            task = asyncio.create_task(send(f"view-{gateway.name}-{number}", key))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+        await asyncio.sleep(1 / REQUESTS_PER_S)
+
+
+async def restart_in_turn(environment: Environment) -> None:
+    """Stops and starts the gateways one after the other, forever."""
+    for gateway in itertools.cycle(environment.gateways):
+        await asyncio.sleep(RESTART_GAP_S)
+        environment.calm_since[gateway.name] = None
+        environment.record.add(f"{gateway.name} gets SIGTERM")
+        gateway.process.send_signal(signal.SIGTERM)
+        killed_at = time.monotonic() + GRACE_S
+        while gateway.is_running and time.monotonic() < killed_at:
+            await asyncio.sleep(0.02)
+        gateway.kill()
+        await asyncio.sleep(standins.RESTART_DELAY_S)
+        environment.start_gateway(gateway)
+        await gateway.wait_until_ready()
+
+
+async def replace_targets(environment: Environment) -> None:
+    """Replaces the targets one after the other, forever."""
+    while True:
+        await environment.add_target()
+        await asyncio.sleep(REPLACE_GAP_S)
+        await environment.remove_target()
 
 
 async def run(record, folder: pathlib.Path, gateways: list) -> int:
     """Returns the exit status."""
-    store = standins.Store()
-    await store.start()
-
-    def make_work(request: str) -> tuple[float, int]:
-        return (0.3, 400) if request.startswith("lodge") else (WORK_S, ANSWER_BYTES)
-
-    targets = []
-    for number in range(TARGETS):
-        service = "workbooks" if number % 2 else "lodgement"
-        zone = GATEWAYS_BY_ZONE[number // 2 % 2]
-        target = standins.Target(f"i-{number}", service, zone, SLOTS, make_work, record)
-        await target.start(store)
-        targets.append(target)
-    routes = {
-        "r-pull": standins.make_route("/pull/", "download", "workbooks", 20_000, 400),
-        "r-lodge": standins.make_route("/lodge/", "unsafe", "lodgement", 4000, 600),
-    }
-    await store.put("op", "config", standins.make_configuration(1, routes))
-    for number, zone in enumerate(GATEWAYS_BY_ZONE):
+    environment = Environment(record, folder, gateways)
+    await environment.store.start()
+    for _ in range(TARGETS):
+        await environment.add_target()
+    route = standins.make_route("/view/", "safe", SERVICE, 2000, 500)
+    await environment.store.put("op", "config", standins.make_configuration(1, {"r-view": route}))
+    for number in range(GATEWAYS):
+        zone = tuple(ZONES)[number % len(ZONES)]
         gateways.append(standins.Gateway(folder, f"front-{number + 1}", ZONES, zone))
     for gateway in gateways:
-        gateway.seeds = [other.addresses["control"] for other in gateways]
-        gateway.start(store.address)
+        gateway.seeds = [other.addresses["control"] for other in gateways[:3]]
+        environment.start_gateway(gateway)
     for gateway in gateways:
         await gateway.wait_until_ready()
-    platform = Platform(record, store, gateways)
-    results: dict[str, str] = {}
-    answers: collections.Counter = collections.Counter()
-    background = [asyncio.create_task(platform.watch())]
-    background += [asyncio.create_task(lodge(record, gateway, results)) for gateway in gateways]
-    for number in range(ROUNDS):
-        for gateway in gateways:
-            await gateway.wait_until_ready()
-        await asyncio.sleep(1.0)
-        clients = []
-        for client in range(CLIENTS):
-            for gateway in gateways:
-                name = f"pull-{gateway.name}-{number}-{client}"
-                clients.append(asyncio.create_task(download(record, gateway, name, answers)))
-            await asyncio.sleep(CLIENT_GAP_S)
-        await asyncio.wait(clients, timeout=ROUND_MAX_S - CLIENTS * CLIENT_GAP_S)
-        for task in clients:
-            task.cancel()
-        await asyncio.gather(*clients, return_exceptions=True)
-    for task in background:
+    await asyncio.sleep(STABLE_WINDOW_S)
+    counts: dict[int, int] = {}
+    tasks = [asyncio.create_task(call(environment, gateway, counts)) for gateway in gateways]
+    tasks.append(asyncio.create_task(replace_targets(environment)))
+    if standins.has_trouble():
+        tasks.append(asyncio.create_task(restart_in_turn(environment)))
+    done, _ = await asyncio.wait(tasks, timeout=TEST_S, return_when=asyncio.FIRST_EXCEPTION)
+    for task in tasks:
         task.cancel()
-    await asyncio.gather(*background, return_exceptions=True)
-    ran = {request for target in targets for request in target.runs}
-    lost = [request for request, status in results.items() if status == "0" and request in ran]
-    peaks = {name: f"{size / 1e6:.0f} MB" for name, size in platform.peaks.items()}
-    record.conclude(f"memory limit {MEMORY_BYTES / 1e6:.0f} MB, peaks {peaks}")
-    record.conclude(f"processes ended over their memory: {dict(platform.kills)}")
-    record.conclude(f"downloads: {dict(answers)}")
-    record.conclude(f"unsafe requests: {collections.Counter(results.values())}")
-    record.conclude(f"unsafe requests that ran and got no answer: {len(lost)} {lost[:5]}")
-    ended = [name for name, count in platform.kills.items() if count >= ENDS_MIN]
-    if len(ended) >= MACHINES_MIN:
-        record.conclude(f"BROKEN: processes of {len(ended)} of {len(gateways)} machines ended")
+    await asyncio.gather(*tasks, return_exceptions=True)
+    for task in done:
+        task.result()
+    record.conclude(f"answers by status: {counts}")
+    record.conclude(f"{len(environment.late)} requests reached targets that had left: too late")
+    for text in environment.late[:5]:
+        print(f"  {text}")
+    if environment.late:
+        record.conclude("BROKEN")
         return standins.BROKEN
     record.conclude("HELD")
     return standins.HELD
