Log every position that an instance takes over from another

Change: 6108 is logged whenever the position moves, with the position before it; the new 6112, at DEBUG, says which announcement advanced it.

--- a/src/caperdyke/coordination/registry/table_replica.py
+++ b/src/caperdyke/coordination/registry/table_replica.py
@@ -51,17 +51,20 @@
         self._prune_removed_rows()
         return newer_rows
 
-    def advance(self, changed: store_rows.Position, position: store_rows.Position) -> None:
+    def advance(self, changed: store_rows.Position, position: store_rows.Position) -> bool:
         """Advances the position where the table has not changed between two positions.
 
         Keeps the position within the store's history while another instance does the reads.
 
         :param changed: position of the table's last change.
         :param position: position up to which the other instance has read the table.
+        :returns: whether the position advanced.
         """
         current = self.position
-        if current is not None and position.era == current.era and changed <= current < position:
-            self.position = position
+        if current is None or position.era != current.era or not changed <= current < position:
+            return False
+        self.position = position
+        return True
 
     def is_behind(self, position: store_rows.Position) -> bool:
         """Returns whether the replica has not reached a position yet."""
--- a/src/caperdyke/transport/events.py
+++ b/src/caperdyke/transport/events.py
@@ -81,7 +81,11 @@
         "WARNING",
         "store was restored from an older copy; {table} is now in era {era}",
     )
-    ROWS_HEARD = (6108, "INFO", "received {count} rows of {table} up to {position} from {peer}")
+    ROWS_HEARD = (
+        6108,
+        "INFO",
+        "received {count} rows of {table} from {previous} up to {position} from {peer}",
+    )
     STORE_CALL_ENDED = (
         6109,
         "INFO",
@@ -98,6 +102,12 @@
         "INFO",
         "configuration {version} is in force, adopted from {source} {adopted_ms} ms ago",
     )
+    POSITION_ADVANCED = (
+        6112,
+        "DEBUG",
+        "{table} advanced from {previous} to {position} as {instance} found no change since "
+        "{changed}",
+    )
     ROUTES_ADOPTED = (6201, "INFO", "configuration {version} is in force, {routes} routes")
     TEAM_INVALID = (6601, "ERROR", "configuration {version}: {fault}")
     TEAM_OVER_QUOTA = (
--- a/src/caperdyke/transport/gateway/peer_sync.py
+++ b/src/caperdyke/transport/gateway/peer_sync.py
@@ -132,11 +132,14 @@
             local_table = self._tables.get(changes.table)
             if local_table is None:
                 continue
-            if local_table.apply_changes(changes, source=address) and changes.rows:
+            previous = local_table.position
+            local_table.apply_changes(changes, source=address)
+            if local_table.position != previous:
                 events.log(
                     events.Event.ROWS_HEARD,
                     peer=address,
                     table=changes.table.value,
                     count=len(changes.rows),
-                    position=str(changes.position),
+                    previous=str(previous),
+                    position=str(local_table.position),
                 )
--- a/src/caperdyke/transport/gateway/store_sync.py
+++ b/src/caperdyke/transport/gateway/store_sync.py
@@ -156,7 +156,16 @@
     def record_peer_reading(self, other: fleet.PeerInstance, position: store_rows.Position) -> None:
         """Records that another instance found no change of registrations up to a position."""
         table = store_rows.StoreTable.SERVERS
-        self.servers.replica.advance(other.changed[table], position)
+        previous = self.servers.position
+        if self.servers.replica.advance(other.changed[table], position):
+            events.log(
+                events.Event.POSITION_ADVANCED,
+                instance=other.record.instance,
+                table=table.value,
+                previous=str(previous),
+                position=str(position),
+                changed=str(other.changed[table]),
+            )
 
     def is_behind(self, other: fleet.PeerInstance, table: store_rows.StoreTable) -> bool:
         """Returns whether another instance has a newer change of a table."""
