Take a position over only from an instance that has every removal up to it

A row that arrived late was also taken for new once its removal had been pruned.

Change: TableReplica knows where its history starts. It sends changes only to those at or past that position, the whole table to others, and announces no older newest change. A key without a row is absent at the own position, so changes of it up to there are outdated. PeerSync does not ask an instance for rows at once in its first read interval, and measures a lag by the change with which it began. The wire is unchanged.

--- a/src/caperdyke/coordination/registry/table_replica.py
+++ b/src/caperdyke/coordination/registry/table_replica.py
@@ -13,23 +13,31 @@
     """The rows of one table as of one position in the store's order of changes.
 
     Pattern: the store drops its history, returns states that are seconds old, or is restored from
-    an older copy, while other instances read it too and exchange rows. The replica only moves
-    forward in the order of eras and positions. A snapshot that is no newer is rejected, and a row
-    that a newer snapshot lacks was removed at the snapshot's position at the latest.
+    an older copy, while other instances read it too, restart and exchange rows. The replica only
+    moves forward in the order of eras and positions. A snapshot that is no newer is rejected, and a
+    row that a newer snapshot lacks was removed at the snapshot's position at the latest.
+
+    A snapshot does not name the rows that were removed before it. So the replica remembers from
+    which position on it has every change, and only an instance that has reached that position takes
+    changes or the position over from it.
+
+    :ivar position: position of the replica; None before the first snapshot.
+    :ivar changed: position of the newest change that was applied.
+    :ivar history_start: position after which the replica has every change, removals included.
     """
 
     def __init__(self, table: store_rows.StoreTable) -> None:
         self._table = table
         self.position: store_rows.Position | None = None
-        # Position of the newest change that was applied.
         self.changed = store_rows.FIRST_POSITION
+        self.history_start = store_rows.FIRST_POSITION
+        # Present rows, and those that were removed after the start of the history.
         self._rows: dict[str, store_rows.StoreRow] = {}
-        # Position up to which removed rows have been pruned.
-        self._removed_floor = store_rows.FIRST_POSITION
 
     def apply_changes(self, changes: store_rows.StoreChanges) -> list[store_rows.StoreRow] | None:
         """Applies a snapshot or changes and returns the rows that are newer, removed ones included.
 
+        :param changes: a snapshot, or the changes after a position that this replica had.
         :returns: None if a snapshot is not newer than the replica, or if changes belong to another
             era or arrive before any snapshot.
         """
@@ -41,27 +49,44 @@
             # Changes cannot be applied without the rows that they change.
             return None
         else:
-            rows = list(changes.rows)
+            rows = changes.rows
+        newer_rows = []
+        for row in rows:
+            if self._is_newer(row, changes.is_whole):
+                self._rows[row.key] = row
+                self.changed = max(self.changed, row.changed)
+                newer_rows.append(row)
         if self.position is None or changes.position > self.position:
             self.position = changes.position
-        newer_rows = [row for row in rows if self._is_newer(row)]
-        for row in newer_rows:
-            self._rows[row.key] = row
-            self.changed = max(self.changed, row.changed)
-        self._prune_removed_rows()
+        if changes.is_whole:
+            self._start_history(changes.position)
+        else:
+            self._prune_removed_rows()
         return newer_rows
 
-    def advance(self, changed: store_rows.Position, position: store_rows.Position) -> bool:
+    @property
+    def quiet_since(self) -> store_rows.Position:
+        """Position from which on this replica has every change and knows of none.
+
+        The start of the history counts, as the replica cannot tell what was removed before it.
+        """
+        return max(self.changed, self.history_start)
+
+    def advance(self, quiet_since: store_rows.Position, position: store_rows.Position) -> bool:
         """Advances the position where the table has not changed between two positions.
 
-        Keeps the position within the store's history while another instance does the reads.
+        Keeps the position within the store's history while another instance does the reads. Both
+        positions are of one moment of the other instance. What they say holds for good within an
+        era, so it may arrive late, in any order, and after a restart of that instance.
 
-        :param changed: position of the table's last change.
-        :param position: position up to which the other instance has read the table.
+        :param quiet_since: position from which on the other instance knows of no change.
+        :param position: position up to which the other instance has the table.
         :returns: whether the position advanced.
         """
         current = self.position
-        if current is None or position.era != current.era or not changed <= current < position:
+        if current is None or position.era != current.era:
+            return False
+        if not quiet_since <= current < position:
             return False
         self.position = position
         return True
@@ -78,7 +103,7 @@
         """
         if self.position is None:
             return None
-        is_whole = after.era != self.position.era or after < self._removed_floor
+        is_whole = after.era != self.position.era or after < self.history_start
         rows = tuple(
             row
             for row in self._rows.values()
@@ -95,9 +120,25 @@
             if row.key not in keys and row.value is not None and row.changed <= changes.position
         ]
 
-    def _is_newer(self, row: store_rows.StoreRow) -> bool:
+    def _is_newer(self, row: store_rows.StoreRow, is_of_snapshot: bool) -> bool:
+        """Returns whether a row replaces the state that the replica has of its key.
+
+        A key without a row has not changed since the start of the history, or has no row at the
+        replica's position, so changes up to there are outdated.
+        """
         current = self._rows.get(row.key)
-        return current is None or row.changed > current.changed
+        if current is not None:
+            return row.changed > current.changed
+        return is_of_snapshot or row.changed > self.position
+
+    def _start_history(self, position: store_rows.Position) -> None:
+        """Starts the history at the position of a snapshot, which names no earlier removal."""
+        self.history_start = position
+        self._rows = {
+            row.key: row
+            for row in self._rows.values()
+            if row.value is not None or row.changed > position
+        }
 
     def _prune_removed_rows(self) -> None:
         removed_rows = [row for row in self._rows.values() if row.value is None]
@@ -105,5 +146,5 @@
             return
         removed_rows.sort(key=lambda row: row.changed)
         for row in removed_rows[: -REMOVED_ROWS_MAX // 2]:
-            self._removed_floor = row.changed
+            self.history_start = row.changed
             del self._rows[row.key]
--- a/src/caperdyke/transport/gateway/peer_sync.py
+++ b/src/caperdyke/transport/gateway/peer_sync.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 
 from caperdyke import errors
 from caperdyke.coordination.registry import fleet, row_sources
@@ -16,6 +17,18 @@
 COMPARE_INTERVAL_SECONDS = 0.1
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Lag:
+    """A change of a table that others have and this instance lacks.
+
+    :param changed: position of the newest change that any other had when the lag began.
+    :param requested_from: time from which on the rows are requested from any instance.
+    """
+
+    changed: store_rows.Position
+    requested_from: float
+
+
 class PeerSync:
     """Fetches rows from instances that are ahead, or from any while the store is unavailable.
 
@@ -36,8 +49,7 @@
         self._is_behind = is_behind
         self._find_max_lags = find_max_lags
         self._sources = row_sources.RowSources()
-        # Time since which another instance has been ahead, by table.
-        self._behind_since: dict[store_rows.StoreTable, float] = {}
+        self._lags: dict[store_rows.StoreTable, _Lag] = {}
         self._fetches: set[asyncio.Task] = set()
         self._next_fallback_at = 0.0
         self._fallback_index = 0
@@ -53,7 +65,7 @@
             await asyncio.sleep(COMPARE_INTERVAL_SECONDS)
             now = self._node.now()
             # The own positions only advance, so a peer can get ahead only by a new announcement.
-            can_peer_be_ahead = self._has_new_position or bool(self._behind_since)
+            can_peer_be_ahead = self._has_new_position or bool(self._lags)
             if not can_peer_be_ahead and not self._is_store_unavailable(now):
                 continue
             self._has_new_position = False
@@ -69,26 +81,51 @@
         """Returns an instance that has been ahead for too long, or None.
 
         Pattern: the store loses its history and returns states that are seconds old to some
-        instances, while others have read newer ones.
+        instances, while others have read newer ones. Or the instances are replaced one after the
+        other: one that has just started is ahead of all others without any change, and could only
+        send them the whole table, until the next read in each failure domain.
         """
         selected = None
         domain = self._node.settings.domain
         for table, seconds in self._find_max_lags().items():
             ahead = [other for other in live if self._is_behind(other, table)]
-            if not ahead:
-                self._behind_since.pop(table, None)
+            lag = self._update_lag(now, table, ahead, seconds)
+            if lag is None:
                 continue
-            behind_since = self._behind_since.setdefault(table, now)
             # One instance of a failure domain reads the registrations for all of them, so there is
             # no reason to wait for an own read.
-            domain_peers = [other for other in ahead if other.record.domain == domain]
-            is_one_reader_enough = bool(domain_peers) and table is store_rows.StoreTable.SERVERS
-            if now >= behind_since + seconds:
+            readers = [
+                other
+                for other in ahead
+                if other.record.domain == domain and now >= other.first_seen_at + seconds
+            ]
+            is_one_reader_enough = bool(readers) and table is store_rows.StoreTable.SERVERS
+            if now >= lag.requested_from:
                 selected = self._sources.choose(now, ahead, domain, table) or selected
             elif is_one_reader_enough:
-                selected = self._sources.choose(now, domain_peers, domain, table) or selected
+                selected = self._sources.choose(now, readers, domain, table) or selected
         return selected
 
+    def _update_lag(
+        self,
+        now: float,
+        table: store_rows.StoreTable,
+        ahead: list[fleet.PeerInstance],
+        seconds: float,
+    ) -> _Lag | None:
+        """Returns the present lag, or None if no instance is ahead.
+
+        It begins anew once this instance has the change with which it began.
+        """
+        lag = self._lags.get(table)
+        if not ahead:
+            self._lags.pop(table, None)
+            return None
+        if lag is None or not self._tables[table].replica.is_behind(lag.changed):
+            changed = max(other.changed[table] for other in ahead)
+            lag = self._lags[table] = _Lag(changed, now + seconds)
+        return lag
+
     def _select_fallback_peer(
         self, now: float, live: list[fleet.PeerInstance]
     ) -> ids.Address | None:
--- a/src/caperdyke/transport/gateway/store_sync.py
+++ b/src/caperdyke/transport/gateway/store_sync.py
@@ -145,8 +145,15 @@
         return [changes for changes in table_changes if changes is not None]
 
     def find_changed(self) -> row_exchange.Positions:
-        """Returns the position of the newest known change of each table."""
-        return {table: item.replica.changed for table, item in self._tables.items()}
+        """Returns the position of the newest known change of each table, for the other instances.
+
+        They take over the position of the registrations, so for these the result is no lower than
+        the position from which on this instance has every change.
+        """
+        return {
+            self.configuration.table: self.configuration.replica.changed,
+            self.servers.table: self.servers.replica.quiet_since,
+        }
 
     def find_era(self) -> int:
         """Returns the newest known era of the store; 0 before the first read."""
--- a/testing/knowledge/fleet_replay.py
+++ b/testing/knowledge/fleet_replay.py
@@ -68,6 +68,8 @@
 class SimulatedStore:
     """Store with a single configuration row, registrations and delayed answers.
 
+    :ivar version: version of the newest change of any table.
+    :ivar configuration_version: version of the newest change of the configuration.
     :ivar slow_seconds: time that an answer takes in addition to the usual time.
     :ivar history_from: earliest version from which the store can still list changes.
     :ivar registrations: version and state of each registration; the state of a removed one is None.
@@ -76,6 +78,7 @@
 
     def __init__(self) -> None:
         self.version = 1
+        self.configuration_version = 1
         self.registrations: dict[str, tuple[int, str | None]] = {}
         self.reads_version: int | None = None
         self.confirmed_at = 0.0
@@ -88,20 +91,25 @@
     async def confirm(self, version: int) -> None:
         """Accepts a configuration."""
         async with self._changed:
-            self.version = version
+            self.version = self.configuration_version = version
             self.confirmed_at = asyncio.get_running_loop().time()
             self._changed.notify_all()
 
     async def register(self, server: str, state: str | None) -> None:
         """Accepts the registration of a server, or its removal if the state is None."""
-        self.registrations[server] = (self.version + 1, state)
-        await self.confirm(self.version + 1)
+        self.change_other_table()
+        self.registrations[server] = (self.version, state)
+        self.confirmed_at = asyncio.get_running_loop().time()
+
+    def change_other_table(self) -> None:
+        """Accepts a change of a table that the instances do not follow."""
+        self.version += 1
 
     async def wait_for_change(self, number: int, wait_ms: int) -> None:
-        """Waits for a version above a number, at most for a time."""
+        """Waits for a configuration above a version, at most for a time."""
         try:
             async with asyncio.timeout(wait_ms / 1000), self._changed:
-                while self.version <= number:
+                while self.configuration_version <= number:
                     await self._changed.wait()
         except TimeoutError:
             return
@@ -116,7 +124,10 @@
         position = store_rows.Position(1, version)
         rows = ()
         if table is store_rows.StoreTable.CONFIGURATION:
-            rows = (store_rows.StoreRow(table, "config", position, str(version).encode()),)
+            number = min(version, self.configuration_version)
+            changed = store_rows.Position(1, number)
+            if is_whole or after < number:
+                rows = (store_rows.StoreRow(table, "config", changed, str(number).encode()),)
         elif table is store_rows.StoreTable.SERVERS:
             rows = tuple(
                 store_rows.StoreRow(
@@ -258,9 +269,15 @@
 
 
 class Instance:
-    """One instance of the fleet."""
+    """One instance of the fleet.
+
+    :param incarnation: counts the starts of the instance.
+    """
 
-    def __init__(self, replay: "FleetReplay", number: int, domains: int) -> None:
+    def __init__(
+        self, replay: "FleetReplay", number: int, domains: int, incarnation: int = 1
+    ) -> None:
+        self.number = number
         self.name = f"instance-{number}"
         self.domain = number % domains
         self.region = self.domain % len(STORE_DELAY_SECONDS)
@@ -290,7 +307,9 @@
             instance_settings, None, _Documents(), self.client, loop.time
         )
         self.record = dataclasses.replace(
-            self.node.fleet.own, incarnation=ids.Incarnation(1), state=member.MemberState.LIVE
+            self.node.fleet.own,
+            incarnation=ids.Incarnation(incarnation),
+            state=member.MemberState.LIVE,
         )
         self.node.fleet.own = self.record
         self.node.fleet.is_ready = True
@@ -337,6 +356,9 @@
     def __init__(self, count: int, seed: int, domains: int = 6) -> None:
         self.rng = random.Random(seed)
         self.store = SimulatedStore()
+        self._domains = domains
+        # Rows of the registrations that instances have sent to each other.
+        self.exchanged_rows = 0
         self.instances = {}
         self.faults: dict[str, InstanceFaults] = {}
         # Whether all instances refuse to serve rows to peers.
@@ -366,6 +388,24 @@
         for task in self.instances[name].tasks:
             task.cancel()
 
+    def restart(self, name: str) -> None:
+        """Ends an instance without any message to others, and starts it again."""
+        self.kill(name)
+        # The new process writes its row.
+        self.store.change_other_table()
+        previous = self.instances[name]
+        incarnation = previous.record.incarnation + 1
+        instance = Instance(self, previous.number, self._domains, incarnation)
+        self.instances[name] = instance
+        self.faults[name] = InstanceFaults()
+        now = asyncio.get_running_loop().time()
+        for other in self.instances.values():
+            instance.node.fleet.merge(now, other.record)
+            other.node.fleet.merge(now, instance.record)
+        token = _CURRENT.set(name)
+        instance.start()
+        _CURRENT.reset(token)
+
     def silence_connections(self, names, seconds: float) -> None:
         """Makes all open connections of some instances to the store silent.
 
@@ -407,7 +447,13 @@
             await asyncio.sleep(1.0)
             raise errors.LinkClosedError(f"{address}: no answer")
         await asyncio.sleep(4 * delay + frozen_seconds)
-        return self.instances[responder].store_sync.list_changes_since(after)
+        table_changes = self.instances[responder].store_sync.list_changes_since(after)
+        self.exchanged_rows += sum(
+            len(changes.rows)
+            for changes in table_changes
+            if changes.table is store_rows.StoreTable.SERVERS
+        )
+        return table_changes
 
     def list_outdated(
         self, version: int, table: store_rows.StoreTable = store_rows.StoreTable.CONFIGURATION
