Await the removal of servers that a restored store returns long afterwards

What would be seen: a server that left more than 25 s before the store is restored from an older copy gets requests at once, until its removal is written again.

Cause: the registry forgets removals after 25 s, and took a registration of a server that it does not know for a new one, also where a later era shows it first.

Change: up to the position of the first read of a later era, registrations of unknown servers are withheld for the same 2.5 s as those of removed ones. What is registered after it is used at once.

Price: a server that was added shortly before the copy and that this instance had never read is used up to 2.5 s later.

Test: test_forgotten_removal_is_awaited_again failed before as a check (on the old signature); the two others guard against withholding too much.

--- a/src/caperdyke/coordination/registry/server_registry.py
+++ b/src/caperdyke/coordination/registry/server_registry.py
@@ -47,8 +47,8 @@
     returns servers as ready that have drained or left since, until they have written again. A write
     that a server gave up may be performed seconds later, after its next one. A registration with a
     lower sequence number than the present one of the same start is therefore ignored. In a later
-    era so is one of an older start, and one of a removed server is accepted only after the time in
-    which its removal would be written again.
+    era so is one of an older start, and one of a removed or unknown server is accepted only after
+    the time in which its removal would be written again.
     """
 
     def __init__(self) -> None:
@@ -58,15 +58,24 @@
         # Servers whose address is in use by another server, with the position of their registration
         # when this was detected.
         self._misdirected: dict[ids.BackendId, store_rows.Position] = {}
-        # Registrations of removed servers that a later era of the store returned. They are withheld
-        # until the time in which the removal would be written again has passed.
+        # Position up to which the newest later era showed registrations at first.
+        self._restored_position = store_rows.FIRST_POSITION
+        # Registrations of removed and of unknown servers that a later era of the store returned.
+        # They are withheld until the time in which a removal would be written again has passed.
         self._unconfirmed: dict[
             ids.BackendId, tuple[registration.Registration, store_rows.Position]
         ] = {}
 
-    def record_store_recovery(self, now: float) -> None:
-        """Records that the store answers again after an outage, or answers in a later era."""
+    def record_store_recovery(
+        self, now: float, restored_position: store_rows.Position | None = None
+    ) -> None:
+        """Records that the store answers again after an outage, or answers in a later era.
+
+        :param restored_position: position of the first read of a later era; None after an outage.
+        """
         self._lapse_grace_until = now + LAPSE_GRACE_SECONDS
+        if restored_position is not None:
+            self._restored_position = restored_position
 
     def merge(
         self, now: float, entry: registration.Registration, changed: store_rows.Position
@@ -78,9 +87,9 @@
             is_applied = changed <= max(current.changed, current.removed)
             if is_applied or _is_outdated(current, entry, changed):
                 return False
-            if self._is_unconfirmed(now, current, entry, changed):
-                self._unconfirmed[name] = (entry, changed)
-                return False
+        if self._is_unconfirmed(now, current, entry, changed):
+            self._unconfirmed[name] = (entry, changed)
+            return False
         self._unconfirmed.pop(name, None)
         is_new_start = current is None or current.registration.started_ms != entry.started_ms
         cold_until = now + entry.cold_ms / 1000 if entry.cold_ms > 0 else 0.0
@@ -162,11 +171,16 @@
     def _is_unconfirmed(
         self,
         now: float,
-        current: RegisteredServer,
+        current: RegisteredServer | None,
         entry: registration.Registration,
         changed: store_rows.Position,
     ) -> bool:
-        """Returns whether a registration may come from an older copy of the store."""
+        """Returns whether a registration may come from an older copy of the store.
+
+        A removal that was forgotten leaves no trace, so an unknown server counts as removed.
+        """
+        if current is None:
+            return changed <= self._restored_position and now < self._lapse_grace_until
         is_removed = current.removed > current.changed
         is_same_start = entry.started_ms <= current.registration.started_ms
         is_of_later_era = changed.era > current.removed.era
--- a/src/caperdyke/transport/gateway/store_sync.py
+++ b/src/caperdyke/transport/gateway/store_sync.py
@@ -367,7 +367,8 @@
             node.settings.heartbeat_seconds,
             self._find_servers_interval(),
         ):
-            node.servers.record_store_recovery(now)
+            is_new_era = unanswered_since == -math.inf
+            node.servers.record_store_recovery(now, self.servers.position if is_new_era else None)
         self.watch.check()
 
     def _is_peer_ahead(self) -> bool:
--- a/testing/registry/test_server_registry.py
+++ b/testing/registry/test_server_registry.py
@@ -103,7 +103,7 @@
 
     def restore_store(self, now: float) -> None:
         """Merges the server as in the copy, ready and with a higher sequence number."""
-        self.registry.record_store_recovery(now)
+        self.registry.record_store_recovery(now, make_position(5, era=1))
         self.registry.merge(now, make_entry(sequence=7), make_position(4, era=1))
 
     def is_usable(self, now: float) -> bool:
@@ -145,3 +145,25 @@
         self.restore_store(2.0)
         self.assertFalse(self.registry.remove(2.1, NAME, make_position(50)))
         self.assertTrue(self.is_usable(9.0))
+
+    def test_forgotten_removal_is_awaited_again(self) -> None:
+        """Guards against a server that a restored store returns long after its removal."""
+        self.registry.remove(1.0, NAME, make_position(11))
+        self.assertEqual([NAME], self.registry.remove_gone(60.0))
+        self.restore_store(60.0)
+        self.assertFalse(self.is_usable(60.1))
+        self.registry.remove(61.0, NAME, make_position(6, era=1))
+        self.assertFalse(self.is_usable(69.0))
+
+    def test_unknown_server_is_usable_after_the_grace_period(self) -> None:
+        self.registry.remove(1.0, NAME, make_position(11))
+        self.registry.remove_gone(60.0)
+        self.restore_store(60.0)
+        self.assertTrue(self.is_usable(60.0 + server_registry.LAPSE_GRACE_SECONDS))
+
+    def test_server_that_registers_after_the_restoring_is_usable_at_once(self) -> None:
+        self.registry.remove(1.0, NAME, make_position(11))
+        self.registry.remove_gone(60.0)
+        self.restore_store(60.0)
+        self.registry.merge(60.5, make_entry(sequence=8), make_position(6, era=1))
+        self.assertTrue(self.is_usable(60.6))
