Remember which instances ended after their records are removed

What would be seen: look-ups of caperdyke-entry name an instance that ended long ago, until a link to it fails.

Cause: records of ended instances are removed beyond 200, and a peer that had not heard of an end brought the record back as live, to be passed on to all others.

Test: test_removed_record_does_not_come_back_as_live, which failed before.

--- a/src/caperdyke/coordination/membership.py
+++ b/src/caperdyke/coordination/membership.py
@@ -5,6 +5,9 @@
 
 from caperdyke.state import ids, lease, member, timing
 
+# Number of ended instances whose records were removed and that are not taken for new ones.
+ENDED_MAX = 10_000
+
 
 class MemberTable:
     """Records of all instances, and the evidence of whether they answer.
@@ -20,6 +23,8 @@
         self._ids_by_domain: dict[ids.DomainName, list[ids.InstanceId]] = {
             own.domain: [own.instance]
         }
+        # Incarnations of ended instances whose records were removed, the oldest first.
+        self._ended: dict[ids.InstanceId, ids.Incarnation] = {}
         # Increases with every change of a record.
         self.version = 0
         # Time after which a silent peer counts as lost, for each instance with a link.
@@ -35,6 +40,9 @@
         current = self._members.get(record.instance)
         if current is not None and record.rank <= current.rank:
             return False
+        if record.incarnation <= self._ended.get(record.instance, ids.Incarnation(-1)):
+            # Another instance has not heard of its end.
+            return False
         if current is None or current.domain != record.domain:
             self._index(record, current)
         if current is None or record.incarnation != current.incarnation:
@@ -140,13 +148,21 @@
         return picked
 
     def remove_gone(self, keep: int) -> int:
-        """Removes the oldest records of ended processes beyond ``keep``; returns how many."""
+        """Removes the oldest records of ended processes beyond ``keep``; returns how many.
+
+        Pattern: an instance that was cut off while another one ended still tells of it as live.
+        What ended stays known after its record was removed.
+        """
         gone = [item for item in self._members.values() if item.state is member.MemberState.GONE]
         gone.sort(key=lambda item: item.incarnation)
         for record in gone[: max(0, len(gone) - keep)]:
             del self._members[record.instance]
             self._ids_by_domain[record.domain].remove(record.instance)
             self._alive_until.pop(record.instance, None)
+            self._ended.pop(record.instance, None)
+            self._ended[record.instance] = record.incarnation
+        for instance in list(self._ended)[: max(0, len(self._ended) - ENDED_MAX)]:
+            del self._ended[instance]
         return max(0, len(gone) - keep)
 
     def _index(self, record: member.Member, current: member.Member | None) -> None:
--- a/testing/test_membership.py
+++ b/testing/test_membership.py
@@ -99,6 +99,14 @@
         self.assertIsNone(self.table.find("g0"))
         self.assertIsNotNone(self.table.find("g4"))
 
+    def test_removed_record_does_not_come_back_as_live(self) -> None:
+        """Guards against look-ups that name an instance of which a peer has not heard the end."""
+        self.table.merge(builders.make_member("two", state=GONE, incarnation=3))
+        self.table.remove_gone(0)
+        self.assertFalse(self.table.merge(builders.make_member("two", incarnation=3)))
+        self.assertTrue(self.table.merge(builders.make_member("two", incarnation=4)))
+        self.assertTrue(self.is_usable(1.0))
+
 
 class OverlayTest(testtools.TestCase):
     """Control links are few and connect all instances."""
