Do not end a drain by a list that was requested before it was announced

What would be seen: a backend server that is leaving gets new work again for up to a second.

Cause: instances of a failure domain each read the platform's list and pass on the drains that they find. An answer that was under way when a mark arrived counted as newer than the mark, since its version was taken from the clock when the answer came.

Change: a list ends a drain only if it was requested after the mark. It begins one whatever the clocks of others say.

Test: test_list_that_was_read_before_a_mark_does_not_cancel_it, which failed before.

--- a/src/caperdyke/coordination/drains.py
+++ b/src/caperdyke/coordination/drains.py
@@ -25,6 +25,11 @@
         """Returns the subjects that are to get no new work."""
         return frozenset(mark.subject for mark in self._marks.values() if mark.active)
 
+    def is_newer(self, subject: str, version: int) -> bool:
+        """Returns whether a version is higher than that of the stored announcement."""
+        current = self._marks.get(subject)
+        return current is None or version > current.version
+
     def find_next_version(self, subject: str, now: float) -> int:
         """Returns a version for a new announcement, higher than that of the stored one."""
         current = self._marks.get(subject)
--- a/src/caperdyke/transport/store/platform_watch.py
+++ b/src/caperdyke/transport/store/platform_watch.py
@@ -81,6 +81,7 @@
 
     async def _read_instances(self) -> None:
         marks = []
+        requested_at = self._node.clock()
         listed = await self._node.platform.list_instances()
         self._node.listed_seeds = tuple(
             ids.Address(item.address)
@@ -90,7 +91,7 @@
         for item in listed:
             if item.kind == "backend" and item.domain == self._node.own.domain:
                 self._add_backend(item)
-                marks += self._find_listed_changes(item)
+                marks += self._find_listed_changes(item, requested_at)
         self.apply_marks(tuple(marks), None)
 
     def _add_backend(self, item: platform_client.ListedInstance) -> None:
@@ -106,12 +107,24 @@
                 )
             )
 
-    def _find_listed_changes(self, item: platform_client.ListedInstance) -> list[backend.DrainMark]:
+    def _find_listed_changes(
+        self, item: platform_client.ListedInstance, requested_at: float
+    ) -> list[backend.DrainMark]:
+        """Returns the mark by which the list changes what is known of a backend server.
+
+        Pattern: another instance read a newer list and announced it while this call was under way.
+        A list is no newer than the start of its call, so it does not end a drain that was announced
+        later. It may begin one, whatever the clocks of the others say.
+
+        :param requested_at: time at which the call started.
+        """
         node = self._node
         subject = LISTED_PREFIX + item.name
         is_leaving = item.state == "leaving"
         if is_leaving == (subject in node.drains.list_active()):
             return []
+        if not is_leaving and not node.drains.is_newer(subject, int(requested_at * 1000)):
+            return []
         version = node.drains.find_next_version(subject, node.clock())
         return [backend.DrainMark(subject, version, is_leaving)]
 
