Give others their turn between the short chunks of an answer

Cause: ServerConnection.read_chunk returns what has arrived without suspending, so the 64 KiB of one read, over 10,000 such chunks, were parsed and passed on one by one before any other task, or the deadline of the exchange, got its turn.

Ruled out: memory, which held; reading is paused above 64 KiB.

Change: chunks that have arrived are returned together, up to 64 of them, and then all others have their turn. Long chunks and bodies with a length are read as before.

Test: test_others_get_their_turn_between_short_chunks; before, 131,070 bytes of chunks were read in one turn of the loop, expected 4,096 as on the callers' side.

--- a/src/caperdyke/transport/backends/connection.py
+++ b/src/caperdyke/transport/backends/connection.py
@@ -26,6 +26,8 @@
 SHORT_BODY_MAX_BYTES = 8 * 1024
 # Bytes of a body that are passed to the transport at a time.
 BODY_PART_BYTES = 64 * 1024
+# Number of chunks that are read before other connections get their turn.
+CHUNKS_PER_TURN = 64
 # Number of informational responses skipped before the final one.
 INFORMATIONAL_MAX = 8
 
@@ -47,6 +49,8 @@
         self._silence_watch: silence.SilenceWatch | None = None
         self._closing_error: Exception | None = None
         self._request_events: list[h11.Event] = []
+        # Event behind the part of the body that was read last.
+        self._next_body_event: h11.Event | None = None
         self._unread_bytes = 0
         self._is_busy = False
         self._may_read_slowly = False
@@ -170,20 +174,47 @@
         raise errors.BackendFailedError("only informational answers", True)
 
     async def read_chunk(self) -> bytes | None:
-        """Returns the next chunk of the body, or None at its end.
+        """Returns the next part of the body, or None at its end.
+
+        Pattern: a server sends its body in chunks of a byte, without end. Chunks that have arrived
+        are returned together, and all other tasks get their turn between two such parts.
 
         :raises errors.BackendFailedError: if the body is incomplete.
         """
-        event = await self._next_event()
+        event, self._next_body_event = self._next_body_event or await self._next_event(), None
         match event:
             case h11.Data():
-                self._mark_read(len(event.data))
-                return bytes(event.data)
+                data = bytes(event.data)
+                if event.chunk_end:
+                    data += await self._read_short_chunks()
+                self._mark_read(len(data))
+                return data
             case h11.EndOfMessage():
                 return None
             case _:
                 raise errors.BackendFailedError(f"got {event!r}, expected a body", True)
 
+    async def _read_short_chunks(self) -> bytes:
+        """Returns the chunks that have arrived, up to a number of them."""
+        parts = []
+        while len(parts) < CHUNKS_PER_TURN - 1:
+            try:
+                event = self._parser.next_event()
+            except h11.RemoteProtocolError:
+                # The parser reports it again when the next part is read.
+                break
+            match event:
+                case h11.Data():
+                    parts.append(bytes(event.data))
+                case h11.NEED_DATA:
+                    break
+                case _:
+                    self._next_body_event = event
+                    break
+        else:
+            await asyncio.sleep(0)
+        return b"".join(parts)
+
     def expect_next_answer(self) -> bool:
         """Prepares to read another response after one that did not belong to the request.
 
--- a/testing/test_connection.py
+++ b/testing/test_connection.py
@@ -10,6 +10,8 @@
 from caperdyke.transport.http import tcp_keepalive, tcp_state
 from testing import servers
 
+# Bytes in short chunks that a connection reads before others get their turn; callers have the same.
+TURN_MAX_BYTES = 4096
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -97,6 +99,41 @@
 
         asyncio.run(scenario())
 
+    @parameterized.expand([("of one byte", 1), ("of ten bytes", 10)])
+    def test_others_get_their_turn_between_short_chunks(self, _name, size) -> None:
+        """Guards against a server whose short chunks keep the process from everything else."""
+        turns = read = read_in_turn_max = 0
+
+        async def count_turns() -> None:
+            nonlocal turns, read, read_in_turn_max
+            while True:
+                read_in_turn_max = max(read_in_turn_max, read)
+                turns, read = turns + 1, 0
+                await asyncio.sleep(0)
+
+        async def scenario() -> None:
+            nonlocal read
+            self.conn.data_received(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            await self.conn.read_head()
+            chunk = b"%x\r\n%b\r\n" % (size, b"x" * size)
+            count = 2 * connection.BUFFER_HIGH_BYTES // len(chunk)
+            self.conn.data_received(chunk * count + b"0\r\n\r\n")
+            counting = asyncio.ensure_future(count_turns())
+            await asyncio.sleep(0)
+            total = 0
+            while (data := await self.conn.read_chunk()) is not None:
+                total += len(data)
+                read += len(data) // size * len(chunk)
+            self.assertEqual(size * count, total)
+            await asyncio.sleep(0)
+            counting.cancel()
+
+        asyncio.run(scenario())
+        self.assertTrue(
+            read_in_turn_max <= TURN_MAX_BYTES,
+            f"got {read_in_turn_max} bytes in one turn of {turns}, expected {TURN_MAX_BYTES}",
+        )
+
     def test_kept_connection_is_not_read(self) -> None:
         """Guards against a connection that is kept while its reading is paused."""
 
