Free a source of rows after any error of its request

What would be seen: an instance that the store refuses gets no rows from others for the rest of its life, so it goes on using servers that have left.

Cause: only two errors freed the address that was being asked. A status line without end raised another one (LimitOverrunError), and three addresses that count as being asked end all requests for rows.

--- a/src/caperdyke/transport/gateway/peer_sync.py
+++ b/src/caperdyke/transport/gateway/peer_sync.py
@@ -151,15 +151,15 @@
         }
         try:
             table_changes = await row_exchange.fetch(address, after)
+            self._sources.record_answered(address)
+            self._apply_changes(address, table_changes)
         except (errors.LinkClosedError, errors.ProtocolError) as error:
             self._sources.record_failed(self._node.now(), address)
             events.log(events.Event.LINK_CLOSED, peer=address, cause=str(error))
-            return
-        self._sources.record_answered(address)
-        try:
-            self._apply_changes(address, table_changes)
         except Exception as error:
-            # Nothing awaits this task, so the error would be lost.
+            # Nothing awaits this task, so the error would be lost, and the instance would count as
+            # being asked for good.
+            self._sources.record_failed(self._node.now(), address)
             events.log(events.Event.TASK_FAILED, task=f"rows of {address}", error=repr(error))
 
     def _apply_changes(
