Read the answers of all servers, peers and stores with one bounded reader

Cause: the client of entry, store and peers was built on aiosonic, which reads a chunk whole and keeps a body whole; only the lines of a head were bounded. It also took an interim answer for the final one, and decompressed bodies that nobody had asked to be compressed.

Ruled out: bounds in aiosonic's reader as well.

Change: HttpClient runs on the connection that gateways use for backend servers (h11), moved to transport/http. Beyond what the reader has taken at most 128 KiB are held. fetch needs a largest size: 4 MiB for the store and rows, 16 MiB for the platform of the entry; changes of the store that exceed it are read as pages of the table. aiosonic stays the client of the tests. caperdyke-load and the operator's command use the same client.

Existing tests changed: test_store_connections patched aiosonic, and now reads the same options from the connection; its second test also counts the connections now. test_connection is test_client_connection.

--- a/src/caperdyke/errors.py
+++ b/src/caperdyke/errors.py
@@ -46,6 +46,10 @@
     """The platform's answer was lost; the write may or may not have happened."""
 
 
+class AnswerTooLargeError(PlatformUnavailableError):
+    """The platform's answer to a read is larger than any that is read whole."""
+
+
 class VersionConflictError(PlatformError):
     """A transaction expected another version of a row than the one in the table.
 
--- a/src/caperdyke/loading/caller.py
+++ b/src/caperdyke/loading/caller.py
@@ -14,6 +14,8 @@
 # Callers that each stream simulates; each caches its own look-up answer.
 SIMULATED_CALLERS = 40
 CONNECTIONS_MAX = 2000
+# Largest answer that is read, in bytes.
+ANSWER_MAX_BYTES = 64 * 1024 * 1024
 CONNECT_TIMEOUT_S = 2.0
 RETRY_DELAY_MAX_S = 2.0
 TOKEN_HEADER = "test-token"
@@ -129,9 +131,7 @@
             self._round_robin_index += 1
             address = self._entries[self._round_robin_index % len(self._entries)]
             try:
-                response, body = await self._fetch(
-                    "GET", f"http://{address}/lookup?{query}", {}, None
-                )
+                response, body = await self._fetch("GET", address, f"/lookup?{query}", {}, None)
             except http_client.FAILURES:
                 continue
             if response.status_code == 200:
@@ -153,22 +153,32 @@
             path = stream.path
         body = b"x" * stream.body_size if stream.method == "POST" else None
         try:
-            response, content = await self._fetch(
-                stream.method, f"http://{address}{path}", headers, body
-            )
+            response, content = await self._fetch(stream.method, address, path, headers, body)
         except http_client.FAILURES:
             return None
-        response_headers = {name.lower(): value for name, value in response.headers.items()}
-        outcome = response_headers.get(refusals.OUTCOME_HEADER)
+        outcome = response.find_header(refusals.OUTCOME_HEADER)
         if stream.direct:
             outcome = "answered" if response.status_code == 200 else "not-run"
-        return Reply(response.status_code, outcome or "", content)
-
-    async def _fetch(self, method: str, url: str, headers: dict[str, str], body: bytes | None):
-        exchange = http_client.Exchange()
-        pairs = list(headers.items())
+        return Reply(response.status_code, outcome, content)
+
+    async def _fetch(
+        self,
+        method: str,
+        address: ids.Address,
+        target: str,
+        headers: dict[str, str],
+        body: bytes | None,
+    ) -> tuple[http_client.Response, bytes]:
+        timeout = self._stream.timeout_ms / 1000
         return await self._client.fetch(
-            exchange, method, url, pairs, body, self._stream.timeout_ms / 1000
+            http_client.Exchange(),
+            method,
+            address,
+            target,
+            headers.items(),
+            body,
+            timeout,
+            ANSWER_MAX_BYTES,
         )
 
     def _record_answer(self, reply: Reply, token: str, elapsed: float) -> None:
--- a/src/caperdyke/platform/store.py
+++ b/src/caperdyke/platform/store.py
@@ -15,6 +15,9 @@
 # One long poll, and two concurrent reads for each table.
 CONNECTIONS_MAX = 8
 ROWS_MAX = 500
+# Largest answer. A page of rows has up to 1 MB of values before they are encoded; changes that take
+# more are read as pages of the whole table.
+ANSWER_MAX_BYTES = 4 * 1024 * 1024
 # In every response; increases by one each time the store is restored from an older copy.
 ERA_HEADER = "store-era"
 GONE_STATUS = 410
@@ -44,7 +47,7 @@
     """Calls the store; exceptions distinguish failed writes from those of unknown outcome."""
 
     def __init__(self, address: ids.Address) -> None:
-        self._base = f"http://{address}"
+        self._address = address
         self._client = http_client.HttpClient(
             CONNECTIONS_MAX, CALL_TIMEOUT_S, tcp_keepalive.STORE_KEEPALIVE
         )
@@ -79,14 +82,19 @@
     async def read_changes(
         self, table: store_rows.StoreTable, position: store_rows.Position, wait_ms: int
     ) -> store_rows.StoreChanges | None:
-        """Returns the changes after a position, or None if the store has no history from there.
+        """Returns the changes after a position, or None if only the whole table can be read.
+
+        The store has no history from there, or so many changes that they exceed an answer.
 
         :param wait_ms: how long the store may wait for a first change, in milliseconds.
         :raises errors.PlatformUnavailableError: if the store returned no usable response.
         """
         query = {"table": _TABLE_NAMES[table], "after": position.number, "waitMs": wait_ms}
         timeout = wait_ms / 1000 + CALL_TIMEOUT_S
-        target, answer = await self._read("/caperdyke/rows-feed", query, timeout)
+        try:
+            target, answer = await self._read("/caperdyke/rows-feed", query, timeout)
+        except errors.AnswerTooLargeError:
+            return None
         if answer.status == GONE_STATUS:
             return None
         document = _decode(target, answer)
@@ -132,6 +140,8 @@
         try:
             return target, await self._call("GET", target, b"", timeout)
         except errors.OutcomeUnknownError as error:
+            if isinstance(error.__cause__, http_client.ResponseTooLargeError):
+                raise errors.AnswerTooLargeError(str(error)) from error
             raise errors.PlatformUnavailableError(str(error)) from error
 
     async def _write(self, document: dict) -> None:
@@ -151,21 +161,23 @@
         headers = [("Content-Type", "application/json")] if body else []
         try:
             response, content = await self._client.fetch(
-                exchange, method, self._base + target, headers, body or None, timeout
+                exchange,
+                method,
+                self._address,
+                target,
+                headers,
+                body or None,
+                timeout,
+                ANSWER_MAX_BYTES,
             )
         except http_client.FAILURES as error:
             message = f"{method} {target}: {error!r}"
             if exchange.is_sent:
                 raise errors.OutcomeUnknownError(message) from error
             raise errors.PlatformUnavailableError(message) from error
-        return _Answer(response.status_code, _read_era(response.headers), content)
-
-
-def _read_era(headers) -> int:
-    """Returns the era in a response's headers, or 0 if the store does not send one."""
-    found = {name.lower(): value for name, value in headers.items()}
-    text = found.get(ERA_HEADER, "0")
-    return int(text) if text.isdecimal() else 0
+        # A store that was never restored may send no era.
+        era = response.find_header(ERA_HEADER, "0")
+        return _Answer(response.status_code, int(era) if era.isdecimal() else 0, content)
 
 
 def _decode(target: str, answer: _Answer) -> dict:
--- a/src/caperdyke/programs/operator.py
+++ b/src/caperdyke/programs/operator.py
@@ -21,6 +21,8 @@
 EXIT_REFUSED = 3
 EXIT_UNKNOWN = 4
 APPLY_TIMEOUT_S = 15.0
+# Largest answer that is read, in bytes.
+ANSWER_MAX_BYTES = 64 * 1024 * 1024
 CALL_TIMEOUT_S = 5.0
 DEFAULT_PLATFORM = "127.0.0.1:7000"
 DEFAULT_ENTRY = "127.0.0.1:7100"
@@ -216,7 +218,14 @@
     client = http_client.HttpClient(1, CALL_TIMEOUT_S)
     data = json.dumps(body).encode() if body is not None else None
     response, answer = await client.fetch(
-        http_client.Exchange(), method, f"http://{address}{path}", [], data, CALL_TIMEOUT_S
+        http_client.Exchange(),
+        method,
+        address,
+        path,
+        [],
+        data,
+        CALL_TIMEOUT_S,
+        ANSWER_MAX_BYTES,
     )
     await client.close()
     content = json.loads(answer)
--- a/src/caperdyke/transport/backends/backend_client.py
+++ b/src/caperdyke/transport/backends/backend_client.py
@@ -6,7 +6,6 @@
 
 from caperdyke import errors
 from caperdyke.state import backend, contract, outcome
-from caperdyke.transport.backends import response_rules
 from caperdyke.transport.callers import answers
 from caperdyke.transport.http import http_client
 
@@ -33,9 +32,8 @@
         "server",
         "proxy-connection",
         "expect",
-        # The client library decompresses bodies, so compression ends at this hop too.
+        # Bodies are forwarded as they are, and no server is asked to compress them.
         "accept-encoding",
-        "content-encoding",
     )
 )
 
@@ -62,25 +60,17 @@
         except http_client.FAILURES as error:
             message = f"{server.backend}: {error!r}"
             raise errors.BackendFailedError(message, exchange.is_sent) from error
-        headers = tuple((name, value) for name, value in response.headers.items())
-        headers_by_name = {name.lower(): value for name, value in headers}
+        headers = response.headers
+        headers_by_name = dict(headers)
         if response.status_code == 503 and headers_by_name.get(OUTCOME_HEADER.lower()) == "not-run":
             exchange.close()
             raise errors.RefusalError(_make_refusal(headers_by_name))
         if not _has_length(request.method, response.status_code, headers_by_name):
-            # The library treats a truncated head as a response with an empty body.
+            # The end of the connection does not tell a whole body from a truncated one.
             exchange.close()
             message = f"{server.backend}: neither Content-Length nor chunks, expected one of them"
             raise errors.BackendFailedError(message, True)
-        fault = response_rules.find_fault(
-            response.http_version.encode(),
-            response.status_code,
-            [(name.lower().encode(), value.encode()) for name, value in headers],
-        )
-        if fault is not None:
-            exchange.close()
-            raise errors.BackendFailedError(f"{server.backend}: not an answer: {fault}", True)
-        forwarded_headers = tuple(item for item in headers if item[0].lower() not in HOP_HEADERS)
+        forwarded_headers = tuple(item for item in headers if item[0] not in HOP_HEADERS)
         head = outcome.AnswerHead(response.status_code, forwarded_headers)
         if request.service.kind is contract.ServiceKind.CHEAP and _is_small(headers_by_name):
             body = await _read_body(server, exchange, response, request.deadline)
@@ -105,18 +95,26 @@
         headers = [item for item in request.headers if item[0].lower() not in HOP_HEADERS]
         headers.append((DEADLINE_HEADER, str(int(request.deadline * 1000))))
         remaining = max(0.0, request.deadline - time.time())
-        url = f"http://{server.address}{request.target}"
         return await self._client.start(
-            exchange, request.method, url, headers, request.body, remaining
+            exchange,
+            request.method,
+            server.address,
+            request.target,
+            headers,
+            request.body,
+            remaining,
         )
 
 
 async def _read_body(
-    server: backend.BackendServer, exchange: http_client.Exchange, response, deadline: float
+    server: backend.BackendServer,
+    exchange: http_client.Exchange,
+    response: http_client.Response,
+    deadline: float,
 ) -> bytes:
     try:
         async with asyncio.timeout(max(0.0, deadline - time.time())):
-            return await response.content()
+            return await response.read_all(WHOLE_BODY_MAX_BYTES)
     except http_client.FAILURES as error:
         exchange.close()
         raise errors.BackendFailedError(f"{server.backend}: {error!r}", True) from error
@@ -126,9 +124,12 @@
 
 
 async def _stream_body(
-    server: backend.BackendServer, exchange: http_client.Exchange, response, deadline: float
+    server: backend.BackendServer,
+    exchange: http_client.Exchange,
+    response: http_client.Response,
+    deadline: float,
 ) -> collections.abc.AsyncGenerator[bytes, None]:
-    chunks = response.iter_bytes()
+    chunks = response.iterate()
     is_complete = False
     try:
         while True:
--- a/src/caperdyke/transport/backends/pool.py
+++ b/src/caperdyke/transport/backends/pool.py
@@ -3,7 +3,7 @@
 import collections.abc
 
 from caperdyke.state import ids
-from caperdyke.transport.backends import connection
+from caperdyke.transport.http import client_connection
 
 # Longest time that an idle connection is kept, and the default if the server announces none.
 IDLE_TIMEOUT_MAX_SECONDS = 8.0
@@ -26,7 +26,7 @@
 
     def __init__(self, clock: collections.abc.Callable[[], float]) -> None:
         self._clock = clock
-        self._idle: dict[PoolKey, list[connection.ServerConnection]] = {}
+        self._idle: dict[PoolKey, list[client_connection.ServerConnection]] = {}
         self._idle_max = IDLE_CONNECTIONS_MAX
         # Number of connections opened so far.
         self.opened = 0
@@ -40,7 +40,7 @@
         share = int(connections_max * IDLE_CONNECTIONS_RATIO / max(1, instances))
         self._idle_max = max(1, min(IDLE_CONNECTIONS_MAX, share))
 
-    def acquire(self, server: PoolKey) -> connection.ServerConnection | None:
+    def acquire(self, server: PoolKey) -> client_connection.ServerConnection | None:
         """Removes and returns an idle connection that is still usable, or returns None."""
         idle = self._idle.get(server, [])
         now = self._clock()
@@ -51,20 +51,22 @@
             idle_connection.close()
         return None
 
-    async def open(self, address: ids.Address, timeout: float) -> connection.ServerConnection:
+    async def open(
+        self, address: ids.Address, timeout: float
+    ) -> client_connection.ServerConnection:
         """Opens a connection.
 
         :param timeout: in seconds; at most ``CONNECT_TIMEOUT_SECONDS`` is used.
         :raises errors.BackendFailedError: if the connection failed; nothing was sent.
         """
-        connected = await connection.connect(address, min(timeout, CONNECT_TIMEOUT_SECONDS))
+        connected = await client_connection.connect(address, min(timeout, CONNECT_TIMEOUT_SECONDS))
         self.opened += 1
         return connected
 
     def release(
         self,
         server: PoolKey,
-        idle_connection: connection.ServerConnection,
+        idle_connection: client_connection.ServerConnection,
         idle_seconds: float | None,
     ) -> None:
         """Returns a reusable connection to the pool; closes the oldest one above the limit.
--- a/src/caperdyke/transport/gateway/caller_policy.py
+++ b/src/caperdyke/transport/gateway/caller_policy.py
@@ -1,7 +1,7 @@
 """What this instance decides about requests that callers send ahead on a connection."""
 
-from caperdyke.transport.backends import connection
 from caperdyke.transport.gateway import context, request_app
+from caperdyke.transport.http import client_connection
 
 # Bytes of buffered responses of a connection while memory is short.
 SHORT_BYTES = 64 * 1024
@@ -28,7 +28,7 @@
     @property
     def request_bytes(self) -> int:
         """Memory of a request in progress for what arrives from its server."""
-        return connection.EXCHANGE_BYTES
+        return client_connection.EXCHANGE_BYTES
 
     @property
     def is_stopping(self) -> bool:
--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -11,7 +11,6 @@
 from caperdyke.coordination import connection_table
 from caperdyke.state import ids
 from caperdyke.transport import events, metrics
-from caperdyke.transport.backends import connection
 from caperdyke.transport.gateway import (
     announcer,
     caller_policy,
@@ -27,6 +26,7 @@
 )
 from caperdyke.transport.http import (
     caller_protocol,
+    client_connection,
     http_server,
     pipelining,
     server_protocol,
@@ -118,7 +118,7 @@
             policy = caller_policy.CallerPolicy(self.node)
             return functools.partial(caller_protocol.CallerProtocol, policy=policy)
         # Instances relay one request at a time on a connection.
-        policy = pipelining.SequentialPolicy(request_bytes=connection.EXCHANGE_BYTES)
+        policy = pipelining.SequentialPolicy(request_bytes=client_connection.EXCHANGE_BYTES)
         return functools.partial(caller_protocol.CallerProtocol, policy=policy)
 
     def _find_share(self, address: ids.Address) -> float:
--- a/src/caperdyke/transport/gateway/relay.py
+++ b/src/caperdyke/transport/gateway/relay.py
@@ -10,8 +10,9 @@
 from caperdyke.coordination.registry import fleet
 from caperdyke.protocol import relay_headers
 from caperdyke.state import header_fields, ids, routes
-from caperdyke.transport.backends import connection, pool
+from caperdyke.transport.backends import pool
 from caperdyke.transport.gateway import context, sender
+from caperdyke.transport.http import client_connection
 
 # Time for which an instance that did not accept a connection, or that declined a request, gets no
 # relayed requests.
@@ -145,7 +146,7 @@
         self,
         request: sender.CallerRequest,
         peer: fleet.PeerInstance,
-        conn: connection.ServerConnection,
+        conn: client_connection.ServerConnection,
         reached: int,
         counted: bool,
     ) -> RelayResult:
@@ -201,7 +202,7 @@
         return sender.ServerAnswer(head.status_code, forwarded, body, rest, length, None)
 
     async def _stream_remaining_body(
-        self, conn: connection.ServerConnection, address: ids.Address
+        self, conn: client_connection.ServerConnection, address: ids.Address
     ) -> collections.abc.AsyncGenerator[bytes, None]:
         """Yields the remaining chunks of a long body.
 
--- a/src/caperdyke/transport/gateway/request_app.py
+++ b/src/caperdyke/transport/gateway/request_app.py
@@ -8,7 +8,6 @@
 from caperdyke.protocol import platform_interfaces, relay_headers
 from caperdyke.state import header_fields, routes
 from caperdyke.transport import events
-from caperdyke.transport.backends import response_rules
 from caperdyke.transport.gateway import (
     admissions,
     body_reader,
@@ -18,7 +17,7 @@
     refusals,
     sender,
 )
-from caperdyke.transport.http import caller_protocol, exchanges, framing
+from caperdyke.transport.http import caller_protocol, exchanges, framing, response_rules
 
 # Time for which a caller without a deadline header is assumed to wait. The route's timeout ends
 # most requests earlier.
--- a/src/caperdyke/transport/gateway/row_exchange.py
+++ b/src/caperdyke/transport/gateway/row_exchange.py
@@ -16,6 +16,9 @@
 # All rows of a thousand servers take a tenth of this time.
 FETCH_TIMEOUT_SECONDS = 1.0
 
+# Largest answer; all rows of 10,000 servers and the largest configuration take less.
+ANSWER_MAX_BYTES = 4 * 1024 * 1024
+
 Positions = dict[store_rows.StoreTable, store_rows.Position]
 
 
@@ -52,10 +55,12 @@
         response, content = await client.fetch(
             http_client.Exchange(),
             "GET",
-            f"http://{address}{PATH}?{query}",
+            address,
+            f"{PATH}?{query}",
             [],
             None,
             FETCH_TIMEOUT_SECONDS,
+            ANSWER_MAX_BYTES,
         )
     except http_client.FAILURES as error:
         raise errors.LinkClosedError(f"{address}: {error!r}") from error
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -11,8 +11,8 @@
 from caperdyke.coordination.placement import selection
 from caperdyke.protocol import platform_interfaces, relay_headers
 from caperdyke.state import header_fields, routes
-from caperdyke.transport.backends import connection
 from caperdyke.transport.gateway import context, header_log
+from caperdyke.transport.http import client_connection
 
 # Answers up to this size are buffered before they are forwarded. Only such an answer can be
 # requested again from another server if its connection breaks.
@@ -140,7 +140,7 @@
         self._node = node
         self._header_log = header_log.HeaderLog()
         # Connections on which a repeatable request waits for the head of its answer.
-        self._waiting: set[connection.ServerConnection] = set()
+        self._waiting: set[client_connection.ServerConnection] = set()
 
     async def send(
         self, request: CallerRequest, route: routes.Route, placed: selection.Placement
@@ -224,7 +224,10 @@
         return None
 
     async def _exchange_on_connection(
-        self, request: CallerRequest, placed: selection.Placement, conn: connection.ServerConnection
+        self,
+        request: CallerRequest,
+        placed: selection.Placement,
+        conn: client_connection.ServerConnection,
     ) -> Result:
         node, server = self._node, placed.view.server
         wait_ms = (request.deadline - node.now()) * 1000
@@ -260,7 +263,7 @@
             raise errors.BackendFailedError("only answers to other requests", True)
         return await self._classify(request, placed, conn, head.status_code, raw_headers, fields)
 
-    async def _read_head(self, request: CallerRequest, conn: connection.ServerConnection):
+    async def _read_head(self, request: CallerRequest, conn: client_connection.ServerConnection):
         if not request.is_repeatable:
             return await conn.read_head()
         self._waiting.add(conn)
@@ -273,7 +276,7 @@
         self,
         request: CallerRequest,
         placed: selection.Placement,
-        conn: connection.ServerConnection,
+        conn: client_connection.ServerConnection,
         status: int,
         raw_headers: platform_interfaces.RawHeaders,
         fields: header_fields.ServerHeaders,
@@ -311,7 +314,7 @@
         self,
         request: CallerRequest,
         placed: selection.Placement,
-        conn: connection.ServerConnection,
+        conn: client_connection.ServerConnection,
         header_map: dict[bytes, bytes],
     ) -> collections.abc.AsyncGenerator[bytes, None]:
         """Yields the remaining chunks of a long body.
@@ -339,7 +342,7 @@
     def _release_connection(
         self,
         placed: selection.Placement,
-        conn: connection.ServerConnection,
+        conn: client_connection.ServerConnection,
         header_map: dict[bytes, bytes],
     ) -> None:
         server = placed.view.server.backend
@@ -361,7 +364,9 @@
 
 
 async def read_chunk_until(
-    conn: connection.ServerConnection, ends_at: float, now: collections.abc.Callable[[], float]
+    conn: client_connection.ServerConnection,
+    ends_at: float,
+    now: collections.abc.Callable[[], float],
 ) -> bytes | None:
     """Returns the next chunk of a body, or None at its end, and fails at the time ``ends_at``."""
     if ends_at == math.inf:
@@ -375,7 +380,7 @@
         raise errors.BackendFailedError("body without Content-Length did not end", True) from error
 
 
-async def _discard_body(conn: connection.ServerConnection) -> None:
+async def _discard_body(conn: client_connection.ServerConnection) -> None:
     """Reads and drops a body, so that the connection can be reused.
 
     :raises errors.BackendFailedError: if the body is too large for that.
@@ -387,7 +392,7 @@
             raise errors.BackendFailedError(f"discarded body over {DISCARD_MAX_BYTES} bytes", True)
 
 
-async def _try_discard(conn: connection.ServerConnection) -> tuple[bytes, bool]:
+async def _try_discard(conn: client_connection.ServerConnection) -> tuple[bytes, bool]:
     """Returns an empty body, and whether the whole body was read and dropped.
 
     Pattern: the head shows that the answer cannot be forwarded, and the body never ends.
@@ -402,7 +407,7 @@
 
 
 async def buffer_body(
-    conn: connection.ServerConnection, reservation: memory_account.Reservation | None
+    conn: client_connection.ServerConnection, reservation: memory_account.Reservation | None
 ) -> tuple[bytes, bool]:
     """Returns the body, or the beginning of a long one, and whether it is complete.
 
--- a/src/caperdyke/transport/http/client_connection.py
+++ b/src/caperdyke/transport/http/client_connection.py
@@ -1,7 +1,8 @@
-"""A persistent HTTP/1.1 connection to a backend server, parsed by h11.
+"""A persistent HTTP/1.1 connection to a server, parsed by h11.
 
-The library used for other HTTP calls hides its connections. Here each request must be matched with
-its response, and bytes that belong to no request must close the connection.
+Backend servers, other instances and the store may all send anything, without end. What has arrived
+and has not been read is bounded here, and each request is matched with its response: bytes that
+belong to no request close the connection.
 """
 
 import asyncio
@@ -9,8 +10,7 @@
 import h11
 
 from caperdyke import errors
-from caperdyke.transport.backends import response_rules
-from caperdyke.transport.http import silence, tcp_keepalive
+from caperdyke.transport.http import response_rules, silence, tcp_keepalive
 
 # Bytes that are read from the socket at a time.
 READ_BYTES = 64 * 1024
@@ -39,10 +39,14 @@
 class ServerConnection(asyncio.BufferedProtocol):
     """Carries one exchange at a time.
 
+    :param keepalive: keepalive options of the connection.
     :ivar is_ended: whether the connection ended without being closed here.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, keepalive: tcp_keepalive.KeepaliveOptions = tcp_keepalive.REQUEST_KEEPALIVE
+    ) -> None:
+        self._keepalive = keepalive
         self._parser = self._make_parser()
         self._received = asyncio.Event()
         self._transport: asyncio.Transport | None = None
@@ -71,9 +75,7 @@
     def connection_made(self, transport) -> None:
         """Configures keepalive probes and timeouts of the socket."""
         self._transport = transport
-        self._silence_watch = silence.SilenceWatch(
-            transport, tcp_keepalive.REQUEST_KEEPALIVE, self._end_silent
-        )
+        self._silence_watch = silence.SilenceWatch(transport, self._keepalive, self._end_silent)
 
     def get_buffer(self, _size_hint: int) -> memoryview:
         """Returns where the next bytes are received."""
@@ -260,7 +262,7 @@
         if self._silence_watch.is_counting or may_read_slowly == self._may_read_slowly:
             return
         self._may_read_slowly = may_read_slowly
-        timeout_ms = tcp_keepalive.REQUEST_KEEPALIVE.user_timeout_ms
+        timeout_ms = self._keepalive.user_timeout_ms
         if may_read_slowly:
             timeout_ms = tcp_keepalive.LONG_BODY_USER_TIMEOUT_MS
         tcp_keepalive.set_user_timeout(self._transport.get_extra_info("socket"), timeout_ms)
@@ -313,17 +315,24 @@
         return h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_MAX_BYTES)
 
 
-async def connect(address: str, timeout: float) -> ServerConnection:
+async def connect(
+    address: str,
+    timeout: float,
+    keepalive: tcp_keepalive.KeepaliveOptions = tcp_keepalive.REQUEST_KEEPALIVE,
+) -> ServerConnection:
     """Opens a connection.
 
     :param timeout: in seconds.
+    :param keepalive: keepalive options of the connection.
     :raises errors.BackendFailedError: if the connection failed; nothing was sent.
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout):
-            _, protocol = await loop.create_connection(ServerConnection, host, int(port))
+            _, protocol = await loop.create_connection(
+                lambda: ServerConnection(keepalive), host, int(port)
+            )
     except TimeoutError as error:
         raise errors.ConnectTimeoutError(f"{address}: {error!r}") from error
     except (OSError, ValueError, OverflowError) as error:
--- a/src/caperdyke/transport/http/http_client.py
+++ b/src/caperdyke/transport/http/http_client.py
@@ -1,129 +1,122 @@
-"""HTTP client with pooled connections that never returns the response of an earlier request.
+"""HTTP client with pooled connections, for calls to any server.
 
-aiosonic returns a connection to its pool when a request on it is cancelled, although the response
-may still arrive; the next request on the connection would then read it. This client closes a
-connection whose exchange did not complete.
+No response is read further than its reader asks, and none is read whole beyond a size. A connection
+whose exchange did not complete is closed, so that no later request reads the rest of its response.
 """
 
 import asyncio
-import contextvars
+import collections.abc
 import dataclasses
 import math
 import time
 
-import aiosonic
-import aiosonic.connection
-import aiosonic.connectors
-import aiosonic.exceptions
-import aiosonic.pools
-import aiosonic.timeout
-
-from caperdyke.transport.http import silence, tcp_keepalive
+from caperdyke import errors
+from caperdyke.transport.http import client_connection, tcp_keepalive
 
 # Servers commonly close idle connections after 5 s or more; closing them earlier avoids a race
 # between the server's close and the next request.
-IDLE_MAX_MS = 4000
-# Size of a response's head, of its trailers, and of the framing of a chunk.
-LINES_MAX_BYTES = 64 * 1024
-# Exceptions that aiosonic raises for a failed exchange; TimeoutError is an OSError.
-FAILURES = (OSError, EOFError, ValueError, aiosonic.exceptions.AiosonicError)
+IDLE_MAX_SECONDS = 4.0
+# Interval between searches for connections that have idled for too long, at any address.
+SWEEP_INTERVAL_SECONDS = 1.0
+# Methods whose requests carry a length even without a body.
+BODY_METHODS = frozenset(("POST", "PUT", "PATCH"))
+
+Headers = collections.abc.Iterable[tuple[str, str]]
 
 
 class LateStartError(OSError):
     """The latest time to send passed before the first byte was written; nothing was sent."""
 
 
-@dataclasses.dataclass(slots=True)
+class ResponseTooLargeError(OSError):
+    """The body of a response exceeds what its reader accepts."""
+
+
+# What is raised for a failed exchange; TimeoutError is an OSError.
+FAILURES = (OSError, errors.BackendFailedError, errors.ProtocolError)
+
+
 class Exchange:
     """One request and the connection it is sent on.
 
     :param send_by: latest time to write the first byte, seconds since 1970.
-    :param connection: None until the first byte is written.
+    :ivar is_sent: whether any byte of the request may have been sent.
     """
 
-    send_by: float = math.inf
-    connection: aiosonic.connection.Connection | None = None
+    def __init__(self, send_by: float = math.inf) -> None:
+        self.send_by = send_by
+        self.is_sent = False
+        # Takes the connection back once the exchange has ended.
+        self._end: collections.abc.Callable[[bool], None] | None = None
 
-    @property
-    def is_sent(self) -> bool:
-        """Whether any byte of the request may have been sent."""
-        return self.connection is not None
+    def open(self, end: collections.abc.Callable[[bool], None]) -> None:
+        """Records that a connection is in use.
+
+        :param end: called once, with whether the exchange is complete.
+        """
+        self._end = end
+
+    def finish(self) -> None:
+        """Returns the connection to its pool, as the whole response has been read."""
+        self._end_once(True)
 
     def close(self) -> None:
         """Closes the connection, so that no later request reads this response."""
-        if self.connection is not None:
-            self.connection.close()
+        self._end_once(False)
 
+    def _end_once(self, is_complete: bool) -> None:
+        end, self._end = self._end, None
+        if end is not None:
+            end(is_complete)
 
-_CURRENT_EXCHANGE: contextvars.ContextVar[Exchange | None] = contextvars.ContextVar(
-    "current_exchange", default=None
-)
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """A response whose body has not been read.
 
-class _TrackedConnection(aiosonic.connection.Connection):
-    """Records on the current exchange which connection it uses.
+    :param headers: names in lower case and values, in the order in which they arrived.
+    """
 
-    A pooled connection that the server has closed is not reused: a request written to it would be
-    lost, and the client could not prove that it never ran.
+    status_code: int
+    headers: tuple[tuple[str, str], ...]
+    connection: client_connection.ServerConnection
+    exchange: Exchange
 
-    :cvar keepalive: keepalive options. They are a class attribute because aiosonic creates
-        connections from a class, with their pool as the only argument.
-    """
+    def find_header(self, name: str, default: str = "") -> str:
+        """Returns the value of a header, the last one where there are several.
 
-    keepalive = tcp_keepalive.REQUEST_KEEPALIVE
-    _silence_watch: silence.SilenceWatch | None = None
-    # Bytes of the lines that were read in a row.
-    _line_bytes = 0
-
-    async def connect(self, *arguments, **named) -> None:
-        opened = self.writer
-        await super().connect(*arguments, **named)
-        if self.writer is not opened:
-            self._silence_watch = silence.SilenceWatch(
-                self.writer.transport, self.keepalive, self._end_silent
-            )
-
-    def _end_silent(self) -> None:
-        self.reader.set_exception(TimeoutError("the server answers nothing"))
-        self.writer.transport.abort()
-
-    def reuse(self, urlparsed, verify: bool) -> bool:
-        if self.reader is not None and self.reader.at_eof():
-            self.close()
-            return False
-        return super().reuse(urlparsed, verify)
-
-    async def readline(self) -> bytes:
-        line = await super().readline()
-        self._line_bytes += len(line)
-        if self._line_bytes > LINES_MAX_BYTES:
-            self.close()
-            raise aiosonic.exceptions.HttpParsingError(f"over {LINES_MAX_BYTES} bytes of lines")
-        return line
-
-    async def readexactly(self, size: int) -> bytes:
-        self._line_bytes = 0
-        return await super().readexactly(size)
-
-    async def read(self, size: int = -1) -> bytes:
-        self._line_bytes = 0
-        return await super().read(size)
-
-    def write(self, data: bytes) -> None:
-        self._line_bytes = 0
-        exchange = _CURRENT_EXCHANGE.get()
-        if exchange is not None:
-            if exchange.connection is None and time.time() > exchange.send_by:
-                raise LateStartError("the request was held up before its first byte")
-            exchange.connection = self
-        self._silence_watch.start()
-        super().write(data)
+        :param name: in lower case.
+        """
+        return dict(self.headers).get(name, default)
+
+    async def iterate(self) -> collections.abc.AsyncGenerator[bytes, None]:
+        """Yields the parts of the body; returns only after its end.
+
+        :raises FAILURES: if the body is incomplete; the exchange must be closed.
+        """
+        while (part := await self.connection.read_chunk()) is not None:
+            yield part
+        self.exchange.finish()
+
+    async def read_all(self, size_max: int) -> bytes:
+        """Returns the whole body.
+
+        :param size_max: size above which the body is not read on, in bytes.
+        :raises ResponseTooLargeError: if the body is larger.
+        :raises FAILURES: if the body is incomplete.
+        """
+        body = bytearray()
+        async for part in self.iterate():
+            body += part
+            if len(body) > size_max:
+                raise ResponseTooLargeError(f"over {size_max} bytes")
+        return bytes(body)
 
 
 class HttpClient:
     """Sends HTTP requests.
 
-    :param connections_max: size of the connection pool of each address.
+    :param connections_max: connections at a time; further requests wait for one of them.
     :param connect_timeout: longest time to open a connection, in seconds.
     :param keepalive: keepalive options of the connections.
     """
@@ -134,64 +127,135 @@
         connect_timeout: float,
         keepalive: tcp_keepalive.KeepaliveOptions = tcp_keepalive.REQUEST_KEEPALIVE,
     ) -> None:
-        pool = aiosonic.pools.PoolConfig(size=connections_max, max_conn_idle_ms=IDLE_MAX_MS)
-        timeouts = aiosonic.timeout.Timeouts(
-            sock_connect=connect_timeout, sock_read=None, request_timeout=None
-        )
-        connection_cls = type("_ProbedConnection", (_TrackedConnection,), {"keepalive": keepalive})
-        connector = aiosonic.connectors.TCPConnector(
-            pool_configs={":default": pool}, timeouts=timeouts, connection_cls=connection_cls
-        )
-        self._client = aiosonic.HTTPClient(connector, handle_cookies=False)
+        self._connect_timeout = connect_timeout
+        self._keepalive = keepalive
+        self._free = asyncio.Semaphore(connections_max)
+        # Connections without a request, by address, the one used last at the end.
+        self._idle: dict[str, list[client_connection.ServerConnection]] = {}
+        self._next_sweep_at = 0.0
 
     async def start(
         self,
         exchange: Exchange,
         method: str,
-        url: str,
-        headers: list[tuple[str, str]],
+        address: str,
+        target: str,
+        headers: Headers,
         body: bytes | None,
         timeout: float,
-    ) -> aiosonic.HttpResponse:
+    ) -> Response:
         """Sends a request and returns the response with its body unread.
 
         :param exchange: records the connection; close it unless the body is read to its end.
+        :param address: address of the server, ``host:port``.
+        :param target: path and query.
         :param timeout: longest time until the response's head arrives, in seconds.
         :raises FAILURES: if no complete head arrived; the connection is closed.
         """
-        token = _CURRENT_EXCHANGE.set(exchange)
         try:
             async with asyncio.timeout(timeout):
-                return await self._client.request(
-                    url, method, headers=headers, data=body, stream=True
-                )
+                connection = await self._acquire(exchange, address)
+                if time.time() > exchange.send_by:
+                    raise LateStartError("the request was held up before its first byte")
+                fields = [(b"host", address.encode()), *_encode_headers(headers)]
+                if body or method in BODY_METHODS:
+                    fields.append((b"content-length", b"%d" % len(body or b"")))
+                connection.send(method, _encode(target), fields, body or b"")
+                exchange.is_sent = True
+                head = await connection.read_head()
         except BaseException:
             exchange.close()
             raise
-        finally:
-            _CURRENT_EXCHANGE.reset(token)
+        pairs = ((name.decode("latin-1"), value.decode("latin-1")) for name, value in head.headers)
+        return Response(head.status_code, tuple(pairs), connection, exchange)
 
     async def fetch(
         self,
         exchange: Exchange,
         method: str,
-        url: str,
-        headers: list[tuple[str, str]],
+        address: str,
+        target: str,
+        headers: Headers,
         body: bytes | None,
         timeout: float,
-    ) -> tuple[aiosonic.HttpResponse, bytes]:
-        """Sends a request and returns the response with its whole body.
+        size_max: int,
+    ) -> tuple[Response, bytes]:
+        """Sends a request and returns the response and its whole body.
 
-        :raises FAILURES: if the response was not complete in time; the connection is closed.
+        :param size_max: size above which the body is not read on, in bytes.
+        :raises FAILURES: if the response was not complete in time or is too large; the connection
+            is closed.
         """
         try:
             async with asyncio.timeout(timeout):
-                response = await self.start(exchange, method, url, headers, body, timeout)
-                return response, await response.content()
+                response = await self.start(
+                    exchange, method, address, target, headers, body, timeout
+                )
+                return response, await response.read_all(size_max)
         except BaseException:
             exchange.close()
             raise
 
     async def close(self) -> None:
-        """Closes the pooled connections."""
-        await self._client.aclose()
+        """Closes the connections without a request."""
+        for address in list(self._idle):
+            for connection in self._idle.pop(address):
+                connection.close()
+
+    async def _acquire(
+        self, exchange: Exchange, address: str
+    ) -> client_connection.ServerConnection:
+        """Returns a connection, which the end of the exchange gives back."""
+        await self._free.acquire()
+        try:
+            connection = self._take_idle(address)
+            if connection is None:
+                connection = await client_connection.connect(
+                    address, self._connect_timeout, self._keepalive
+                )
+        except BaseException:
+            self._free.release()
+            raise
+
+        def end(is_complete: bool) -> None:
+            self._free.release()
+            if is_complete and connection.finish():
+                connection.idle_until = time.monotonic() + IDLE_MAX_SECONDS
+                self._idle.setdefault(address, []).append(connection)
+            else:
+                connection.close()
+
+        exchange.open(end)
+        return connection
+
+    def _take_idle(self, address: str) -> client_connection.ServerConnection | None:
+        now = time.monotonic()
+        addresses = [address]
+        if now >= self._next_sweep_at:
+            self._next_sweep_at = now + SWEEP_INTERVAL_SECONDS
+            addresses = list(self._idle)
+        for item in addresses:
+            self._drop_expired(now, item)
+        idle = self._idle.get(address)
+        return idle.pop() if idle else None
+
+    def _drop_expired(self, now: float, address: str) -> None:
+        usable = []
+        for connection in self._idle.pop(address, ()):
+            if now < connection.idle_until and connection.is_reusable:
+                usable.append(connection)
+            else:
+                connection.close()
+        if usable:
+            self._idle[address] = usable
+
+
+def _encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    return [(_encode(name), _encode(value)) for name, value in headers]
+
+
+def _encode(text: str) -> bytes:
+    try:
+        return text.encode("latin-1")
+    except UnicodeEncodeError as error:
+        raise errors.ProtocolError(f"request: {error}") from error
--- a/src/caperdyke/transport/store/platform_client.py
+++ b/src/caperdyke/transport/store/platform_client.py
@@ -10,6 +10,8 @@
 
 CALL_TIMEOUT_SECONDS = 1.5
 CONNECTIONS_MAX = 20
+# Largest answer. A snapshot of 1,000 documents takes half a megabyte.
+ANSWER_MAX_BYTES = 16 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,7 +46,7 @@
     """Calls the platform; its errors separate failed writes from those with an unknown outcome."""
 
     def __init__(self, address: ids.Address, timeout: float = CALL_TIMEOUT_SECONDS) -> None:
-        self._base = f"http://{address}"
+        self._address = address
         self._timeout = timeout
         self._client = http_client.HttpClient(CONNECTIONS_MAX, timeout)
 
@@ -99,10 +101,16 @@
     async def _call(self, method: str, path: str, body: bytes) -> bytes | None:
         exchange = http_client.Exchange()
         headers = [("Content-Type", "application/json")]
-        url = self._base + path
         try:
             response, content = await self._client.fetch(
-                exchange, method, url, headers, body, self._timeout
+                exchange,
+                method,
+                self._address,
+                path,
+                headers,
+                body,
+                self._timeout,
+                ANSWER_MAX_BYTES,
             )
         except http_client.FAILURES as error:
             message = f"{method} {path}: {error!r}"
--- a/testing/platform/fleet_harness.py
+++ b/testing/platform/fleet_harness.py
@@ -8,8 +8,8 @@
 
 from caperdyke.platform import documents, headers
 from caperdyke.state import backend, header_fields, ids, member, registration, routes, store_rows
-from caperdyke.transport.backends import connection
 from caperdyke.transport.gateway import context, dispatcher, local_reply, sender
+from caperdyke.transport.http import client_connection
 from testing.platform import fake_server, harness
 
 SERVICE = ids.ServiceName("reader")
@@ -209,8 +209,8 @@
         return node
 
 
-async def _open_in_real_time(address: str, _timeout: float) -> connection.ServerConnection:
-    return await connection.connect(address, OPEN_TIMEOUT_SECONDS)
+async def _open_in_real_time(address: str, _timeout: float) -> client_connection.ServerConnection:
+    return await client_connection.connect(address, OPEN_TIMEOUT_SECONDS)
 
 
 class TimedServer(fake_server.FakeServer):
--- a/testing/platform/soak_gateway.py
+++ b/testing/platform/soak_gateway.py
@@ -13,7 +13,7 @@
 
 from caperdyke import errors
 from caperdyke.programs import gateway
-from caperdyke.transport.backends import connection
+from caperdyke.transport.http import client_connection
 from testing.platform import path_cuts
 
 # Interval at which the file is looked at.
@@ -42,15 +42,15 @@
     new_path.replace(path)
 
 
-class CutConnection(connection.ServerConnection):
+class CutConnection(client_connection.ServerConnection):
     """A connection that fails while its address is cut off."""
 
     path: pathlib.Path
     _cut: Cut | None = None
     _read_at = 0.0
 
-    def __init__(self) -> None:
-        super().__init__()
+    def __init__(self, *options) -> None:
+        super().__init__(*options)
         self._address = ""
         self._is_broken = False
 
@@ -102,19 +102,19 @@
 def main() -> int:
     """Runs the program and returns its exit status."""
     CutConnection.path = pathlib.Path(sys.argv[1])
-    open_connection = connection.connect
+    open_connection = client_connection.connect
 
-    async def connect(address: str, timeout: float) -> connection.ServerConnection:
+    async def connect(address: str, timeout: float, *options) -> client_connection.ServerConnection:
         cut = CutConnection.find_cut(address)
         if cut is None:
-            return await open_connection(address, timeout)
+            return await open_connection(address, timeout, *options)
         if cut.manner is path_cuts.CutManner.HANGING:
             await asyncio.sleep(timeout)
             raise errors.ConnectTimeoutError(f"{address}: cut")
         raise errors.BackendFailedError(f"{address}: {cut.manner.value}", False)
 
-    connection.ServerConnection = CutConnection
-    connection.connect = connect
+    client_connection.ServerConnection = CutConnection
+    client_connection.connect = connect
     return gateway.main(sys.argv[2:])
 
 
--- a/testing/platform/test_store_client.py
+++ b/testing/platform/test_store_client.py
@@ -56,6 +56,17 @@
 
         self.run_with_client(scenario)
 
+    def test_changes_that_exceed_an_answer_are_read_as_a_table(self) -> None:
+        """Guards against a store that is never read again after very many changes."""
+
+        async def scenario(fake, client) -> None:
+            position = (await client.read_table(TABLE)).position
+            await fake.put("servers", "d", {"value": "x" * 2000})
+            with mock.patch.object(store, "ANSWER_MAX_BYTES", 1000):
+                self.assertIsNone(await client.read_changes(TABLE, position, 0))
+
+        self.run_with_client(scenario)
+
     @parameterized.expand([("of another era", True), ("of an older state", False)])
     def test_pages_of_different_states_are_no_reading(self, _name, is_other_era) -> None:
         async def scenario(fake, client) -> None:
--- a/testing/platform/test_store_connections.py
+++ b/testing/platform/test_store_connections.py
@@ -3,11 +3,9 @@
 import asyncio
 import socket
 
-import aiosonic.connection
-
 from caperdyke.platform import store
 from caperdyke.state import store_rows
-from caperdyke.transport.http import http_client
+from caperdyke.transport.http import client_connection, http_client
 from testing import servers
 from testing.platform import fake_store, harness
 
@@ -21,13 +19,13 @@
     def test_silent_connection_ends_within_the_bound_for_the_configuration(self) -> None:
         opened: list[socket.socket] = []
 
-        async def open_connection(*arguments, **named):
-            reader, writer = await asyncio.open_connection(*arguments, **named)
-            opened.append(writer.get_extra_info("socket"))
-            return reader, writer
+        class OpenedConnection(client_connection.ServerConnection):
+            def connection_made(self, transport) -> None:
+                super().connection_made(transport)
+                opened.append(transport.get_extra_info("socket"))
 
         async def scenario() -> None:
-            self.patch(aiosonic.connection, "open_connection", open_connection)
+            self.patch(client_connection, "ServerConnection", OpenedConnection)
             async with servers.serve_app(fake_store.FakeStore().make_app()) as address:
                 client = store.Store(address)
                 await client.read_table(store_rows.StoreTable.CONFIGURATION)
@@ -46,12 +44,21 @@
 
     def test_connection_that_idled_is_replaced(self) -> None:
         async def scenario() -> None:
-            self.patch(http_client, "IDLE_MAX_MS", 1)
+            self.patch(http_client, "IDLE_MAX_SECONDS", 0.001)
+            used = []
+            original = client_connection.ServerConnection.send
+
+            def send(conn, *arguments) -> None:
+                used.append(conn)
+                original(conn, *arguments)
+
+            self.patch(client_connection.ServerConnection, "send", send)
             async with servers.serve_app(fake_store.FakeStore().make_app()) as address:
                 client = store.Store(address)
                 for _ in range(3):
                     await client.read_table(store_rows.StoreTable.CONFIGURATION)
                     await asyncio.sleep(0.01)
                 await client.close()
+            self.assertEqual(3, len(set(used)))
 
         self.run_async(scenario)
--- a/testing/test_client_connection.py
+++ b/testing/test_client_connection.py
@@ -6,8 +6,7 @@
 import testtools
 from parameterized import parameterized
 
-from caperdyke.transport.backends import connection
-from caperdyke.transport.http import tcp_keepalive, tcp_state
+from caperdyke.transport.http import client_connection, tcp_keepalive, tcp_state
 from testing import servers
 
 # Bytes in short chunks that a connection reads before others get their turn; callers have the same.
@@ -15,7 +14,7 @@
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
-async def exchange(conn: connection.ServerConnection, body: bytes) -> bytes:
+async def exchange(conn: client_connection.ServerConnection, body: bytes) -> bytes:
     """Sends a request and returns the body of its answer."""
     headers = [(b"host", b"x"), (b"content-length", b"%d" % len(body))]
     conn.send("POST", b"/1", headers, body)
@@ -26,7 +25,7 @@
     return received
 
 
-def find_user_timeout(conn: connection.ServerConnection) -> int:
+def find_user_timeout(conn: client_connection.ServerConnection) -> int:
     """Returns the user timeout of a connection in milliseconds."""
     sock = conn._transport.get_extra_info("socket")
     return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
@@ -64,7 +63,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.transport = FakeTransport()
-        self.conn = connection.ServerConnection()
+        self.conn = client_connection.ServerConnection()
         self.conn.connection_made(self.transport)
         self.conn.send("GET", b"/1", [(b"host", b"x")], b"")
 
@@ -86,7 +85,7 @@
             for _ in range(count):
                 self.conn.data_received(chunk)
                 await self.read(size)
-            at_once = 2 * connection.BUFFER_HIGH_BYTES // len(chunk)
+            at_once = 2 * client_connection.BUFFER_HIGH_BYTES // len(chunk)
             self.conn.data_received(chunk * at_once)
             self.assertFalse(self.transport.is_reading)
             await self.read(size * at_once)
@@ -116,7 +115,7 @@
             self.conn.data_received(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             await self.conn.read_head()
             chunk = b"%x\r\n%b\r\n" % (size, b"x" * size)
-            count = 2 * connection.BUFFER_HIGH_BYTES // len(chunk)
+            count = 2 * client_connection.BUFFER_HIGH_BYTES // len(chunk)
             self.conn.data_received(chunk * count + b"0\r\n\r\n")
             counting = asyncio.ensure_future(count_turns())
             await asyncio.sleep(0)
@@ -138,7 +137,7 @@
         """Guards against a connection that is kept while its reading is paused."""
 
         async def scenario() -> None:
-            size = 2 * connection.BUFFER_HIGH_BYTES
+            size = 2 * client_connection.BUFFER_HIGH_BYTES
             self.conn.data_received(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             await self.conn.read_head()
             chunk = b"1\r\nx\r\n"
@@ -171,7 +170,7 @@
 
         async def scenario() -> None:
             async with servers.RawServer({"/1": [ANSWER]}).listen() as address:
-                conn = await connection.connect(address, 1.0)
+                conn = await client_connection.connect(address, 1.0)
                 for body in (b"", b"x" * size, b"x" * size):
                     self.assertEqual(b"ok", await exchange(conn, body))
                     self.assertTrue(conn.finish())
@@ -190,7 +189,7 @@
 
         async def scenario() -> None:
             async with servers.RawServer({"/1": [ANSWER]}).listen() as address:
-                conn = await connection.connect(address, 1.0)
+                conn = await client_connection.connect(address, 1.0)
                 self.assertEqual(0, find_user_timeout(conn))
                 await exchange(conn, b"x" * size)
                 self.assertEqual(0, find_user_timeout(conn))
@@ -217,7 +216,7 @@
             server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=8 * 1024)
             size = 64_000_000
             host, port = server.sockets[0].getsockname()
-            conn = await connection.connect(f"{host}:{port}", 1.0)
+            conn = await client_connection.connect(f"{host}:{port}", 1.0)
             exchanging = asyncio.ensure_future(exchange(conn, bytearray(size)))
             await asyncio.sleep(0.2)
             buffered = conn._transport.get_write_buffer_size()
@@ -239,7 +238,7 @@
 
             server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=8 * 1024)
             host, port = server.sockets[0].getsockname()
-            conn = await connection.connect(f"{host}:{port}", 1.0)
+            conn = await client_connection.connect(f"{host}:{port}", 1.0)
             self.assertEqual(b"ok", await exchange(conn, bytes(64_000_000)))
             self.assertFalse(conn.finish())
             self.assertFalse(conn.is_reusable)
--- a/testing/test_response_rules.py
+++ b/testing/test_response_rules.py
@@ -3,7 +3,7 @@
 import testtools
 from parameterized import parameterized
 
-from caperdyke.transport.backends import response_rules
+from caperdyke.transport.http import response_rules
 
 LENGTH = (b"content-length", b"3")
 CHUNKS = (b"transfer-encoding", b"chunked")
--- a/testing/test_slow_peers.py
+++ b/testing/test_slow_peers.py
@@ -11,8 +11,7 @@
 import testtools
 
 from caperdyke import errors
-from caperdyke.transport.backends import connection
-from caperdyke.transport.http import caller_protocol, http_client, tcp_keepalive
+from caperdyke.transport.http import caller_protocol, client_connection, http_client, tcp_keepalive
 from testing import servers, silent_peers
 
 # Longer than the time for which a silent peer is waited for.
@@ -44,7 +43,7 @@
 
 async def send_by_gateway(address: str, body: bytes, head_bytes: int) -> bytes:
     """Sends a request as gateways do, to servers and to peers that relay; returns the answer."""
-    conn = await connection.connect(address, 1.0)
+    conn = await client_connection.connect(address, 1.0)
     headers = [(name.encode(), value.encode()) for name, value in make_headers(head_bytes)]
     headers += [(b"host", b"x"), (b"content-length", b"%d" % len(body))]
     try:
