End an exchange whose peer sends more than its window

What would be seen: a faulty instance that goes on sending parts of an answer ends the one that reads it.

Cause: the reader grants the sender a window, but queued whatever arrived.

Change: what a peer that keeps to the window cannot exceed, in bytes and in messages, ends the exchange, and drops what was queued.

--- a/src/caperdyke/transport/peers/exchange.py
+++ b/src/caperdyke/transport/peers/exchange.py
@@ -4,11 +4,15 @@
 import collections.abc
 
 from caperdyke import errors
-from caperdyke.protocol import messages
+from caperdyke.protocol import frames, messages
 from caperdyke.state import ids, outcome
 
 # Flow-control window: bytes of an answer's body in transit or buffered for a slow reader.
 WINDOW_BYTES = 256 * 1024
+# What a peer that keeps to the window cannot exceed: bytes of a body that have not been read, the
+# last chunk being as large as a frame, and messages, if each chunk has a byte.
+UNREAD_MAX_BYTES = WINDOW_BYTES + frames.FRAME_MAX_BYTES
+UNREAD_MAX_MESSAGES = WINDOW_BYTES + 2
 
 
 class Exchange:
@@ -28,11 +32,24 @@
         self._send = send
         self._close = close
         self._received: asyncio.Queue[messages.Message | errors.LinkClosedError] = asyncio.Queue()
+        self._unread_bytes = 0
         self._next_sequence = 0
         self._is_done = False
 
     def accept(self, message: messages.Message | errors.LinkClosedError) -> None:
-        """Queues a message of this exchange, or the error that ended its link."""
+        """Queues a message of this exchange, or the error that ended its link.
+
+        Pattern: a faulty peer sends without end and ignores the window. The exchange fails, and
+        what was queued is dropped.
+        """
+        if isinstance(message, messages.AnswerChunk):
+            self._unread_bytes += len(message.data)
+        is_full = self._received.qsize() >= UNREAD_MAX_MESSAGES
+        if is_full or self._unread_bytes > UNREAD_MAX_BYTES:
+            self._received = asyncio.Queue()
+            self._unread_bytes = 0
+            message = errors.LinkClosedError("the peer sends more than the window")
+            self._cancel_if_open()
         self._received.put_nowait(message)
 
     async def read_head(self) -> outcome.AnswerHead:
@@ -66,6 +83,7 @@
                 match message:
                     case messages.AnswerChunk() if message.sequence == self._next_sequence:
                         self._next_sequence += 1
+                        self._unread_bytes -= len(message.data)
                         self._send(messages.Credit(self.request, len(message.data)))
                         yield message.data
                     case messages.AnswerEnd() if message.chunks == self._next_sequence:
--- a/testing/test_exchange.py
+++ b/testing/test_exchange.py
@@ -83,6 +83,34 @@
         message = messages.AnswerRefused(1, "not-run", "a-newer-reason", 5.0, "")
         self.assertEqual(outcome.Outcome.UNKNOWN, exchange.decode_refusal(message).outcome)
 
+    @parameterized.parameterized.expand(
+        [
+            ("long_chunks", 60_000, exchange.UNREAD_MAX_BYTES // 60_000 + 1),
+            ("short_chunks", 1, exchange.UNREAD_MAX_MESSAGES + 1),
+            ("empty_chunks", 0, exchange.UNREAD_MAX_MESSAGES + 1),
+        ]
+    )
+    def test_peer_that_ignores_the_window_ends_the_exchange(self, _name, size, count) -> None:
+        """Guards against an instance that keeps whatever a peer sends."""
+
+        async def run() -> None:
+            pending = self.make_exchange()
+            pending.accept(START)
+            await pending.read_head()
+            for sequence in range(count):
+                pending.accept(chunk(sequence, b"x" * size))
+            self.assertEqual([messages.Cancel(1)], self.sent)
+            self.assertTrue(pending._received.qsize() <= 1)
+            await anext(pending.iterate_body())
+
+        self.assertRaises(errors.LinkClosedError, asyncio.run, run())
+
+    def test_peer_that_fills_the_window_is_read(self) -> None:
+        sizes = [1] * exchange.WINDOW_BYTES
+        arriving = [chunk(number, b"x" * size) for number, size in enumerate(sizes)]
+        body = self.read([*arriving, messages.AnswerEnd(1, len(sizes))])
+        self.assertEqual(exchange.WINDOW_BYTES, len(body))
+
     def test_reader_that_stops_early_cancels_the_request_at_the_peer(self) -> None:
         async def run() -> None:
             pending = self.make_exchange()
