Give others their turn between the messages of a link

What would be seen: an instance whose peer sends small messages without end does nothing else.

Cause: messages that have arrived are read and handled without suspending.

Change: everything else has its turn after 64 messages.

Test: test_peerlink; 2,000 messages were handled in one turn before, 100 allowed.

--- a/src/caperdyke/transport/peers/peerlink.py
+++ b/src/caperdyke/transport/peers/peerlink.py
@@ -15,6 +15,8 @@
 HELLO_MAX_BYTES = 64 * 1024
 # Size of the write buffer beyond which the link to a peer that does not read is closed.
 WRITE_BUFFER_MAX_BYTES = 32 * 1024 * 1024
+# Number of messages of a link that are handled before everything else gets its turn.
+MESSAGES_PER_TURN = 64
 
 Handler = collections.abc.Callable[["PeerLink", messages.Message], None]
 
@@ -81,9 +83,12 @@
         """Dispatches messages until the link ends; returns the cause."""
         cause = "closed by the peer"
         try:
-            while True:
+            for number in itertools.count(1):
                 message = await read_message(self._reader)
                 self._dispatch(message)
+                if number % MESSAGES_PER_TURN == 0:
+                    # Messages that have arrived are read without suspending.
+                    await asyncio.sleep(0)
         except errors.ProtocolError as error:
             cause = str(error)
             events.log(events.Event.FRAME_REJECTED, peer=self.peer.instance, error=error)
