Let reads of the walk over positions begin and end apart

Cause: the walk of test_position_claims called a read of the store as one step, while the programs begin a read at one position and end it at another, two of them overlap, the table comes in pages, and rows and announcements move the position meanwhile.

Change: each kind of order is played with such reads, too.

--- a/testing/registry/test_position_claims.py
+++ b/testing/registry/test_position_claims.py
@@ -17,6 +17,8 @@
 SEEDS = 12
 # Messages under way at a time; any of them may arrive next, or never.
 MESSAGES_MAX = 6
+# Reads in progress at a time; any of them may go on next.
+READS_MAX = 4
 # Number of removed rows that a replica keeps in some orders, so that it prunes often.
 FEW_REMOVED_ROWS = 4
 
@@ -89,6 +91,12 @@
         self.eras.append(era)
         self.history_from = number
 
+    def read_page(self, keys: str) -> "_Page":
+        """Returns the present rows of some keys."""
+        rows = self.now.find_rows(self.now.number)
+        present = tuple(rows[key] for key in keys if key in rows)
+        return _Page(self.now.make_position(), present)
+
     def read_table(self) -> store_rows.StoreChanges:
         """Returns all rows in two pages, of which the second may show later changes."""
         first, half = self.now, len(KEYS) // 2
@@ -100,15 +108,43 @@
         pages += [later_rows[key] for key in KEYS[half:] if key in later_rows]
         return store_rows.StoreChanges(TABLE, tuple(pages), position, True)
 
-    def read_changes(self, after: store_rows.Position) -> store_rows.StoreChanges:
+    def read_changes_or_table(self, after: store_rows.Position | None) -> store_rows.StoreChanges:
         """Returns the changes after a position, or all rows without such a history."""
+        changes = None if after is None else self.read_changes(after)
+        return self.read_table() if changes is None else changes
+
+    def read_changes(self, after: store_rows.Position) -> store_rows.StoreChanges | None:
+        """Returns the changes after a position; None without such a history."""
         era = self.now
         if after.era != era.era or after.number < self.history_from:
-            return self.read_table()
+            return None
         rows = {row.key: row for row in era.changes if row.changed > after}
         return store_rows.StoreChanges(TABLE, tuple(rows.values()), era.make_position(), False)
 
 
+@dataclasses.dataclass(frozen=True)
+class _Page:
+    """A part of a table, and the position at which the store showed it."""
+
+    position: store_rows.Position
+    rows: tuple[store_rows.StoreRow, ...]
+
+
+@dataclasses.dataclass
+class _Read:
+    """A read of a replica in progress.
+
+    :param start: start of the replica that began it.
+    :param after: position of the replica at that time.
+    :param page: first page of the whole table; None before that.
+    """
+
+    replica: int
+    start: int
+    after: store_rows.Position | None
+    page: _Page | None = None
+
+
 @dataclasses.dataclass(frozen=True)
 class _Announcement:
     """What a replica says of itself."""
@@ -134,15 +170,21 @@
     """One seeded order of events, after each of which every replica is compared with the store.
 
     :param events: names of the methods that may be called, in the order of their weight.
+    :param are_reads_apart: whether reads begin and end apart, so that they overlap, and the store
+        and the replica change between their steps.
     """
 
-    def __init__(self, seed: int, events: tuple[str, ...], starts_late: bool) -> None:
+    def __init__(
+        self, seed: int, events: tuple[str, ...], starts_late: bool, are_reads_apart: bool
+    ) -> None:
         self._rng = random.Random(seed)
         self._events = events
+        self._are_reads_apart = are_reads_apart
         self.store = _Store(self._rng)
         self.replicas = [table_replica.TableReplica(TABLE) for _ in range(REPLICAS)]
         self._starts = [0] * REPLICAS
         self._messages: list[_Message] = []
+        self._reads: list[_Read] = []
         if not starts_late:
             for replica in self.replicas:
                 replica.apply_changes(self.store.read_table())
@@ -180,11 +222,34 @@
         self.store.change()
 
     def read(self) -> None:
-        """A replica reads the store."""
+        """A replica reads the store, or begins to, and any of the reads in progress go on."""
         number = self._rng.randrange(REPLICAS)
-        position = self.replicas[number].position
-        changes = self.store.read_table() if position is None else self.store.read_changes(position)
-        self._send(number, changes)
+        position, start = self.replicas[number].position, self._starts[number]
+        if not self._are_reads_apart:
+            self._send(number, self.store.read_changes_or_table(position), start)
+            return
+        self._reads.append(_Read(number, start, position))
+        while self._reads and (len(self._reads) > READS_MAX or self._rng.random() < 0.7):
+            self._go_on(self._rng.choice(self._reads))
+
+    def _go_on(self, read: _Read) -> None:
+        """Lets the store answer the next call of a read."""
+        half = len(KEYS) // 2
+        if read.page is not None:
+            self._reads.remove(read)
+            last = self.store.read_page(KEYS[half:])
+            # The client of the store discards pages of different eras.
+            if last.position.era == read.page.position.era:
+                rows = read.page.rows + last.rows
+                changes = store_rows.StoreChanges(TABLE, rows, read.page.position, True)
+                self._send(read.replica, changes, read.start)
+            return
+        changes = None if read.after is None else self.store.read_changes(read.after)
+        if changes is None:
+            read.page = self.store.read_page(KEYS[:half])
+        else:
+            self._reads.remove(read)
+            self._send(read.replica, changes, read.start)
 
     def exchange(self) -> None:
         """A replica requests the rows that it lacks from another one."""
@@ -192,14 +257,14 @@
         position = self.replicas[number].position or store_rows.FIRST_POSITION
         changes = self.replicas[other].list_changes(position)
         if changes is not None:
-            self._send(number, changes)
+            self._send(number, changes, self._starts[number])
 
     def announce(self) -> None:
         """A replica announces to another one which changes it has."""
         number, other = self._rng.sample(range(REPLICAS), 2)
         sender = self.replicas[other]
         if sender.position is not None:
-            self._send(number, _Announcement(sender.quiet_since, sender.position))
+            self._send(number, _Announcement(sender.quiet_since, sender.position), None)
 
     def lose_history(self) -> None:
         """The store forgets its history."""
@@ -215,11 +280,18 @@
         number = self._rng.randrange(REPLICAS)
         self.replicas[number] = table_replica.TableReplica(TABLE)
         self._starts[number] += 1
+        self._reads = [read for read in self._reads if read.replica != number]
+
+    def _send(
+        self,
+        receiver: int,
+        content: store_rows.StoreChanges | _Announcement,
+        start: int | None,
+    ) -> None:
+        """Sends a message, then lets any of those under way arrive.
 
-    def _send(self, receiver: int, content: store_rows.StoreChanges | _Announcement) -> None:
-        """Sends a message, then lets any of those under way arrive."""
-        is_answer = isinstance(content, store_rows.StoreChanges)
-        start = self._starts[receiver] if is_answer else None
+        :param start: start of the receiver for which it is meant; None for any.
+        """
         self._messages.append(_Message(receiver, start, content))
         if self._rng.random() < 0.3 and len(self._messages) < MESSAGES_MAX:
             return
@@ -258,20 +330,21 @@
 
     @parameterized.expand(
         [
-            (f"{name}, seed {seed}", seed, events, starts_late, removed_max)
+            (f"{name}{kind}, seed {seed}", seed, events, starts_late, removed_max, are_reads_apart)
             for name, events, starts_late, removed_max in CASES
+            for kind, are_reads_apart in (("", False), (", reads apart", True))
             for seed in range(SEEDS)
         ]
     )
     def test_position_is_claimed_only_with_every_removal_up_to_it(
-        self, _name, seed, events, starts_late, removed_max
+        self, _name, seed, events, starts_late, removed_max, are_reads_apart
     ) -> None:
         removed_max = removed_max or table_replica.REMOVED_ROWS_MAX
         with unittest.mock.patch.object(table_replica, "REMOVED_ROWS_MAX", removed_max):
-            walk = _Walk(seed, events, starts_late)
+            walk = _Walk(seed, events, starts_late, are_reads_apart)
             self.assertEqual([], walk.play())
         for replica in walk.replicas:
             replica.apply_changes(walk.store.read_table())
             while replica.position != walk.store.now.make_position():
-                replica.apply_changes(walk.store.read_changes(replica.position))
+                replica.apply_changes(walk.store.read_changes_or_table(replica.position))
         self.assertEqual([], walk.list_faults())
