Hold missing registrations after an outage only where most are missing

Cause: one call of the store without an answer for 1.9 s, and the read interval before it, counted as an outage in which registrations may lapse, and then every missing one was kept for 2.5 s.

Ruled out: a position without its removal (no order of the walk breaks the claim). That the users met this is not shown.

Change: registrations that are missing after an outage count as lapsed only if they are the majority, of all or of a failure domain. An outage counts from the latest answer to anybody. Rows of other instances that arrive while the store is away are judged alike: without that, instances that heard of the lapses from others took all servers out of service. A read that got no answer for a second is repeated at once. New log lines 6113, 6204 and 6205.

--- a/src/caperdyke/coordination/registry/server_registry.py
+++ b/src/caperdyke/coordination/registry/server_registry.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 
+from caperdyke.coordination.registry import lapses
 from caperdyke.state import ids, name_hashes, registration, store_rows
 
 # Registrations that lapsed while the store was unreachable are written again within about 2 s of
@@ -22,6 +23,9 @@
         none.
     :param usable_until: time from which a removed server gets no new requests; infinite while it is
         registered.
+    :param window: decides whether a removed server stays in use until then; None if it does not
+        depend on that.
+    :param last_sent_at: time of the latest request to it; minus infinity if there was none.
     """
 
     registration: registration.Registration
@@ -31,6 +35,13 @@
     is_preexisting: bool = False
     removed: store_rows.Position = store_rows.FIRST_POSITION
     usable_until: float = math.inf
+    window: lapses.LapseWindow | None = None
+    last_sent_at: float = -math.inf
+
+    @property
+    def is_held(self) -> bool:
+        """Whether the server stays in use although its registration is missing."""
+        return self.window is not None and self.window.is_lapsed(self.registration.server.domain)
 
     @property
     def start_hash(self) -> int:
@@ -53,8 +64,10 @@
 
     def __init__(self) -> None:
         self._servers: dict[ids.BackendId, RegisteredServer] = {}
-        # Time until which a removal may stem from a registration that lapsed during a store outage.
-        self._lapse_grace_until = 0.0
+        # Time in which a removal may stem from a registration that lapsed during a store outage.
+        self._lapse_window = lapses.LapseWindow(0.0, {})
+        # Removed servers that stay in use, until that ends.
+        self._held: set[ids.BackendId] = set()
         # Servers whose address is in use by another server, with the position of their registration
         # when this was detected.
         self._misdirected: dict[ids.BackendId, store_rows.Position] = {}
@@ -71,10 +84,21 @@
     ) -> None:
         """Records that the store answers again after an outage, or answers in a later era.
 
+        The time in which registrations are written again counts from the first sign of that.
+
         :param restored_position: position of the first read of a later era; None after an outage.
         """
-        self._lapse_grace_until = now + LAPSE_GRACE_SECONDS
-        if restored_position is not None:
+        is_restored = restored_position is not None
+        if now < self._lapse_window.until and not is_restored:
+            return
+        present = {
+            name: server.registration.server.domain
+            for name, server in self._servers.items()
+            if server.usable_until == math.inf
+            and server.registration.state is registration.RegistrationState.READY
+        }
+        self._lapse_window = lapses.LapseWindow(now + LAPSE_GRACE_SECONDS, present, is_restored)
+        if is_restored:
             self._restored_position = restored_position
 
     def merge(
@@ -98,6 +122,8 @@
         self._servers[name] = RegisteredServer(
             entry, changed, cold_until, first_seen, is_preexisting
         )
+        if current is not None:
+            self._servers[name].last_sent_at = current.last_sent_at
         return is_new_start
 
     def mark_all_preexisting(self) -> None:
@@ -118,9 +144,33 @@
         if is_already_removed:
             return False
         is_draining = current.registration.state is registration.RegistrationState.DRAINING
-        current.usable_until = now if is_draining else max(now, self._lapse_grace_until)
+        if is_draining or now >= self._lapse_window.until:
+            current.usable_until = now
+            return True
+        current.usable_until, current.window = self._lapse_window.until, self._lapse_window
+        self._lapse_window.record_missing(name)
+        self._held.add(name)
         return True
 
+    def record_sent(self, now: float, name: ids.BackendId) -> None:
+        """Records that a request is sent to a server."""
+        current = self._servers.get(name)
+        if current is not None:
+            current.last_sent_at = now
+
+    def take_released(self, now: float) -> list[RegisteredServer]:
+        """Returns the servers that have been held and no longer are, once each."""
+        ended = [
+            name
+            for name in self._held
+            if (server := self._servers.get(name)) is None
+            or server.window is None
+            or now >= server.usable_until
+        ]
+        self._held.difference_update(ended)
+        servers = [self._servers[name] for name in ended if name in self._servers]
+        return [server for server in servers if server.is_held]
+
     def record_cold(self, now: float, name: ids.BackendId, seconds: float) -> None:
         """Records a server's own report that it is cold, which arrives before its registration."""
         current = self._servers.get(name)
@@ -135,7 +185,7 @@
 
     def list_usable(self, now: float) -> list[RegisteredServer]:
         """Returns the servers that may get new requests according to their registrations."""
-        if self._unconfirmed and now >= self._lapse_grace_until:
+        if self._unconfirmed and now >= self._lapse_window.until:
             for entry, changed in list(self._unconfirmed.values()):
                 self.merge(now, entry, changed)
         return [server for server in self._servers.values() if self.is_usable(now, server)]
@@ -180,15 +230,15 @@
         A removal that was forgotten leaves no trace, so an unknown server counts as removed.
         """
         if current is None:
-            return changed <= self._restored_position and now < self._lapse_grace_until
+            return changed <= self._restored_position and now < self._lapse_window.until
         is_removed = current.removed > current.changed
         is_same_start = entry.started_ms <= current.registration.started_ms
         is_of_later_era = changed.era > current.removed.era
-        return is_removed and is_same_start and is_of_later_era and now < self._lapse_grace_until
+        return is_removed and is_same_start and is_of_later_era and now < self._lapse_window.until
 
     def is_usable(self, now: float, server: RegisteredServer) -> bool:
         """Returns whether a server may get new requests according to its registration."""
-        if now >= server.usable_until:
+        if now >= server.usable_until or (server.window is not None and not server.is_held):
             return False
         entry = server.registration
         if self._misdirected.get(entry.server.backend) == server.changed:
--- a/src/caperdyke/transport/events.py
+++ b/src/caperdyke/transport/events.py
@@ -108,6 +108,12 @@
         "{table} advanced from {previous} to {position} as {instance} found no change since "
         "{changed}",
     )
+    STORE_OUTAGE_ENDED = (
+        6113,
+        "INFO",
+        "store may have been unavailable for {seconds} s; registrations may have lapsed: "
+        "{may_have_lapsed}",
+    )
     ROUTES_ADOPTED = (6201, "INFO", "configuration {version} is in force, {routes} routes")
     TEAM_INVALID = (6601, "ERROR", "configuration {version}: {fault}")
     TEAM_OVER_QUOTA = (
@@ -127,6 +133,18 @@
         "request {digest} is rejected: {count} backend servers ended under it: {servers}",
     )
     SERVER_CHANGED = (6202, "INFO", "backend server {backend} of {service}: {change}")
+    SERVER_REMOVED = (
+        6204,
+        "INFO",
+        "backend server {backend} of {service}: removed up to {position}, heard from {source}; "
+        "registered {registered_ms} ms ago, last request {last_request_ms} ms ago, "
+        "held for {held_ms} ms",
+    )
+    SERVER_RELEASED = (
+        6205,
+        "INFO",
+        "backend server {backend} is no longer held; last request {last_request_ms} ms ago",
+    )
     EVACUATION_CHANGED = (6203, "INFO", "evacuated failure domains: {domains}")
     PATH_LOST = (
         6501,
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -23,7 +23,12 @@
     shared_retry_budget,
     traffic_splits,
 )
-from caperdyke.coordination.registry import fleet, initial_sync, provenance, server_registry
+from caperdyke.coordination.registry import (
+    fleet,
+    initial_sync,
+    provenance,
+    server_registry,
+)
 from caperdyke.protocol import platform_interfaces
 from caperdyke.state import (
     backend,
@@ -32,6 +37,7 @@
     ids,
     member,
     routes,
+    store_rows,
 )
 from caperdyke.transport import events, metrics
 from caperdyke.transport.backends import pool
@@ -219,6 +225,12 @@
             }
         )
         self._services = services
+        for registered in self.servers.take_released(now):
+            events.log(
+                events.Event.SERVER_RELEASED,
+                backend=registered.registration.server.backend,
+                last_request_ms=_compute_age_ms(now, registered.last_sent_at),
+            )
         for name in self.servers.remove_gone(now):
             self.views.pop(name, None)
             self.bounds.remove_server(name)
@@ -239,8 +251,34 @@
         The age counts from the latest time as of which the store, or an instance of the failure
         domain that read it, has confirmed them.
         """
-        confirmed_at = self.find_registrations_confirmed_at()
-        return -1 if confirmed_at == -math.inf else round((self.now() - confirmed_at) * 1000)
+        return _compute_age_ms(self.now(), self.find_registrations_confirmed_at())
+
+    def log_server_removed(
+        self,
+        registered: server_registry.RegisteredServer,
+        removed: store_rows.Position,
+        source: str,
+        confirmed_at: float,
+    ) -> None:
+        """Logs a removal with what bounds the time for which the server was used after it.
+
+        :param removed: position up to which the registration was removed.
+        :param source: the store, or the address of the instance that sent the removal.
+        :param confirmed_at: latest time as of which the server was still registered.
+        """
+        now, server = self.now(), registered.registration.server
+        events.log(
+            events.Event.SERVER_REMOVED,
+            backend=server.backend,
+            service=server.service,
+            position=str(removed),
+            source=source,
+            registered_ms=_compute_age_ms(now, confirmed_at),
+            last_request_ms=_compute_age_ms(now, registered.last_sent_at),
+            held_ms=(
+                round(max(0.0, registered.usable_until - now) * 1000) if registered.is_held else 0
+            ),
+        )
 
     def describe_path(self, service: ids.ServiceName) -> dict[str, int]:
         """Returns why servers of a service are not selected, and the path to all servers.
@@ -448,6 +486,7 @@
         if self.find_next_send_time(now, registered) > now:
             return False
         self.bounds.record_send(now, server.backend)
+        self.servers.record_sent(now, server.backend)
         return True
 
     def adjust_retry_after(
@@ -518,3 +557,8 @@
         limits, bounds = self._find_service_limits(registered), self.settings.bounds
         rate = limits.cold_per_second if limits else 0.0
         return shared_bounds.bound_cold_start(rate, bounds.cold_factor, bounds.cold_allowance)
+
+
+def _compute_age_ms(now: float, event_at: float) -> int:
+    """Returns the time since an event in milliseconds; -1 if there was none."""
+    return -1 if event_at == -math.inf else round((now - event_at) * 1000)
--- a/src/caperdyke/transport/gateway/store_sync.py
+++ b/src/caperdyke/transport/gateway/store_sync.py
@@ -113,16 +113,27 @@
     async def sync_servers(self) -> None:
         """Reads the registrations whenever a read is due, forever."""
         while True:
-            was_away = self.servers.away_since is not None
+            started_at, was_away = self._node.now(), self.servers.away_since is not None
             if not await self.servers.read_now():
                 if not was_away:
                     # The connection of the long poll for the configuration may have stalled too.
                     self.watch.check()
-                await asyncio.sleep(self.servers.compute_retry_delay())
+                await self._wait_until_retry_due(started_at)
                 continue
             self.on_servers_read()
             await self._wait_until_read_due()
 
+    async def _wait_until_retry_due(self, started_at: float) -> None:
+        """Waits before the read that follows a failed one.
+
+        Pattern: the store is silent for some seconds, without refusing calls. A call is always in
+        progress then, so that its answer arrives as soon as the store goes on.
+
+        :param started_at: start of the failed read.
+        """
+        if self._node.now() < started_at + configuration_watch.LOST_CALL_MIN_SECONDS:
+            await asyncio.sleep(self.servers.compute_retry_delay())
+
     async def _wait_until_read_due(self) -> None:
         """Waits until no instance of the failure domain has read the registrations recently."""
         while True:
@@ -213,11 +224,12 @@
     def apply_servers(self, rows: list[store_rows.StoreRow]) -> None:
         """Applies changed rows of the registrations."""
         node, now = self._node, self._node.now()
+        removed = []
         for row in rows:
             name = ids.BackendId(row.key)
             if row.value is None:
                 if node.servers.remove(now, name, row.changed):
-                    self._log_server(name, "removed")
+                    removed.append(row)
                 continue
             try:
                 self._apply_registration(now, row)
@@ -228,6 +240,11 @@
             # Servers in the first read, from the store or another instance, were in service before.
             node.servers.mark_all_preexisting()
         node.registrations_at = now
+        for row in removed:
+            registered = node.servers.find(ids.BackendId(row.key))
+            node.log_server_removed(
+                registered, row.changed, self.servers.source, self._find_confirmed_at()
+            )
         node.refresh_servers()
         node.record_initial_read(initial_sync.SyncStep.SERVERS)
 
@@ -357,19 +374,32 @@
             detail=report.detail,
         )
 
-    def _record_recovery(self, unanswered_since: float) -> None:
+    def _record_recovery(self, unanswered_since: float, is_answered: bool) -> None:
         node, now = self._node, self._node.now()
-        answered_at = [peer.read_at for peer in node.fleet.list_live(now)]
-        if store_outage.may_have_lapsed(
+        outage_seconds = store_outage.compute_outage(
             unanswered_since,
             now,
-            answered_at,
-            node.settings.heartbeat_seconds,
+            [
+                self._own_read_at,
+                node.provenance.store_answered_at,
+                *(peer.read_at for peer in node.fleet.list_live(now)),
+            ],
             self._find_servers_interval(),
-        ):
-            is_new_era = unanswered_since == -math.inf
+        )
+        may_have_lapsed = store_outage.may_have_lapsed(
+            outage_seconds, node.settings.heartbeat_seconds
+        )
+        is_new_era = unanswered_since == -math.inf
+        if not is_new_era:
+            events.log(
+                events.Event.STORE_OUTAGE_ENDED,
+                seconds=round(outage_seconds, 2),
+                may_have_lapsed=may_have_lapsed,
+            )
+        if may_have_lapsed:
             node.servers.record_store_recovery(now, self.servers.position if is_new_era else None)
-        self.watch.check()
+        if is_answered:
+            self.watch.check()
 
     def _is_peer_ahead(self) -> bool:
         table = store_rows.StoreTable.CONFIGURATION
--- a/src/caperdyke/transport/gateway/table_sync.py
+++ b/src/caperdyke/transport/gateway/table_sync.py
@@ -51,8 +51,9 @@
     :param rng: spreads the retries of many instances.
     :param on_call_ended: called with a report of each call.
     :param on_failure: called when the store stops answering.
-    :param on_recovery: called when the store answers again or starts a new era, with the start of
-        the first call that it did not answer; minus infinity for a new era.
+    :param on_recovery: called before changes are applied that end an outage for this instance, with
+        the start of the first call that the store did not answer, minus infinity for a new era, and
+        whether the store answered itself.
     :param on_confirmed: called with the start of each call whose answer was applied.
     :ivar away_since: time since which the store has not answered; None while it answers.
     :ivar source: origin of the last applied changes, ``store`` or the address of an instance.
@@ -166,8 +167,7 @@
     ) -> bool:
         """Applies changes from the store or another instance; returns whether they were accepted.
 
-        :param is_recovery: whether this is the first answer of the store after an outage. Changes
-            from other instances during an outage are no recovery: their removals apply at once.
+        :param is_recovery: whether this is the first answer of the store after an outage.
         :param source: ``store`` or the address of the instance.
         """
         previous = self.position
@@ -177,8 +177,13 @@
         is_new_era = previous is not None and changes.position.era > previous.era
         if is_new_era:
             events.log(events.Event.ERA_CHANGED, table=self.table.value, era=changes.position.era)
+        # Another instance may have been answered first, and pass on what the outage has removed.
+        is_news_of_others = source != provenance.STORE and self.away_since is not None
+        has_removals = any(row.value is None for row in rows)
+        is_recovery = is_recovery or (is_news_of_others and has_removals)
         if self._on_recovery is not None and (is_new_era or is_recovery):
-            self._on_recovery(-math.inf if is_new_era else self._unanswered_since)
+            unanswered_since = -math.inf if is_new_era else self._unanswered_since
+            self._on_recovery(unanswered_since, source == provenance.STORE)
         self.source = source
         self._apply(rows)
         return True
--- a/testing/knowledge/fleet_replay.py
+++ b/testing/knowledge/fleet_replay.py
@@ -73,6 +73,7 @@
     :ivar slow_seconds: time that an answer takes in addition to the usual time.
     :ivar history_from: earliest version from which the store can still list changes.
     :ivar registrations: version and state of each registration; the state of a removed one is None.
+    :ivar silent_until: time until which no call is answered; calls that still wait are then.
     :ivar reads_version: version that reads of changes show instead of the current one, if any.
     """
 
@@ -85,6 +86,7 @@
         self.slow_seconds = 0.0
         self.calls = 0
         self.is_unavailable = False
+        self.silent_until = 0.0
         self.history_from = 0
         self._changed = asyncio.Condition()
 
@@ -211,6 +213,8 @@
             raise errors.PlatformUnavailableError("refused")
         if after is not None:
             await store.wait_for_change(after.number, wait_ms)
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(max(0.0, store.silent_until - loop.time()))
         await asyncio.sleep(STORE_ANSWER_SECONDS + store.slow_seconds)
         is_history_lost = after is not None and after.number < store.history_from
         answer = None
--- a/testing/registry/test_store_outage.py
+++ b/testing/registry/test_store_outage.py
@@ -29,5 +29,17 @@
         self, _name, started_at, ended_at, answered_at, expected
     ) -> None:
         """Guards against removed servers that stay in use after one failed call."""
-        found = store_outage.may_have_lapsed(started_at, ended_at, answered_at, HEARTBEAT, READ)
-        self.assertEqual(expected, found)
+        outage_seconds = store_outage.compute_outage(started_at, ended_at, answered_at, READ)
+        self.assertEqual(expected, store_outage.may_have_lapsed(outage_seconds, HEARTBEAT))
+
+    @parameterized.expand(
+        [
+            ("answered shortly before the call that failed", [9.9], 2.1),
+            ("answered one read interval before", [8.8], 3.2),
+            ("others were answered meanwhile", [9.9, 11.0], 1.1),
+        ]
+    )
+    def test_outage_counts_from_the_latest_answer(self, _name, answered_at, expected) -> None:
+        """Guards against a call that fails late and counts as an outage of several heartbeats."""
+        outage_seconds = store_outage.compute_outage(10.0, 12.0, answered_at, READ)
+        self.assertAlmostEqual(expected, outage_seconds)
