Read the registrations again after a pause before requests are sent

Cause: what passed while the process did not run was treated as if it had been seen. Requests were sent by registrations from before the pause; calls that timed out meanwhile counted as an outage of the store; a datagram that had waited made a read look as late as the end of the pause.

Ruled out: an older position (the read that follows names the removal).

Change: ticks that come over 0.5 s late tell a pause (event 6114). The registrations are read at once, requests wait for that up to 0.25 s and not while the store is away, calls that began before the pause say nothing about the store, and messages from the backlog count as of its start.

--- a/src/caperdyke/transport/events.py
+++ b/src/caperdyke/transport/events.py
@@ -114,6 +114,7 @@
         "store may have been unavailable for {seconds} s; registrations may have lapsed: "
         "{may_have_lapsed}",
     )
+    PAUSE_ENDED = (6114, "WARNING", "this instance did not run for {seconds} s")
     ROUTES_ADOPTED = (6201, "INFO", "configuration {version} is in force, {routes} routes")
     TEAM_INVALID = (6601, "ERROR", "configuration {version}: {fault}")
     TEAM_OVER_QUOTA = (
--- a/src/caperdyke/transport/gateway/announcer.py
+++ b/src/caperdyke/transport/gateway/announcer.py
@@ -109,7 +109,9 @@
             now, announcement.limits, announcement.backoffs, announcement.leaving
         )
         if announcement.read_age_ms >= 0:
-            sender.read_at = now - announcement.read_age_ms / 1000
+            # A read must not count as later than it was, however long its datagram has waited.
+            arrived_at = node.pauses.find_earliest_arrival(now)
+            sender.read_at = arrived_at - announcement.read_age_ms / 1000
             self._store_sync.record_peer_reading(sender, announcement.read_position)
         if announcement.is_reply_requested:
             self._send(now, sender, False, True)
@@ -141,6 +143,9 @@
     def update_fleet_view(self, now: float) -> None:
         """Updates the set of live instances and the load that they announce."""
         self._node.fleet.record_tick(now)
+        paused_seconds = self._node.pauses.record_tick(now)
+        if paused_seconds > 0:
+            events.log(events.Event.PAUSE_ENDED, seconds=round(paused_seconds, 2))
         self._update_members(now)
         self._update_remote_load(now)
 
--- a/src/caperdyke/transport/gateway/context.py
+++ b/src/caperdyke/transport/gateway/context.py
@@ -26,6 +26,7 @@
 from caperdyke.coordination.registry import (
     fleet,
     initial_sync,
+    pauses,
     provenance,
     server_registry,
 )
@@ -57,6 +58,8 @@
     :ivar on_crash_news: called when this instance learned that a server ended under a request, or
         that a request is excused.
     :ivar find_registrations_confirmed_at: returns the time as of which the registrations are known.
+    :ivar is_read_awaited: returns whether requests wait for a read of the registrations, after a
+        pause of this instance.
     """
 
     def __init__(
@@ -114,6 +117,8 @@
         self.find_registrations_confirmed_at: collections.abc.Callable[[], float] = (
             lambda: -math.inf
         )
+        self.is_read_awaited: collections.abc.Callable[[], bool] = lambda: False
+        self.pauses = pauses.PauseDetector()
         self.metrics = metrics.Metrics()
         self.active_requests = 0
         self.planned_stop: planned_stop.PlannedStop | None = None
--- a/src/caperdyke/transport/gateway/dispatcher.py
+++ b/src/caperdyke/transport/gateway/dispatcher.py
@@ -24,6 +24,8 @@
 )
 
 SERVER_ERROR_STATUS = 500
+# Interval between checks whether a read of the registrations has ended.
+READ_POLL_SECONDS = 0.005
 # Ratio of the retry budget that copies which warm a near home must leave to retries.
 WARMING_RESERVE_RATIO = 0.5
 
@@ -89,6 +91,7 @@
         tried_servers: set[ids.BackendId] = set()
         failed: sender.ServerAnswer | None = None
         while True:
+            await self._wait_for_registrations()
             if node.routes is not request.table or not node.may_check_keys():
                 admitted = admissions.admit_again(request, node, trace)
                 if isinstance(admitted, local_reply.LocalReply):
@@ -171,6 +174,11 @@
             if not attempt_state.allows_retry() or node.now() >= request.deadline:
                 return failed or self._make_refused_reply(request, route, service, attempt_state)
 
+    async def _wait_for_registrations(self) -> None:
+        """Waits for the read of the registrations that follows a pause, at most shortly."""
+        while self._node.is_read_awaited():
+            await asyncio.sleep(READ_POLL_SECONDS)
+
     def _reject_deadly(
         self, request: sender.CallerRequest, attempt_state: attempts.Attempts
     ) -> local_reply.LocalReply | None:
--- a/src/caperdyke/transport/gateway/sender.py
+++ b/src/caperdyke/transport/gateway/sender.py
@@ -218,6 +218,8 @@
             return Failure(FailureKind.NOT_SENT, "the configuration changed")
         if node.now() > node.find_latest_send(route, request.deadline, placed.expected_s):
             return make_stopping_failure()
+        if node.is_read_awaited():
+            return Failure(FailureKind.NOT_SENT, "the registrations are read again after a pause")
         if not node.try_record_send(placed.view.server):
             detail = "the server left service, or this instance's quota of it is used up"
             return Failure(FailureKind.NOT_SENT, detail)
--- a/src/caperdyke/transport/gateway/store_sync.py
+++ b/src/caperdyke/transport/gateway/store_sync.py
@@ -36,6 +36,9 @@
 # ratio of the time after which a leaving server must get no new requests, and at most.
 SERVERS_READ_RATIO = 0.45
 SERVERS_READ_MAX_SECONDS = 1.2
+# Longest time for which requests wait for the read that follows a pause of this instance: a call
+# over a new connection from the farthest region.
+PAUSE_READ_SECONDS_MAX = 0.25
 # Time for which another instance may have a newer configuration before its rows are requested. The
 # store is called earlier than that.
 CONFIGURATION_LAG_SECONDS = 0.5
@@ -65,6 +68,7 @@
             self._record_call,
             node.record_initial_failure,
             on_confirmed=node.provenance.record_confirmation,
+            find_running_since=node.pauses.find_running_since,
         )
         self.servers = table_sync.TableSync(
             node.store,
@@ -76,6 +80,7 @@
             node.record_initial_failure,
             self._record_recovery,
             self._record_servers_read,
+            node.pauses.find_running_since,
         )
         node.provenance.calls = self.configuration.calls
         self._tables = {item.table: item for item in (self.configuration, self.servers)}
@@ -90,6 +95,7 @@
         self._confirmed_at = -math.inf
         self._read_schedule = read_schedule.ReadSchedule(rng)
         node.find_registrations_confirmed_at = self._find_confirmed_at
+        node.is_read_awaited = self.is_read_awaited
         self.on_servers_read: collections.abc.Callable[[], None] = _do_nothing
         self.on_configuration_changed: collections.abc.Callable[[], None] = _do_nothing
 
@@ -143,7 +149,8 @@
             next_read_at = self._read_schedule.compute_read_time(
                 self._own_read_at, peer_reads_at, self._find_servers_interval()
             )
-            if now >= next_read_at:
+            is_outdated = self._confirmed_at < self._node.pauses.find_running_since(now)
+            if now >= next_read_at or is_outdated:
                 return
             await asyncio.sleep(min(peer_sync.COMPARE_INTERVAL_SECONDS, next_read_at - now))
 
@@ -267,6 +274,18 @@
         """Returns the time as of which the registrations are known; minus infinity if never."""
         return max(self._own_read_at, self._confirmed_at)
 
+    def is_read_awaited(self) -> bool:
+        """Returns whether requests wait for a read, as this instance was paused after the last one.
+
+        Pattern: servers left during the pause, and requests that arrived meanwhile are handled
+        before anything has been read again.
+        """
+        now = self._node.now()
+        running_since = self._node.pauses.find_running_since(now)
+        is_confirmed = self._find_confirmed_at() >= running_since
+        is_waiting_over = now >= running_since + PAUSE_READ_SECONDS_MAX
+        return not is_confirmed and not is_waiting_over and self.servers.away_since is None
+
     def find_read_age_ms(self) -> int:
         """Returns the time since this instance read the registrations; -1 before the first read."""
         if self._own_read_at == -math.inf:
@@ -385,6 +404,7 @@
                 *(peer.read_at for peer in node.fleet.list_live(now)),
             ],
             self._find_servers_interval(),
+            node.pauses.find_running_since(now),
         )
         may_have_lapsed = store_outage.may_have_lapsed(
             outage_seconds, node.settings.heartbeat_seconds
--- a/src/caperdyke/transport/gateway/table_sync.py
+++ b/src/caperdyke/transport/gateway/table_sync.py
@@ -44,6 +44,11 @@
     """Default callback."""
 
 
+def _find_no_pause(_now: float) -> float:
+    """Default callback."""
+    return -math.inf
+
+
 class TableSync:
     """Keeps the replica of one table in step with the store.
 
@@ -55,6 +60,7 @@
         the start of the first call that the store did not answer, minus infinity for a new era, and
         whether the store answered itself.
     :param on_confirmed: called with the start of each call whose answer was applied.
+    :param find_running_since: returns the end of the latest pause of this instance as of a time.
     :ivar away_since: time since which the store has not answered; None while it answers.
     :ivar source: origin of the last applied changes, ``store`` or the address of an instance.
     :ivar calls: start of each call in progress.
@@ -71,6 +77,7 @@
         on_failure,
         on_recovery=None,
         on_confirmed=_do_nothing,
+        find_running_since=_find_no_pause,
     ) -> None:
         self._store = store
         self.table = table
@@ -82,6 +89,7 @@
         self._on_confirmed = on_confirmed
         self._on_call_ended = on_call_ended
         self._on_failure = on_failure
+        self._find_running_since = find_running_since
         self.away_since: float | None = None
         self.source = provenance.STORE
         self.calls: list[float] = []
@@ -108,7 +116,9 @@
             outcome = CallOutcome.ANSWERED
         except errors.PlatformUnavailableError as error:
             outcome, detail = CallOutcome.FAILED, str(error)
-            self._record_failure(started_at, detail)
+            # A call during which this instance did not run says nothing about the store.
+            if started_at >= self._find_running_since(self._now()):
+                self._record_failure(started_at, detail)
             return False
         finally:
             self.calls.remove(started_at)
--- a/testing/knowledge/test_store_stalls.py
+++ b/testing/knowledge/test_store_stalls.py
@@ -114,3 +114,33 @@
 
         simulated_loop.run(run_fleet())
         self.assertEqual({}, unused, "instances that lost a server, and when")
+
+
+class PausedInstanceTest(testtools.TestCase):
+    """An instance does not run for a while, and datagrams wait in its socket."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        loguru.logger.disable("caperdyke")
+        self.addCleanup(loguru.logger.enable, "caperdyke")
+
+    def test_announcement_that_waited_during_a_pause_confirms_no_later_read(self) -> None:
+        """Guards against registrations that count as fresh by a datagram that waited."""
+
+        async def run_fleet() -> None:
+            replay = fleet_replay.FleetReplay(2, 1, 1)
+            self.patch(row_exchange, "fetch", replay.fetch_rows)
+            replay.start()
+            await asyncio.sleep(SETTLE_SECONDS)
+            paused = replay.instances["instance-0"]
+            for task in paused.tasks:
+                task.cancel()
+            paused_at = asyncio.get_running_loop().time()
+            await asyncio.sleep(3.0)
+            peer = paused.node.fleet.list_others()[0]
+            self.assertTrue(
+                peer.read_at <= paused_at, f"got {peer.read_at}, expected at most {paused_at}"
+            )
+            replay.stop()
+
+        simulated_loop.run(run_fleet())
--- a/testing/platform/harness.py
+++ b/testing/platform/harness.py
@@ -9,7 +9,7 @@
 import testtools
 
 from caperdyke.platform import calls, documents, headers, store
-from caperdyke.state import gateway_settings, ids, settings
+from caperdyke.state import clock, gateway_settings, ids, settings
 from caperdyke.transport.gateway import context, node
 from testing import servers
 from testing.platform import fake_server, fake_store
@@ -140,13 +140,18 @@
 
 @contextlib.asynccontextmanager
 async def start_gateway(
-    server_names=("s1", "s2"), configuration=None, waits_until_ready=True, prepare_store=None
+    server_names=("s1", "s2"),
+    configuration=None,
+    waits_until_ready=True,
+    prepare_store=None,
+    now=clock.read_clock,
 ):
     """Runs a gateway between fakes and yields its harness.
 
     :param configuration: document to write first; empty for none, None for the default one.
     :param waits_until_ready: whether the gateway has read configuration and registrations.
     :param prepare_store: called with the store before the gateway starts.
+    :param now: clock of the gateway, in seconds.
     """
     env = GatewayHarness()
     async with contextlib.AsyncExitStack() as stack:
@@ -163,7 +168,7 @@
             prepare_store(env.store)
         node_settings = make_settings(store_address)
         node_context = context.GatewayContext(
-            node_settings, headers, documents, store.Store(node_settings.store_address)
+            node_settings, headers, documents, store.Store(node_settings.store_address), now
         )
         env.gateway = node.GatewayNode(node_context, make_platform_apps)
         env.running = asyncio.create_task(env.gateway.run(env.stop))
--- a/testing/registry/test_store_outage.py
+++ b/testing/registry/test_store_outage.py
@@ -34,12 +34,17 @@
 
     @parameterized.expand(
         [
-            ("answered shortly before the call that failed", [9.9], 2.1),
-            ("answered one read interval before", [8.8], 3.2),
-            ("others were answered meanwhile", [9.9, 11.0], 1.1),
+            ("answered shortly before the call that failed", [9.9], -math.inf, 2.1),
+            ("answered one read interval before", [8.8], -math.inf, 3.2),
+            ("others were answered meanwhile", [9.9, 11.0], -math.inf, 1.1),
+            ("paused for most of the time", [9.9], 11.5, 0.5),
+            ("paused before the answer arrived", [9.9], 12.0, 0.0),
+            ("paused before the outage", [9.9], 9.0, 2.1),
         ]
     )
-    def test_outage_counts_from_the_latest_answer(self, _name, answered_at, expected) -> None:
+    def test_outage_counts_from_the_latest_answer(
+        self, _name, answered_at, running_since, expected
+    ) -> None:
         """Guards against a call that fails late and counts as an outage of several heartbeats."""
-        outage_seconds = store_outage.compute_outage(10.0, 12.0, answered_at, READ)
+        outage_seconds = store_outage.compute_outage(10.0, 12.0, answered_at, READ, running_since)
         self.assertAlmostEqual(expected, outage_seconds)
