Read all waiting datagrams in a turn, and count them from when none waited

Cause: asyncio reads one datagram a turn of the event loop. Where turns take longer than datagrams come, they wait ever longer, and each counts as if it had just been sent: "another instance has just read the registrations". The instance then puts off its own read, although it is seconds behind.

Change: the datagrams that wait, up to 64, are handled in one turn, and what they say of a read counts from the time at which the socket was last found empty.

Conclusion: age of registrations is bounded by what the instance itself can know.

--- a/src/caperdyke/transport/gateway/announcer.py
+++ b/src/caperdyke/transport/gateway/announcer.py
@@ -4,7 +4,10 @@
 import collections
 import collections.abc
 import dataclasses
+import math
+import os
 import random
+import socket
 
 from caperdyke import errors
 from caperdyke.coordination import overlay
@@ -17,6 +20,9 @@
 # Size of the network headers of one datagram.
 DATAGRAM_HEADER_BYTES = 42
 TICK_SECONDS = 0.05
+# Datagrams that are read before everything else has its turn, and the size of the largest.
+DATAGRAMS_PER_TURN = 64
+DATAGRAM_MAX_BYTES = 64 * 1024
 # Interval between attempts to write the own row, and between checks of the store's era.
 ENROL_INTERVAL_SECONDS = 0.5
 # Longest random delay before the own row is checked in a new era of the store. Spread over this
@@ -46,6 +52,9 @@
         self._node = node
         self._store_sync = sync
         self._transport: asyncio.DatagramTransport | None = None
+        self._socket: socket.socket | None = None
+        # Time at which no datagram waited in the socket; those that are read later arrived later.
+        self._empty_at = math.inf
         self._announcement_bytes = 150
         self._logged_live: set[ids.InstanceId] = set()
         self._load_sums = load_sums.LoadSums()
@@ -60,7 +69,16 @@
         """Opens the UDP socket on the peer address."""
         host, _, port = self._node.settings.peer_address.rpartition(":")
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=(host, int(port)))
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, int(port))
+        )
+        descriptor = os.dup(transport.get_extra_info("socket").fileno())
+        self._socket = socket.socket(fileno=descriptor)
+        self._empty_at = self._node.now()
+
+    def close(self) -> None:
+        """Closes the socket; no announcement can be sent after that."""
+        self._transport.close()
 
     def connection_made(self, transport) -> None:
         """Stores the transport on which announcements are sent."""
@@ -70,7 +88,37 @@
         """Logs the error of an earlier datagram, whose receiver is unreachable."""
         events.log(events.Event.LINK_CLOSED, peer="datagram", cause=repr(error))
 
+    def connection_lost(self, _error: Exception | None) -> None:
+        """Closes the socket."""
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
     def datagram_received(self, data: bytes, address) -> None:
+        """Handles a datagram and those that wait behind it."""
+        self._handle(data, address)
+        self._read_waiting()
+
+    def _read_waiting(self) -> None:
+        """Handles the datagrams that wait in the socket.
+
+        Pattern: the event loop is slow, and asyncio reads one datagram a turn. They would wait for
+        seconds, while each makes what it says look as if it had just been said.
+        """
+        if self._socket is None:
+            return
+        for _ in range(DATAGRAMS_PER_TURN):
+            try:
+                data, address = self._socket.recvfrom(DATAGRAM_MAX_BYTES)
+            except BlockingIOError:
+                self._empty_at = self._node.now()
+                return
+            except OSError as error:
+                self.error_received(error)
+                return
+            self._handle(data, address)
+
+    def _handle(self, data: bytes, address) -> None:
         """Applies an announcement of another instance, or passes another message on."""
         try:
             message = instance_messages.decode_message(data)
@@ -110,7 +158,7 @@
         )
         if announcement.read_age_ms >= 0:
             # A read must not count as later than it was, however long its datagram has waited.
-            arrived_at = node.pauses.find_earliest_arrival(now)
+            arrived_at = min(node.pauses.find_earliest_arrival(now), self._empty_at)
             sender.read_at = arrived_at - announcement.read_age_ms / 1000
             self._store_sync.record_peer_reading(sender, announcement.read_position)
         if announcement.is_reply_requested:
@@ -132,6 +180,7 @@
     async def announce(self) -> None:
         """Announces this instance to each other instance when it is due, forever."""
         while True:
+            self._read_waiting()
             now = self._node.now()
             for other in self._node.fleet.list_others():
                 if now >= other.announce_at:
--- a/src/caperdyke/transport/gateway/node.py
+++ b/src/caperdyke/transport/gateway/node.py
@@ -218,6 +218,7 @@
             timeout=max(0.0, exit_at - node.now()),
         )
         self.node.resources.lingering.log_undelivered()
+        self.announcer.close()
 
     async def _wait_until(
         self, is_done: collections.abc.Callable[[], bool], deadline: float
