--- a/src/caperdyke/transport/gateway/store_sync.py
+++ b/src/caperdyke/transport/gateway/store_sync.py
@@ -36,9 +36,9 @@
 # ratio of the time after which a leaving server must get no new requests, and at most.
 SERVERS_READ_RATIO = 0.45
 SERVERS_READ_MAX_SECONDS = 1.2
-# Longest time for which requests wait for the read that follows a pause of this instance: a call
-# over a new connection from the farthest region.
-PAUSE_READ_SECONDS_MAX = 0.25
+# Longest time for which requests wait for the read that follows a pause of this instance. It covers
+# a second call, and a processor that is busy with the requests of the time of the pause.
+PAUSE_READ_SECONDS_MAX = 1.0
 # Time for which another instance may have a newer configuration before its rows are requested. The
 # store is called earlier than that.
 CONFIGURATION_LAG_SECONDS = 0.5
