Leave the local ports of links free for servers

Cause: links bind to their own address before they connect, so they take their port from the same ports as servers that ask for any port (odd ones here; connect alone takes even ones). An instance that restarts on such a port cannot listen while the link of another instance, or of another system on the machine, is open, nor for a minute after its end.

Change: links set SO_REUSEADDR. The kernel then lets a server listen on the port of an open or ended link.

Shown by test_ports_of_open_and_ended_links_remain_free_for_servers: before, none of the three ports was free, now all are, open and ended. A port that another server listens on still keeps the instance from starting.

--- a/src/caperdyke/transport/peers/links.py
+++ b/src/caperdyke/transport/peers/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import socket
 
 from caperdyke import errors
 from caperdyke.coordination import overlay
@@ -213,9 +214,8 @@
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_SECONDS):
-                reader, writer = await asyncio.open_connection(
-                    host, int(port), local_addr=(self._find_own_host(), 0)
-                )
+                sock = await _connect(host, int(port), self._find_own_host())
+                reader, writer = await asyncio.open_connection(sock=sock)
         except OSError:
             self._redial_at[address] = self._node.clock() + REDIAL_DELAY_SECONDS
             if instance is not None:
@@ -267,6 +267,28 @@
                 link.close()
 
 
+async def _connect(host: str, port: int, own_host: str) -> socket.socket:
+    """Connects from an own address.
+
+    :raises OSError: if the peer cannot be reached.
+    """
+    loop = asyncio.get_running_loop()
+    found = await loop.getaddrinfo(own_host, 0, type=socket.SOCK_STREAM)
+    family, _, _, _, local = found[0]
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        # The system chooses the port. Without this option no server could listen on it while the
+        # link is open, and for a minute after its end.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(local)
+        await loop.sock_connect(sock, (host, port))
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
 def make_forward(
     request: answers.IncomingRequest, number: ids.RequestId, role: messages.Role
 ) -> messages.Forward:
--- a/testing/test_links.py
+++ b/testing/test_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import socket
 
 import parameterized
 import testtools
@@ -31,6 +32,18 @@
     return await asyncio.open_connection(host, int(port))
 
 
+def can_listen(port: int) -> bool:
+    """Returns whether a server can listen on a port."""
+    with socket.socket() as server:
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            server.bind(("127.0.0.1", port))
+            server.listen()
+        except OSError:
+            return False
+        return True
+
+
 async def read_to_end(reader: asyncio.StreamReader) -> None:
     """Reads until the other side closes."""
     while await reader.read(65536):
@@ -51,6 +64,24 @@
 
         return asyncio.run(run())
 
+    def test_ports_of_open_and_ended_links_remain_free_for_servers(self) -> None:
+        # An instance could not restart while a link of another had one of its ports.
+        async def script(running):
+            ports = {}
+            for name, entry in running.nodes.items():
+                listening = entry.node.own.peer_address.rpartition(":")[2]
+                for link in entry.links.list_open():
+                    port = link._writer.get_extra_info("sockname")[1]
+                    if str(port) != listening:
+                        ports[name, link.peer.instance] = port
+            while_open = [can_listen(port) for port in ports.values()]
+            for name in tuple(running.nodes):
+                await running.kill(name)
+            return while_open, [can_listen(port) for port in ports.values()]
+
+        while_open, ended = self.run_session(script)
+        self.assertEqual(([True] * 3, [True] * 3), (while_open, ended))
+
     @parameterized.parameterized.expand(INVALID_HELLOS)
     def test_invalid_hello_closes_only_its_link(self, _name, data) -> None:
         async def script(running):
