--- a/testing/knowledge/test_rolling_restarts.py
+++ b/testing/knowledge/test_rolling_restarts.py
@@ -2,12 +2,9 @@
 
 import asyncio
 
-import loguru
-import testtools
 from parameterized import parameterized
 
-from caperdyke.transport.gateway import row_exchange
-from testing.knowledge import fleet_replay, simulated_loop
+from testing.knowledge import fleet_case, simulated_loop
 from testing.knowledge import test_leaving_servers as leaving_servers
 
 # Longer than a server serves on after its registration was removed, so that it shows whether an
@@ -16,33 +13,13 @@
 # Time from the removal of a registration to the restart of another instance. The others read the
 # removal only after that.
 RESTART_DELAY_SECONDS = 0.05
-SERVERS = 20
 # Restarts one after the other, and changes of registrations in the same time.
 RESTARTS = 10
 RESTART_GAP_SECONDS = 1.0
 CHANGES = 5
 
 
-class _FleetTest(testtools.TestCase):
-    """A fleet that restarts while registrations change."""
-
-    def setUp(self) -> None:
-        super().setUp()
-        loguru.logger.disable("caperdyke")
-        self.addCleanup(loguru.logger.enable, "caperdyke")
-
-    async def start_fleet(self, count: int, seed: int) -> fleet_replay.FleetReplay:
-        """Starts a fleet with some servers and lets it settle."""
-        replay = fleet_replay.FleetReplay(count, seed, 2)
-        self.patch(row_exchange, "fetch", replay.fetch_rows)
-        for number in range(SERVERS):
-            await replay.store.register(f"server-{number}", "ready")
-        replay.start()
-        await asyncio.sleep(leaving_servers.SETTLE_SECONDS + replay.rng.random())
-        return replay
-
-
-class RestartAfterRemovalTest(_FleetTest):
+class RestartAfterRemovalTest(fleet_case.FleetTestCase):
     """A registration is removed, and an instance restarts before the others have read that."""
 
     @parameterized.expand(
@@ -77,7 +54,7 @@
         )
 
 
-class ExchangeTest(_FleetTest):
+class ExchangeTest(fleet_case.FleetTestCase):
     """All instances restart one after the other."""
 
     @parameterized.expand([(f"{count} instances", count) for count in (10, 68)])
--- a/testing/knowledge/test_store_stalls.py
+++ b/testing/knowledge/test_store_stalls.py
@@ -2,17 +2,13 @@
 
 import asyncio
 
-import loguru
-import testtools
 from parameterized import parameterized
 
 from caperdyke.state import store_rows
 from caperdyke.transport.gateway import row_exchange
-from testing.knowledge import fleet_replay, simulated_loop
+from testing.knowledge import fleet_case, fleet_replay, simulated_loop
 from testing.knowledge import test_leaving_servers as leaving_servers
 
-SERVERS = 20
-SETTLE_SECONDS = 4.0
 WATCH_SECONDS = 9.0
 # Time from the store's first answers until all instances have what they show: a call over a new
 # connection, a tick, a comparison of positions, and rows of another instance.
@@ -40,24 +36,9 @@
     loop.call_later(OUTAGE_SECONDS, setattr, replay.store, "is_unavailable", False)
 
 
-class StoreStallTest(testtools.TestCase):
+class StoreStallTest(fleet_case.FleetTestCase):
     """The store is silent for some seconds, and then answers the calls that still wait."""
 
-    def setUp(self) -> None:
-        super().setUp()
-        loguru.logger.disable("caperdyke")
-        self.addCleanup(loguru.logger.enable, "caperdyke")
-
-    async def start_fleet(self, count: int, seed: int) -> fleet_replay.FleetReplay:
-        """Starts a fleet with some servers and lets it settle."""
-        replay = fleet_replay.FleetReplay(count, seed, 2)
-        self.patch(row_exchange, "fetch", replay.fetch_rows)
-        for number in range(SERVERS):
-            await replay.store.register(f"server-{number}", "ready")
-        replay.start()
-        await asyncio.sleep(SETTLE_SECONDS + replay.rng.random())
-        return replay
-
     @parameterized.expand(
         [
             (f"{seconds} s, {count} instances", seconds, count)
@@ -98,14 +79,16 @@
             replay = await self.start_fleet(count, count)
             outage(replay)
             await asyncio.sleep(OUTAGE_SECONDS - LAPSE_SECONDS)
-            for number in range(SERVERS):
+            for number in range(fleet_case.SERVERS):
                 await replay.store.register(f"server-{number}", None)
             await asyncio.sleep(LAPSE_SECONDS)
             loop = asyncio.get_running_loop()
             back_at = loop.time() + RETURN_SECONDS
             while loop.time() < back_at:
                 for name, instance in replay.instances.items():
-                    if not all(instance.may_send_to(f"server-{item}") for item in range(SERVERS)):
+                    if not all(
+                        instance.may_send_to(f"server-{item}") for item in range(fleet_case.SERVERS)
+                    ):
                         unused.setdefault(name, round(loop.time(), 2))
                 await asyncio.sleep(0.05)
             table = store_rows.StoreTable.SERVERS
@@ -116,14 +99,9 @@
         self.assertEqual({}, unused, "instances that lost a server, and when")
 
 
-class PausedInstanceTest(testtools.TestCase):
+class PausedInstanceTest(fleet_case.FleetTestCase):
     """An instance does not run for a while, and datagrams wait in its socket."""
 
-    def setUp(self) -> None:
-        super().setUp()
-        loguru.logger.disable("caperdyke")
-        self.addCleanup(loguru.logger.enable, "caperdyke")
-
     def test_announcement_that_waited_during_a_pause_confirms_no_later_read(self) -> None:
         """Guards against registrations that count as fresh by a datagram that waited."""
 
@@ -131,7 +109,7 @@
             replay = fleet_replay.FleetReplay(2, 1, 1)
             self.patch(row_exchange, "fetch", replay.fetch_rows)
             replay.start()
-            await asyncio.sleep(SETTLE_SECONDS)
+            await asyncio.sleep(fleet_case.SETTLE_SECONDS)
             paused = replay.instances["instance-0"]
             for task in paused.tasks:
                 task.cancel()
